--- /dev/null
+++ b/crates/stairfront-policy/src/lib.rs
@@ -0,0 +1,5 @@
+//! Every decision of the stairfront balancer, without any I/O: events in, actions out.
+pub mod interface;
+mod policy;
+
+pub use policy::Policy;
