--- a/crates/stairfront-policy/src/policy.rs
+++ b/crates/stairfront-policy/src/policy.rs
@@ -441,9 +441,11 @@
         };
         let mut pick = None;
         let mut least = u32::MAX;
-        for (i, cache) in options.iter().enumerate().filter(|(_, c)| fresh(c)) {
+        let mut crowd = false;
+        for cache in options.iter().filter(|c| fresh(c)) {
             let Some(server) = self.servers.get(cache).filter(|s| self.open(s, now)) else { continue };
-            if !crowded(server) && (i == 0 || pick.is_none() || server.inflight < least) {
+            crowd = crowded(server);
+            if !crowd {
                 pick = Some(*cache);
                 break;
             }
@@ -451,7 +453,7 @@
                 (pick, least) = (Some(*cache), server.inflight);
             }
         }
-        let pressed = pick != Some(placed) || least != u32::MAX;
+        let pressed = crowd || pick.is_none();
         self.pressure += PRESSURE_SMOOTHING * (f64::from(u8::from(pressed)) - self.pressure);
         if pick.is_none()
             && options.iter().all(|c| !fresh(c) || !self.servers.get(c).is_some_and(|s| self.open(s, now)))
@@ -624,8 +626,9 @@
         let left = (self.give_up_at(p) - now).max(self.set.tick);
         let free = self.class(&p.request).is_some_and(|c| c.semantics == Semantics::Free);
         let cache = self.servers.get(&to).is_some_and(|s| s.role == Role::Cache);
+        let suspect = self.servers.get(&to).is_some_and(|s| s.strikes > 0);
         let first = ((p.aim_at - now) as f64 * ATTEMPT_SHARE) as Micros;
-        if free && cache && p.sent + 2 < self.set.limits.most_attempts && first > self.set.tick {
+        if free && cache && suspect && p.sent + 2 < self.set.limits.most_attempts && first > self.set.tick {
             first.min(left)
         } else {
             left
