--- a/crates/stairfront-policy/src/policy.rs
+++ b/crates/stairfront-policy/src/policy.rs
@@ -601,7 +601,7 @@
     }
 
     fn send(&mut self, now: Micros, id: RequestId, to: CacheId, actions: &mut Vec<Action>) {
-        let timeout = self.attempt_timeout(now, id, to);
+        let timeout = self.attempt_timeout(now, id);
         let warmth = self.servers.get(&to).map_or(1.0, |s| self.warmth(s, now));
         let tokens = self.servers.get(&to).map_or(1.0, |s| self.cold_tokens(s, now));
         let (Some(p), Some(server)) = (self.pending.get_mut(&id), self.servers.get_mut(&to)) else { return };
@@ -620,19 +620,10 @@
         actions.push(Action::Send { id, cache: to, timeout });
     }
 
-    /// A first read leaves time for a second try elsewhere; everything else may take what is left.
-    fn attempt_timeout(&self, now: Micros, id: RequestId, to: CacheId) -> Micros {
-        let Some(p) = self.pending.get(&id) else { return 0 };
-        let left = (self.give_up_at(p) - now).max(self.set.tick);
-        let free = self.class(&p.request).is_some_and(|c| c.semantics == Semantics::Free);
-        let cache = self.servers.get(&to).is_some_and(|s| s.role == Role::Cache);
-        let suspect = self.servers.get(&to).is_some_and(|s| s.strikes > 0);
-        let first = ((p.aim_at - now) as f64 * ATTEMPT_SHARE) as Micros;
-        if free && cache && suspect && p.sent + 2 < self.set.limits.most_attempts && first > self.set.tick {
-            first.min(left)
-        } else {
-            left
-        }
+    /// Danger: work that is cut short here still runs there. While it is out it counts against the server's window.
+    fn attempt_timeout(&self, now: Micros, id: RequestId) -> Micros {
+        let left = self.pending.get(&id).map_or(0, |p| p.request.expires - 2 * self.set.tick - now);
+        left.max(self.set.tick)
     }
 
     fn on_settled(&mut self, now: Micros, s: Settled, actions: &mut Vec<Action>) {
@@ -773,11 +764,6 @@
 
     /// Ends the balancer's own work for a request that is over.
     fn forget(&mut self, now: Micros, id: RequestId, actions: &mut Vec<Action>) {
-        if let Some(out) = self.pending.get(&id).and_then(|p| p.out) {
-            if self.set.limits.may_cancel {
-                actions.push(Action::Cancel { id, attempt: out.attempt });
-            }
-        }
         self.conclude(now, id, false, actions);
     }
 
