Client repeats are told by an unusual time left, by majority vote

Cause: a client's last repeat has all the rest of its deadline, so the longest time left named first tries as repeats, and they were refused at 55 ms.

--- a/crates/stairfront-policy/src/policy.rs
+++ b/crates/stairfront-policy/src/policy.rs
@@ -56,6 +56,8 @@
 const PRESSURE_SMOOTHING: f64 = 0.03;
 /// Least time between two log lines of one balancer.
 const LOG_GAP: Micros = 200 * MS;
+/// Most votes that the usual time left may gather, so that a change of habit is noticed.
+const USUAL_VOTES: i32 = 500;
 /// Timer tokens: requests use their id, the list this one.
 const LIST_TOKEN: u64 = u64::MAX;
 
@@ -166,8 +168,8 @@
     fetch_queue: VecDeque<RequestId>,
     retry_tokens: f64,
     tenant_rates: Vec<Rate>,
-    /// Longest time left seen on arrival, by class: who has less came before.
-    longest_left: Vec<Micros>,
+    /// The usual time left on arrival and the votes for it, by class: who differs came before.
+    usual_left: Vec<(Micros, i32)>,
     pressure: f64,
     shedding: bool,
     subscribed: bool,
@@ -190,7 +192,7 @@
             fetch_queue: VecDeque::new(),
             retry_tokens: RETRY_BURST,
             tenant_rates: vec![Rate::default(); set.tenants.len()],
-            longest_left: vec![0; set.classes.len()],
+            usual_left: vec![(0, 0); set.classes.len()],
             pressure: 0.0,
             shedding: false,
             subscribed: false,
@@ -547,12 +549,17 @@
 
     /// When an answer stops being in time. A client's repeat counts from its first try, which shows in the time left.
     fn aim_at(&mut self, now: Micros, request: &Request) -> Micros {
-        let left = request.expires - now;
+        let (left, slack) = (request.expires - now, 4 * self.set.tick);
         let Some(class) = self.class(request) else { return request.expires };
         let (aim, deadline) = (class.aim, class.deadline);
-        let longest = &mut self.longest_left[usize::from(request.class.0)];
-        *longest = (*longest).max(left);
-        let spent = if left + 4 * self.set.tick < *longest { (deadline - left).max(0) } else { 0 };
+        let (usual, votes) = &mut self.usual_left[usize::from(request.class.0)];
+        let near = (left - *usual).abs() <= slack;
+        *votes += if near { 1 } else { -1 };
+        if *votes < 0 {
+            (*usual, *votes) = (left, 1);
+        }
+        *votes = (*votes).min(USUAL_VOTES);
+        let spent = if near || *usual == left { 0 } else { (deadline - left).max(0) };
         (now + aim - spent).min(request.expires)
     }
 
