Windows without overdraft, below one by pauses; answer times against their own class's aim

The overdraft hid that a request whose two candidates are full is refused while the rest of the ring is idle; that is next.

--- a/crates/stairfront-policy/src/policy.rs
+++ b/crates/stairfront-policy/src/policy.rs
@@ -33,8 +33,7 @@
 const WINDOW_START: f64 = 4.0;
 const WINDOW_CUT: f64 = 0.8;
 const WINDOW_MAX: f64 = 256.0;
-/// Past this multiple of its window a server gets nothing more: what queues there would be late.
-const WINDOW_OVERDRAFT: f64 = 2.0;
+const WINDOW_MIN: f64 = 0.1;
 /// First absence of a suspect, doubled at each further failure up to the last.
 const SUSPECT_FIRST: Micros = 400 * MS;
 const SUSPECT_LAST: Micros = 6 * SECOND;
@@ -77,6 +76,8 @@
     inflight: u32,
     window: f64,
     pace: f64,
+    /// Smoothed answer time over what it should be.
+    stress: f64,
     cut_at: Micros,
     strikes: u32,
     suspect_until: Micros,
@@ -287,6 +288,7 @@
             inflight: 0,
             window: WINDOW_START,
             pace: 0.0,
+            stress: 0.0,
             cut_at: now,
             strikes: 0,
             suspect_until: now,
@@ -303,6 +305,7 @@
             server.suspect_until = now;
             server.window = WINDOW_START;
             server.pace = 0.0;
+            server.stress = 0.0;
             server.cold_tokens = 1.0;
             server.cold_at = now;
         }
@@ -439,7 +442,7 @@
         let fresh = |c: &CacheId| !tried.contains(&Some(*c));
         let crowded = |s: &Server| {
             let own = f64::from(s.inflight);
-            own >= (mean * SPILL_MULTIPLE).max(mean + SPILL_FLOOR) || own >= s.window
+            own >= (mean * SPILL_MULTIPLE).max(mean + SPILL_FLOOR) || !s.has_room(now)
         };
         let mut pick = None;
         let mut least = u32::MAX;
@@ -451,7 +454,7 @@
                 pick = Some(*cache);
                 break;
             }
-            if server.inflight < least && f64::from(server.inflight) < server.window * WINDOW_OVERDRAFT {
+            if server.inflight < least && server.has_room(now) {
                 (pick, least) = (Some(*cache), server.inflight);
             }
         }
@@ -470,8 +473,8 @@
     fn next_clockwise(&self, now: Micros, key: Key, tried: &[Option<CacheId>]) -> Option<CacheId> {
         let start = self.owner(point(key.0, 1));
         (1..self.ring.len()).map(|step| self.ring[(start + step) % self.ring.len()].1).find(|c| {
-            let free = |s: &Server| f64::from(s.inflight) < s.window;
-            !tried.contains(&Some(*c)) && self.servers.get(c).is_some_and(|s| self.open(s, now) && free(s))
+            !tried.contains(&Some(*c))
+                && self.servers.get(c).is_some_and(|s| self.open(s, now) && s.has_room(now))
         })
     }
 
@@ -709,7 +712,7 @@
     fn start_fetches(&mut self, now: Micros, actions: &mut Vec<Action>) {
         while let Some(origin) = self.origin() {
             let Some(server) = self.servers.get(&origin) else { return };
-            if f64::from(server.inflight) >= server.window {
+            if !server.has_room(now) {
                 return;
             }
             let pace = server.pace as Micros;
@@ -810,9 +813,10 @@
     // ---- health and windows ----
 
     fn observe(&mut self, now: Micros, s: &Settled, actions: &mut Vec<Action>) {
-        let aim = self.shortest_aim as f64;
+        let aim =
+            self.pending.get(&s.id).and_then(|p| self.class(&p.request)).map_or(self.shortest_aim, |c| c.aim);
         let Some(server) = self.servers.get_mut(&s.cache) else { return };
-        let goal = aim * if server.role == Role::Origin { CROWDED_ORIGIN } else { CROWDED_AIM };
+        let goal = aim as f64 * if server.role == Role::Origin { CROWDED_ORIGIN } else { CROWDED_AIM };
         let was = server.suspected();
         match s.outcome {
             Outcome::Served | Outcome::Miss => {
@@ -820,7 +824,8 @@
                     server.window = 1.0;
                 }
                 server.strikes = 0;
-                if s.outcome == Outcome::Served {
+                // A cache's own fetch says nothing of how crowded the cache is.
+                if s.outcome == Outcome::Served && s.note != Note::Fetched {
                     server.timed(now, s.elapsed as f64, goal);
                 }
             }
@@ -884,6 +889,15 @@
 }
 
 impl Server {
+    /// Danger: many balancers with one request each can still crowd a server. A window below one stands for
+    /// that part of the time: the next request goes after a pause.
+    fn has_room(&self, now: Micros) -> bool {
+        if self.window >= 1.0 || self.inflight > 0 {
+            return f64::from(self.inflight) < self.window;
+        }
+        (now - self.sent.at) as f64 >= self.pace / self.window
+    }
+
     fn suspected(&self) -> bool {
         self.strikes >= TIMEOUTS_SUSPECT
     }
@@ -899,17 +913,18 @@
     /// Additive increase while answers come in good time, multiplicative decrease when they do not.
     fn timed(&mut self, now: Micros, elapsed: f64, goal: f64) {
         self.pace = if self.pace == 0.0 { elapsed } else { self.pace + SMOOTHING * (elapsed - self.pace) };
-        if self.pace > goal {
+        self.stress += SMOOTHING * (elapsed / goal - self.stress);
+        if self.stress > 1.0 {
             self.cut(now, goal);
         } else if f64::from(self.inflight) >= self.window / 2.0 {
-            self.window = (self.window + 1.0 / self.window).min(WINDOW_MAX);
+            self.window = (self.window + 1.0 / self.window.max(1.0)).min(WINDOW_MAX);
         }
     }
 
     fn cut(&mut self, now: Micros, goal: f64) {
         if now - self.cut_at > (goal / 2.0) as Micros {
             self.cut_at = now;
-            self.window = (self.window * WINDOW_CUT).max(1.0);
+            self.window = (self.window * WINDOW_CUT).max(WINDOW_MIN);
         }
     }
 }
