--- a/crates/stairfront-policy/src/policy.rs
+++ b/crates/stairfront-policy/src/policy.rs
@@ -460,9 +460,7 @@
         }
         let pressed = crowd || pick.is_none();
         self.pressure += PRESSURE_SMOOTHING * (f64::from(u8::from(pressed)) - self.pressure);
-        if pick.is_none()
-            && options.iter().all(|c| !fresh(c) || !self.servers.get(c).is_some_and(|s| self.open(s, now)))
-        {
+        if pick.is_none() {
             pick = self.next_clockwise(now, key, &tried);
         }
         pick
