--- a/crates/stairfront-policy/src/policy.rs
+++ b/crates/stairfront-policy/src/policy.rs
@@ -12,7 +12,7 @@
 const MS: Micros = 1_000;
 const SECOND: Micros = 1_000_000;
 /// Points that a key hashes to: the design's d. A third is used only when two fall to one owner.
-const POINTS: u64 = 2;
+const POINTS: usize = 2;
 const MOST_POINTS: u64 = 3;
 /// Seed of a cache's ring point; keys use the seeds 1.. so that no key shares it.
 const RING_SEED: u64 = 0;
@@ -347,12 +347,12 @@
         }
     }
 
-    /// The distinct owners of a key's points; a third point only when the first two share an owner.
-    fn candidates(&self, key: Key) -> ([usize; POINTS as usize], usize) {
-        let (mut found, mut n) = ([0; POINTS as usize], 0);
+    /// The distinct owners of a key's points, in the order of its hash functions, and how many there are.
+    fn candidates(&self, key: Key) -> ([usize; MOST_POINTS as usize], usize) {
+        let (mut found, mut n) = ([0; MOST_POINTS as usize], 0);
         for seed in 1..=MOST_POINTS {
             let i = self.owner(point(key.0, seed));
-            if n < found.len() && !found[..n].contains(&i) {
+            if !found[..n].contains(&i) {
                 found[n] = i;
                 n += 1;
             }
@@ -381,7 +381,7 @@
         }
         let (found, n) = self.candidates(key);
         let load = |i: &&usize| (self.servers.get(&self.ring[**i].1).map_or(0, |s| s.keys), self.arc(**i));
-        let cache = self.ring[*found[..n].iter().min_by_key(load)?].1;
+        let cache = self.ring[*found[..n.min(POINTS)].iter().min_by_key(load)?].1;
         let server = self.servers.get_mut(&cache)?;
         server.keys += 1;
         self.table.insert(key, Placement { cache, epoch: server.epoch, seen: now });
@@ -460,7 +460,9 @@
         }
         let pressed = crowd || pick.is_none();
         self.pressure += PRESSURE_SMOOTHING * (f64::from(u8::from(pressed)) - self.pressure);
-        if pick.is_none() {
+        if pick.is_none()
+            && options.iter().all(|c| !fresh(c) || !self.servers.get(c).is_some_and(|s| self.open(s, now)))
+        {
             pick = self.next_clockwise(now, key, &tried);
         }
         pick
