--- a/crates/stairfront-policy/src/policy.rs
+++ b/crates/stairfront-policy/src/policy.rs
@@ -382,12 +382,25 @@
         let (found, n) = self.candidates(key);
         let load = |i: &&usize| (self.servers.get(&self.ring[**i].1).map_or(0, |s| s.keys), self.arc(**i));
         let cache = self.ring[*found[..n.min(POINTS)].iter().min_by_key(load)?].1;
-        let server = self.servers.get_mut(&cache)?;
+        self.put(now, key, cache);
+        self.lapse(now);
+        Some(cache)
+    }
+
+    /// Danger: a hot key, or too many on a small machine, would spill for as long as they are asked for, each
+    /// time as a miss; the key moves to the candidate that has room instead.
+    fn replace(&mut self, now: Micros, key: Key, to: CacheId) {
+        if self.table.contains_key(&key) {
+            self.unplace(key);
+            self.put(now, key, to);
+        }
+    }
+
+    fn put(&mut self, now: Micros, key: Key, cache: CacheId) {
+        let Some(server) = self.servers.get_mut(&cache) else { return };
         server.keys += 1;
         self.table.insert(key, Placement { cache, epoch: server.epoch, seen: now });
         self.ages.push_back((now, key));
-        self.lapse(now);
-        Some(cache)
     }
 
     fn unplace(&mut self, key: Key) {
@@ -460,6 +473,10 @@
         }
         let pressed = crowd || pick.is_none();
         self.pressure += PRESSURE_SMOOTHING * (f64::from(u8::from(pressed)) - self.pressure);
+        let full = |c: CacheId| self.servers.get(&c).is_some_and(|s| self.open(s, now) && !s.has_room(now));
+        if let Some(other) = pick.filter(|c| *c != placed && !crowd && full(placed)) {
+            self.replace(now, key, other);
+        }
         if pick.is_none()
             && options.iter().all(|c| !fresh(c) || !self.servers.get(c).is_some_and(|s| self.open(s, now)))
         {
