--- a/crates/stairfront-policy/src/policy.rs
+++ b/crates/stairfront-policy/src/policy.rs
@@ -30,6 +30,8 @@
 const CROWDED_AIM: f64 = 0.5;
 const CROWDED_ORIGIN: f64 = 0.5;
 /// Window of own requests out at one server: start value and multiplicative cut.
+/// Time after which an earlier answer time no longer counts for much.
+const STALE_SPAN: f64 = 2.0 * SECOND as f64;
 const WINDOW_START: f64 = 4.0;
 const WINDOW_CUT: f64 = 0.8;
 const WINDOW_MAX: f64 = 256.0;
@@ -79,6 +81,7 @@
     /// Smoothed answer time over what it should be.
     stress: f64,
     cut_at: Micros,
+    timed_at: Micros,
     strikes: u32,
     suspect_until: Micros,
     sent: Rate,
@@ -290,6 +293,7 @@
             pace: 0.0,
             stress: 0.0,
             cut_at: now,
+            timed_at: 0,
             strikes: 0,
             suspect_until: now,
             sent: Rate { sum: 0.0, at: now },
@@ -382,25 +386,12 @@
         let (found, n) = self.candidates(key);
         let load = |i: &&usize| (self.servers.get(&self.ring[**i].1).map_or(0, |s| s.keys), self.arc(**i));
         let cache = self.ring[*found[..n.min(POINTS)].iter().min_by_key(load)?].1;
-        self.put(now, key, cache);
-        self.lapse(now);
-        Some(cache)
-    }
-
-    /// Danger: a hot key, or too many on a small machine, would spill for as long as they are asked for, each
-    /// time as a miss; the key moves to the candidate that has room instead.
-    fn replace(&mut self, now: Micros, key: Key, to: CacheId) {
-        if self.table.contains_key(&key) {
-            self.unplace(key);
-            self.put(now, key, to);
-        }
-    }
-
-    fn put(&mut self, now: Micros, key: Key, cache: CacheId) {
-        let Some(server) = self.servers.get_mut(&cache) else { return };
+        let server = self.servers.get_mut(&cache)?;
         server.keys += 1;
         self.table.insert(key, Placement { cache, epoch: server.epoch, seen: now });
         self.ages.push_back((now, key));
+        self.lapse(now);
+        Some(cache)
     }
 
     fn unplace(&mut self, key: Key) {
@@ -473,10 +464,6 @@
         }
         let pressed = crowd || pick.is_none();
         self.pressure += PRESSURE_SMOOTHING * (f64::from(u8::from(pressed)) - self.pressure);
-        let full = |c: CacheId| self.servers.get(&c).is_some_and(|s| self.open(s, now) && !s.has_room(now));
-        if let Some(other) = pick.filter(|c| *c != placed && !crowd && full(placed)) {
-            self.replace(now, key, other);
-        }
         if pick.is_none()
             && options.iter().all(|c| !fresh(c) || !self.servers.get(c).is_some_and(|s| self.open(s, now)))
         {
@@ -929,8 +916,12 @@
 
     /// Additive increase while answers come in good time, multiplicative decrease when they do not.
     fn timed(&mut self, now: Micros, elapsed: f64, goal: f64) {
-        self.pace = if self.pace == 0.0 { elapsed } else { self.pace + SMOOTHING * (elapsed - self.pace) };
-        self.stress += SMOOTHING * (elapsed / goal - self.stress);
+        // Danger: a server seldom asked would be judged for long by what it was before its window closed.
+        let stale = 1.0 - (-((now - self.timed_at) as f64) / STALE_SPAN).exp();
+        let weight = stale.max(SMOOTHING);
+        self.timed_at = now;
+        self.pace += weight * (elapsed - self.pace);
+        self.stress += weight * (elapsed / goal - self.stress);
         if self.stress > 1.0 {
             self.cut(now, goal);
         } else if f64::from(self.inflight) >= self.window / 2.0 {
@@ -939,7 +930,7 @@
     }
 
     fn cut(&mut self, now: Micros, goal: f64) {
-        if now - self.cut_at > (goal / 2.0) as Micros {
+        if now - self.cut_at > goal.max(self.pace) as Micros {
             self.cut_at = now;
             self.window = (self.window * WINDOW_CUT).max(WINDOW_MIN);
         }
