--- a/crates/stairfront-policy/src/interface.rs
+++ b/crates/stairfront-policy/src/interface.rs
@@ -4,6 +4,9 @@
 /// A point in time or a length of time, in microseconds. The clock has no meaningful start.
 pub type Micros = i64;
 
+pub const MS: Micros = 1_000;
+pub const SECOND: Micros = 1_000 * MS;
+
 macro_rules! id {
     ($(#[$doc:meta])* $name:ident($inner:ty)) => {
         $(#[$doc])*
--- /dev/null
+++ b/crates/stairfront-policy/src/measure.rs
@@ -0,0 +1,60 @@
+//! Arithmetic that the decisions lean on: fixed hashes, seeded random numbers, fading averages. Decides nothing.
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::interface::{Micros, SECOND};
+
+/// A fixed hash, the same at every balancer.
+pub fn point(value: u64, seed: u64) -> u64 {
+    xxh3_64_with_seed(&value.to_le_bytes(), seed)
+}
+
+/// Random numbers of one balancer, the same for the same seed.
+pub struct Random(pub u64);
+
+impl Random {
+    /// Evenly from 0 to below 1.
+    pub fn unit(&mut self) -> f64 {
+        self.0 = self.0.wrapping_add(1);
+        (point(self.0, u64::MAX) >> 11) as f64 / (1u64 << 53) as f64
+    }
+}
+
+/// What is left of a weight after `age`, where `span` is the time constant.
+pub fn faded(age: Micros, span: f64) -> f64 {
+    (-(age.max(0) as f64) / span).exp()
+}
+
+/// Events a second, forgetting exponentially.
+#[derive(Clone, Copy, Default)]
+pub struct Rate {
+    sum: f64,
+    pub at: Micros,
+}
+
+impl Rate {
+    pub const SPAN: f64 = 4.0 * SECOND as f64;
+
+    pub fn add(&mut self, now: Micros) {
+        self.sum = self.sum * faded(now - self.at, Self::SPAN) + 1.0;
+        self.at = now;
+    }
+
+    pub fn per_second(&self, now: Micros) -> f64 {
+        self.sum * faded(now - self.at, Self::SPAN) * SECOND as f64 / Self::SPAN
+    }
+}
+
+/// An average whose samples count by number and, when they are rare, by age.
+#[derive(Clone, Copy, Default)]
+pub struct Average {
+    pub value: f64,
+    at: Micros,
+}
+
+impl Average {
+    pub fn add(&mut self, now: Micros, sample: f64, least_weight: f64, span: f64) {
+        let weight = (1.0 - faded(now - self.at, span)).max(least_weight);
+        self.at = now;
+        self.value += weight * (sample - self.value);
+    }
+}
--- a/crates/stairfront-wirehost/src/settings.rs
+++ b/crates/stairfront-wirehost/src/settings.rs
@@ -156,8 +156,8 @@
     })
 }
 
-fn field(name: &String) -> ReportField {
-    match name.as_str() {
+fn field(name: &str) -> ReportField {
+    match name {
         "outstanding" => ReportField::Outstanding,
         "backlog" => ReportField::Backlog,
         "utilization" => ReportField::Utilization,
@@ -203,7 +203,7 @@
             fall_multiple: raw.rules.fall_multiple,
             fall: us(raw.rules.fall),
         },
-        report: raw.report.fields.iter().map(field).collect(),
+        report: raw.report.fields.iter().map(|name| field(name)).collect(),
         sized: !matches!(raw.weights.as_str(), "off" | "none" | ""),
     })
 }
