--- a/crates/stairfront-policy/src/policy.rs
+++ b/crates/stairfront-policy/src/policy.rs
@@ -26,7 +26,7 @@
 const TIME_SPAN: f64 = 2.0 * SECOND as f64;
 /// Share of its class's aim that an answer may take on average before a server counts as crowded: the rest is
 /// left for the spread around the average and for a second step.
-const GOAL: f64 = 0.5;
+const GOAL: f64 = 0.4;
 /// Window of own requests out at one server: first value, bounds, and the factor of a cut.
 const WINDOW_START: f64 = 4.0;
 const WINDOW_MIN: f64 = 0.1;
