The origin's answers count as its own answer times

Cause: answers from the origin are noted as fetched, and fetched answers were left out of timing for caches' sake, so only time-outs moved the origin's window, downwards.

--- a/crates/stairfront-policy/src/policy.rs
+++ b/crates/stairfront-policy/src/policy.rs
@@ -684,7 +684,8 @@
                 server.strikes = 0;
                 server.window = if was { 1.0 } else { server.window };
                 // A cache's own fetch says nothing of how crowded the cache is.
-                if s.outcome == Outcome::Served && s.note != Note::Fetched {
+                let own_fetch = s.note == Note::Fetched && server.role == Role::Cache;
+                if s.outcome == Outcome::Served && !own_fetch {
                     server.timed(now, s.elapsed as f64, goal);
                 }
             }
