--- a/crates/stairfront-policy/src/policy.rs
+++ b/crates/stairfront-policy/src/policy.rs
@@ -1,7 +1,7 @@
 //! Every decision of one balancer. The types it speaks in stand in `interface.rs`.
 //!
 //! Ordinary path: two-point ring placement after Byers, Considine and Mitzenmacher. Everything else here
-//! is what that design leaves open: list, health, time-outs, repeats, cold caches, origin, overload, fairness.
+//! is what that design leaves open: list, health, repeats, cold caches, origin, overload, fairness.
 use std::collections::{BTreeMap, VecDeque};
 
 use rustc_hash::FxHashMap;
@@ -219,7 +219,7 @@
         }
     }
 
-    /// Danger: after a mass restart every balancer asks discovery at once and all calls fail, again and again.
+    /// Danger: after a mass restart every balancer asks discovery at once and all calls fail, over and over.
     fn ask_later(&mut self, actions: &mut Vec<Action>) {
         if self.set.discovery == Discovery::Ask {
             let spread = Micros::from(self.set.balancers) * (SECOND / 2) * (1 << self.list_failures);
@@ -249,7 +249,7 @@
             cold_at: now,
         };
         let server = self.servers.entry(line.id).or_insert_with(|| fresh(0, 0));
-        // Danger: a restarted process comes back empty under its old id; its old keys would flood it with misses.
+        // Danger: a restarted process comes back empty under its old id; its old keys would flood it.
         if line.born > server.member.born {
             *server = fresh(server.epoch + 1, server.inflight);
         }
@@ -300,7 +300,7 @@
         self.ring[i].0.wrapping_sub(self.ring[before].0)
     }
 
-    /// Where the key stays: its placement, or a new one on the candidate with fewer keys, shorter arc on ties.
+    /// Where the key stays: its placement, or the candidate with fewer keys, shorter arc on ties.
     fn place(&mut self, now: Micros, key: Key) -> Option<CacheId> {
         if let Some(entry) = self.table.get_mut(&key) {
             let server = self.servers.get(&entry.cache);
@@ -311,12 +311,12 @@
             }
             self.unplace(key);
         }
+        self.lapse(now);
         let (found, n) = self.candidates(key);
         let keys = |i: usize| self.servers.get(&self.ring[i].1).map_or(0, |s| s.keys);
         let least = found[..n.min(POINTS)].iter().min_by_key(|i| (keys(**i), self.arc(**i)))?;
         let cache = self.ring[*least].1;
         self.put(now, key, cache);
-        self.lapse(now);
         Some(cache)
     }
 
@@ -335,10 +335,10 @@
         }
     }
 
-    /// Drops entries unseen for too long, and while the table is over its bound the one looked at longest ago.
+    /// Drops entries unseen for too long, and at the bound the one looked at longest ago.
     fn lapse(&mut self, now: Micros) {
         while let Some(&(looked, key)) = self.ages.front() {
-            let over = self.table.len() > TABLE_MAX;
+            let over = self.table.len() >= TABLE_MAX;
             if !over && now - looked < ENTRY_AGE {
                 return;
             }
@@ -462,8 +462,8 @@
         matches!(self.set.mode, CacheMode::Aside { .. })
     }
 
-    /// When an answer stops being in time. A client's repeat counts from its first try: it has another time left
-    /// than the usual, which a majority vote finds, since first tries are the most.
+    /// When an answer stops being in time. A client's repeat counts from its first try: it has another time
+    /// left than the usual, which a majority vote finds, since first tries are the most.
     fn aim_at(&mut self, now: Micros, request: &Request) -> Micros {
         let (left, slack) = (request.expires - now, 4 * self.set.tick);
         let Some(class) = self.class(request) else { return request.expires };
@@ -646,7 +646,7 @@
         self.conclude(now, id, false, actions);
     }
 
-    /// The request is over. Followers of its fetch read what it stored; if it failed, the next of them fetches.
+    /// The request is over. Followers of its fetch read what it stored; if it failed, the next one fetches.
     fn conclude(&mut self, now: Micros, id: RequestId, stored: bool, actions: &mut Vec<Action>) {
         let Some(key) = self.pending.remove(&id).and_then(|p| p.request.key) else { return };
         if self.fetches.get(&key).is_none_or(|f| f.leader != id) {
@@ -707,8 +707,8 @@
 
     // ---- fairness ----
 
-    /// Refuses, under pressure alone, what its tenant sends beyond its share. This balancer sees only its slice,
-    /// so shares are judged by the median use of quotas here, not by the quotas themselves.
+    /// Refuses, under pressure alone, what its tenant sends beyond its share. This balancer sees only its
+    /// slice, so shares are judged by the median use of quotas here, not by the quotas themselves.
     fn shed(&mut self, now: Micros, request: &Request, actions: &mut Vec<Action>) -> bool {
         let level = (self.pressure / PRESSURE_FULL).min(1.0);
         if self.shedding != (level > 0.5) {
--- /dev/null
+++ b/crates/stairfront-policy/tests/placement.rs
@@ -0,0 +1,185 @@
+//! The design's ordinary path: two points, fewer own keys, shorter arc, and what makes one request go elsewhere.
+mod common;
+use std::collections::{BTreeMap, BTreeSet};
+
+use common::*;
+use stairfront_policy::interface::*;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// The design written down a second time, plainly: the order of the owners and the arcs they own.
+struct Model {
+    ring: Vec<(u64, u64)>,
+    keys: BTreeMap<u64, i64>,
+}
+
+impl Model {
+    fn new(ids: impl IntoIterator<Item = u64>) -> Model {
+        let mut ring: Vec<_> = ids.into_iter().map(|id| (hash(id, 0), id)).collect();
+        ring.sort_unstable();
+        Model { keys: ring.iter().map(|(_, id)| (*id, 0)).collect(), ring }
+    }
+    fn owner(&self, at: u64) -> usize {
+        (0..self.ring.len()).find(|i| self.ring[*i].0 >= at).unwrap_or(0)
+    }
+    fn arc(&self, i: usize) -> u64 {
+        self.ring[i].0.wrapping_sub(self.ring[(i + self.ring.len() - 1) % self.ring.len()].0)
+    }
+    fn candidates(&self, key: u64) -> Vec<usize> {
+        let mut found = vec![];
+        for seed in 1..=3 {
+            let i = self.owner(hash(key, seed));
+            if !found.contains(&i) {
+                found.push(i);
+            }
+        }
+        found
+    }
+    fn place(&mut self, key: u64) -> u64 {
+        let two = self.candidates(key);
+        let best =
+            two.into_iter().take(2).min_by_key(|i| (self.keys[&self.ring[*i].1], self.arc(*i))).unwrap();
+        let id = self.ring[best].1;
+        *self.keys.get_mut(&id).unwrap() += 1;
+        id
+    }
+}
+
+fn hash(value: u64, seed: u64) -> u64 {
+    xxh3_64_with_seed(&value.to_le_bytes(), seed)
+}
+
+#[test]
+fn keys_go_to_the_candidate_with_fewer_own_keys_and_ties_to_the_shorter_arc() {
+    let (mut rig, mut model) = (Rig::new(through(), &ready(1..=8)), Model::new(1..=8));
+    for key in 1..500 {
+        assert_eq!(rig.serve(key).0, model.place(key), "key {key}");
+    }
+    let (least, most) = (model.keys.values().min().unwrap(), model.keys.values().max().unwrap());
+    assert!(most - least < 40, "two choices keep counts together: {:?}", model.keys);
+}
+
+#[test]
+fn a_placed_key_stays() {
+    let mut rig = Rig::new(through(), &ready(1..=6));
+    let first: Vec<_> = (1..200).map(|key| rig.serve(key)).collect();
+    rig.now += 30 * SECOND;
+    let again: Vec<_> = (1..200).map(|key| rig.serve(key)).collect();
+    assert_eq!(first, again);
+}
+
+#[test]
+fn the_ring_is_the_same_at_every_balancer_whatever_its_seed_and_list_order() {
+    let mut other = through();
+    other.me = 2;
+    let mut list = ready(1..=9);
+    let mut a = Rig::new(through(), &list);
+    list.reverse();
+    let mut b = Rig::new(other, &list);
+    (1..100).for_each(|key| assert_eq!(a.serve(key), b.serve(key)));
+}
+
+#[test]
+fn an_entry_unseen_for_a_minute_is_placed_anew() {
+    let (mut rig, mut model) = (Rig::new(through(), &ready(1..=5)), Model::new(1..=5));
+    let mut crowded_out = None;
+    for key in 1..300 {
+        let placed = model.place(key);
+        assert_eq!(rig.serve(key).0, placed);
+        if placed != Model::new(1..=5).place(key) {
+            crowded_out = Some((key, placed));
+        }
+    }
+    let (key, placed) = crowded_out.expect("counts sent some key to its longer arc");
+    rig.now += 59 * SECOND;
+    assert_eq!(rig.serve(key).0, placed, "seen within a minute");
+    rig.now += 61 * SECOND;
+    assert_eq!(
+        rig.serve(key).0,
+        Model::new(1..=5).place(key),
+        "all counts have lapsed, the shorter arc decides"
+    );
+}
+
+#[test]
+fn a_newcomer_starts_at_the_mean_count_and_takes_only_its_part() {
+    let mut rig = Rig::new(through(), &ready(1..=4));
+    (1..=400).for_each(|key| assert!(rig.serve(key).0 > 0));
+    rig.event(Event::List(ListNews::Delta(&ready([77]))));
+    let taken = (1_001..=1_300).filter(|key| rig.serve(*key) == CacheId(77)).count();
+    assert!((1..150).contains(&taken), "from zero it would take nearly all of its candidates' keys: {taken}");
+}
+
+#[test]
+fn a_leaving_cache_loses_its_keys_to_the_rest_and_gets_none_when_back_but_anew() {
+    let mut rig = Rig::new(through(), &ready(1..=4));
+    let before: Vec<_> = (1..=200).map(|key| rig.serve(key)).collect();
+    rig.event(Event::List(ListNews::Delta(&[member(2, MemberState::Gone)])));
+    for (key, old) in (1..=200).zip(&before) {
+        let now = rig.serve(key);
+        assert_ne!(now, CacheId(2));
+        assert!(*old == CacheId(2) || now == *old, "key {key} stays where it was");
+    }
+    rig.event(Event::List(ListNews::Delta(&ready([2]))));
+    assert!((1..=200).all(|key| rig.serve(key) != CacheId(2)), "placements made meanwhile stand");
+}
+
+#[test]
+fn a_restarted_process_under_its_old_id_is_a_new_cache() {
+    let mut rig = Rig::new(through(), &ready(1..=4));
+    let old: Vec<u64> = (1..=400).filter(|key| rig.serve(*key) == CacheId(3)).collect();
+    let born = rig.now;
+    rig.event(Event::List(ListNews::Delta(&[Member { born, ..member(3, MemberState::Ready) }])));
+    let back = old.iter().filter(|key| rig.serve(**key) == CacheId(3)).count();
+    assert!(back < old.len(), "its old placements are void: {back} of {}", old.len());
+}
+
+#[test]
+fn a_cache_well_over_the_mean_in_flight_sheds_the_one_request() {
+    let (mut rig, model) = (Rig::new(through(), &ready(1..=6)), Model::new(1..=6));
+    let key = (1..).find(|key| model.candidates(*key).len() > 1).unwrap();
+    let placed = rig.serve(key);
+    let open: Vec<_> = (0..4).map(|_| rig.ask(key)).collect();
+    let went: Vec<_> = open.iter().map(|id| rig.last_cache(*id).unwrap()).collect();
+    assert_eq!(
+        went[..2],
+        [placed, placed],
+        "mean 0.2 or 0.3, two out: still under the floor of two above it"
+    );
+    assert_ne!(went[3], placed, "at least two above the mean and twice it");
+    let two: Vec<u64> = model.candidates(key).iter().map(|i| model.ring[*i].1).collect();
+    assert!(two.contains(&went[3].0));
+    open.into_iter().for_each(|id| drop(rig.settle(id, Outcome::Served)));
+    assert_eq!(rig.serve(key), placed, "only that request went elsewhere");
+}
+
+#[test]
+fn two_points_with_one_owner_leave_one_candidate_of_the_first_two_and_the_third_point() {
+    let model = Model::new(1..=2);
+    let key = (1..).find(|key| model.candidates(*key).len() == 1).unwrap();
+    let mut rig = Rig::new(through(), &ready(1..=2));
+    let only = model.ring[model.candidates(key)[0]].1;
+    assert!((0..3).all(|_| rig.serve(key).0 == only));
+}
+
+#[test]
+fn the_table_is_bounded() {
+    let mut rig = Rig::new(through(), &ready(1..=3));
+    let first = rig.serve(1);
+    (2..=70_000).for_each(|key| assert!(rig.serve(key).0 > 0));
+    // Still deterministic and serving; the oldest entries made room.
+    assert!([1, 2, 3].contains(&first.0) && rig.serve(70_000).0 <= 3);
+}
+
+#[test]
+fn an_empty_list_refuses_at_once() {
+    let mut rig = Rig::new(through(), &[]);
+    let id = rig.ask(5);
+    assert_eq!((rig.finals(id), rig.sent.len()), (1, 0));
+}
+
+#[test]
+fn every_cache_of_the_list_is_reached() {
+    let mut rig = Rig::new(through(), &ready(1..=10));
+    let used: BTreeSet<_> = (1..2_000).map(|key| rig.serve(key)).collect();
+    assert_eq!(used.len(), 10);
+}
--- /dev/null
+++ b/crates/stairfront-policy/tests/protection.rs
@@ -0,0 +1,219 @@
+//! Drains, cold caches, the origin, suspects, the list and fairness.
+mod common;
+use std::collections::BTreeMap;
+
+use common::*;
+use stairfront_policy::interface::*;
+
+#[test]
+fn a_draining_or_gone_cache_gets_nothing_in_the_very_same_tick() {
+    for state in [MemberState::Draining, MemberState::Gone] {
+        let mut rig = Rig::new(through(), &ready(1..=5));
+        (1..100).for_each(|key| assert!(rig.serve(key).0 > 0));
+        rig.event(Event::List(ListNews::Delta(&[member(4, state)])));
+        assert!((1..400).all(|key| rig.serve(key) != CacheId(4)), "{state:?}");
+    }
+}
+
+#[test]
+fn a_full_list_removes_whom_it_does_not_name() {
+    let mut rig = Rig::new(through(), &ready(1..=5));
+    rig.event(Event::List(ListNews::Full(&ready([1, 2]))));
+    assert!((1..200).all(|key| rig.serve(key).0 <= 2));
+}
+
+#[test]
+fn a_repeat_does_not_go_to_a_cache_that_left_meanwhile() {
+    let mut rig = Rig::new(through(), &ready(1..=2));
+    let id = rig.ask(7);
+    let other = 3 - rig.last_cache(id).unwrap().0;
+    rig.event(Event::List(ListNews::Delta(&[member(other, MemberState::Draining)])));
+    let actions = rig.settle(id, Outcome::ConnectFailed);
+    assert!(!sends(&actions).contains(&CacheId(other)));
+}
+
+/// Sends to the one cold cache in each of `seconds`, with a steady load on all.
+fn cold_sends(seconds: i64) -> (Vec<usize>, f64) {
+    let mut rig = Rig::new(through(), &ready(1..=4));
+    let mut per_cache: BTreeMap<u64, usize> = BTreeMap::new();
+    let mut key = 0;
+    let mut run = |rig: &mut Rig, per: &mut dyn FnMut(CacheId, i64), from: i64, to: i64| {
+        for second in from..to {
+            for _ in 0..100 {
+                key += 1;
+                per(rig.serve(key), second);
+                rig.now += 10 * MS;
+            }
+        }
+    };
+    run(&mut rig, &mut |c, _| *per_cache.entry(c.0).or_default() += 1, 0, 10);
+    let warm_rate = 1_000.0 / 4.0 / 10.0;
+    let born = rig.now;
+    rig.event(Event::List(ListNews::Delta(&[Member { born, ..member(2, MemberState::Ready) }])));
+    let mut cold = vec![0; seconds as usize];
+    run(&mut rig, &mut |c, second| cold[second as usize] += usize::from(c == CacheId(2)), 0, seconds);
+    (cold, warm_rate)
+}
+
+#[test]
+fn a_cold_cache_gets_no_more_than_its_part_of_a_warm_ones_load() {
+    let (cold, warm) = cold_sends(12);
+    for second in 0..9 {
+        // 0.2 of its capacity at first, rising evenly over 10 s; far inside three times that over two seconds.
+        let part = 0.2 + 0.8 * (second as f64 + 1.0) / 10.0;
+        let two: usize = cold[second..second + 2].iter().sum();
+        assert!((two as f64) < 3.0 * 2.0 * part * warm, "second {second}: {cold:?}, warm {warm}");
+    }
+    assert!(cold[0] > 0, "but it gets some, to warm");
+}
+
+#[test]
+fn with_only_cold_caches_requests_still_get_their_one_answer() {
+    let mut rig = Rig::new(through(), &[]);
+    let born = rig.now;
+    let list: Vec<_> = (1..=3).map(|id| Member { born, ..member(id, MemberState::Ready) }).collect();
+    rig.event(Event::List(ListNews::Full(&list)));
+    let ids: Vec<_> = (1..50).map(|key| rig.ask(key)).collect();
+    assert!(ids.iter().any(|id| rig.last_cache(*id).is_some()));
+    assert!(ids.iter().all(|id| rig.finals(*id) + usize::from(rig.last_cache(*id).is_some()) == 1));
+}
+
+#[test]
+fn readers_of_one_key_share_a_fetch_and_read_what_it_stored() {
+    let mut rig = Rig::new(aside(), &with_origin(ready(1..=5)));
+    let first = rig.ask(11);
+    let cache = rig.last_cache(first).unwrap();
+    assert_eq!(sends(&rig.settle(first, Outcome::Miss)), [ORIGIN]);
+    let later: Vec<_> = (0..3).map(|_| rig.ask(11)).collect();
+    assert!(later.iter().all(|id| rig.last_cache(*id).is_none()), "they wait for the fetch");
+    let actions = rig.settle(first, Outcome::Served);
+    assert_eq!(sends(&actions).first(), Some(&cache));
+    assert!(later.iter().all(|id| rig.last_cache(*id).is_some()));
+}
+
+#[test]
+fn when_the_fetching_client_leaves_the_next_reader_fetches() {
+    let mut rig = Rig::new(aside(), &with_origin(ready(1..=5)));
+    let first = rig.ask(11);
+    rig.settle(first, Outcome::Miss);
+    let second = rig.ask(11);
+    rig.event(Event::ClientGone { id: first });
+    assert_eq!(rig.last_cache(second), Some(ORIGIN));
+}
+
+#[test]
+fn writes_go_to_the_origin_in_aside_mode_and_to_the_cache_in_through_mode() {
+    let mut rig = Rig::new(aside(), &with_origin(ready(1..=5)));
+    let id = rig.ask_as(0, 11, true);
+    assert_eq!(rig.last_cache(id), Some(ORIGIN));
+    let mut rig = Rig::new(through(), &ready(1..=5));
+    let (read, write) = (rig.serve(11), rig.ask_as(0, 11, true));
+    assert_eq!(rig.last_cache(write), Some(read), "an invalidation goes where the key is placed");
+}
+
+#[test]
+fn fetches_out_stay_within_a_window() {
+    let mut rig = Rig::new(aside(), &with_origin(ready(1..=9)));
+    let ids: Vec<_> = (1..=30).map(|key| rig.ask(key)).collect();
+    let asked: Vec<_> = ids.into_iter().filter(|id| rig.last_cache(*id).is_some()).collect();
+    asked.iter().for_each(|id| drop(rig.settle(*id, Outcome::Miss)));
+    let fetching = asked.iter().filter(|id| rig.last_cache(**id) == Some(ORIGIN)).count();
+    assert!(fetching > 0 && fetching < asked.len() / 2, "{fetching} of {}", asked.len());
+}
+
+#[test]
+fn the_origins_answers_move_its_window_though_they_are_noted_as_fetched() {
+    let mut rig = Rig::new(aside(), &with_origin(ready(1..=9)));
+    let ids: Vec<_> = (1..=60).map(|key| rig.ask(key)).collect();
+    let asked: Vec<_> = ids.into_iter().filter(|id| rig.last_cache(*id).is_some()).collect();
+    asked.iter().for_each(|id| drop(rig.settle(*id, Outcome::Miss)));
+    let mut done = std::collections::BTreeSet::new();
+    let out = |rig: &Rig, done: &std::collections::BTreeSet<RequestId>| -> Vec<RequestId> {
+        let fetching = asked.iter().filter(|id| rig.last_cache(**id) == Some(ORIGIN) && !done.contains(id));
+        fetching.copied().collect()
+    };
+    let before = out(&rig, &done).len();
+    for _ in 0..20 {
+        let id = out(&rig, &done)[0];
+        done.insert(id);
+        let (attempt, cache, outcome, note) = (1, ORIGIN, Outcome::Served, Note::Fetched);
+        let (closed, elapsed, load) = (true, 30 * MS, Load::default());
+        rig.event(Event::Settled(Settled { id, attempt, cache, outcome, closed, elapsed, note, load }));
+    }
+    let after = out(&rig, &done).len();
+    assert!(after > before, "quick fetches open the window: {before} out, then {after}");
+}
+
+#[test]
+fn a_cache_that_refuses_connections_is_left_alone_for_a_while_and_comes_back() {
+    let mut rig = Rig::new(through(), &ready(1..=6));
+    let id = rig.ask(42);
+    let dead = rig.last_cache(id).unwrap();
+    rig.settle(id, Outcome::ConnectFailed);
+    rig.settle(id, Outcome::Served);
+    assert_ne!(rig.serve(42), dead);
+    rig.now += 30 * SECOND;
+    assert_eq!(rig.serve(42), dead, "its keys stayed placed there");
+}
+
+#[test]
+fn suspicion_never_takes_more_than_half_of_the_caches() {
+    let mut rig = Rig::new(through(), &ready(1..=4));
+    for key in 0..60 {
+        let id = rig.ask(key);
+        while rig.finals(id) == 0 && rig.last_cache(id).is_some() {
+            rig.settle(id, Outcome::ConnectFailed);
+        }
+    }
+    let id = rig.ask(1_000);
+    assert!(rig.last_cache(id).is_some(), "with all suspect they are used all the same");
+}
+
+fn subscriptions(actions: &[Action]) -> usize {
+    actions.iter().filter(|a| matches!(a, Action::Subscribe(true))).count()
+}
+
+fn list_timer(actions: &[Action]) -> Option<Micros> {
+    let list =
+        |a: &Action| if let Action::Timer { delay, token: u64::MAX } = a { Some(*delay) } else { None };
+    actions.iter().find_map(list)
+}
+
+#[test]
+fn discovery_is_asked_once_after_a_spread_start_and_again_later_after_a_failure() {
+    let mut set = through();
+    set.discovery = Discovery::Ask;
+    let mut rig = Rig::new(set, &ready(1..=3));
+    let first = list_timer(&rig.out).expect("asks after the start");
+    rig.now += first;
+    assert_eq!(subscriptions(&rig.event(Event::Timer { token: u64::MAX })), 1);
+    let failed = rig.event(Event::List(ListNews::Failed));
+    let again = list_timer(&failed).expect("asks again");
+    assert!(subscriptions(&failed) == 0 && again > 0);
+    rig.now += again;
+    assert_eq!(subscriptions(&rig.event(Event::Timer { token: u64::MAX })), 1);
+    rig.event(Event::List(ListNews::Delta(&[])));
+    assert_eq!(subscriptions(&rig.event(Event::Timer { token: u64::MAX })), 0, "subscribed: nothing to ask");
+}
+
+#[test]
+fn balancers_started_together_ask_at_different_times() {
+    let delays: Vec<_> = (0..20)
+        .map(|seed| {
+            let mut set = through();
+            set.discovery = Discovery::Ask;
+            let mut policy = stairfront_policy::Policy::new(set, seed * 1_000_003);
+            let mut out = vec![];
+            policy.handle(0, Event::List(ListNews::Cached(&ready(1..=3))), &mut out);
+            list_timer(&out).unwrap()
+        })
+        .collect();
+    let distinct: std::collections::BTreeSet<_> = delays.iter().collect();
+    assert!(distinct.len() > 15, "{delays:?}");
+}
+
+#[test]
+fn a_pushed_list_is_never_asked_for() {
+    let rig = Rig::new(through(), &ready(1..=3));
+    assert_eq!(list_timer(&rig.out), None);
+}
