A key moves from a full cache to the next clockwise idle one

Cause: unequal arcs and machines leave some caches idle while both candidates of many keys are full.

--- a/crates/stairfront-policy/src/policy.rs
+++ b/crates/stairfront-policy/src/policy.rs
@@ -32,6 +32,9 @@
 const WINDOW_MIN: f64 = 0.1;
 const WINDOW_MAX: f64 = 256.0;
 const WINDOW_CUT: f64 = 0.8;
+/// Least time between two keys that move away from one full cache, and the stress below which one is idle.
+const MOVE_GAP: Micros = 200 * MS;
+const IDLE: f64 = 0.7;
 /// First absence of a suspect, doubled at each further failure up to the last.
 const SUSPECT_FIRST: Micros = 400 * MS;
 const SUSPECT_LAST: Micros = 6 * SECOND;
@@ -78,6 +81,8 @@
     sent: Rate,
     cold_tokens: f64,
     cold_at: Micros,
+    /// When another key may move away for want of room.
+    move_at: Micros,
 }
 
 struct Placement {
@@ -247,6 +252,7 @@
             sent: Rate::default(),
             cold_tokens: 1.0,
             cold_at: now,
+            move_at: now,
         };
         let server = self.servers.entry(line.id).or_insert_with(|| fresh(0, 0));
         // Danger: a restarted process comes back empty under its old id; its old keys would flood it.
@@ -377,11 +383,29 @@
             }
         }
         self.pressure += PRESSURE_WEIGHT * (f64::from(u8::from(pick.is_none())) - self.pressure);
-        if usable {
-            pick
-        } else {
-            self.next_clockwise(now, key, &tried)
-        }
+        if !usable {
+            return self.next_clockwise(&key, &tried, |s| self.open(s, now) && s.has_room(now));
+        }
+        pick.or_else(|| self.relieve(now, key, placed, &tried))
+    }
+
+    /// Danger: few caches own unequal arcs and are unequal machines, so all candidates of some keys can be full
+    /// while others idle. One key at a time then moves to the next clockwise cache that is well idle, and stays:
+    /// a miss a move, where spilling would miss again and again.
+    fn relieve(
+        &mut self,
+        now: Micros,
+        key: Key,
+        placed: CacheId,
+        tried: &[Option<CacheId>],
+    ) -> Option<CacheId> {
+        let server = self.servers.get_mut(&placed).filter(|s| now >= s.move_at)?;
+        server.move_at = now + MOVE_GAP;
+        let idle = |s: &Server| s.stress.value < IDLE && f64::from(s.inflight) < s.window / 2.0;
+        let to = self.next_clockwise(&key, tried, |s| self.open(s, now) && idle(s))?;
+        self.unplace(key);
+        self.put(now, key, to);
+        Some(to)
     }
 
     /// From so many own requests on, a cache holds well over the mean: the design's in-flight margin.
@@ -393,11 +417,15 @@
 
     /// Danger: with every candidate suspect or out of its cold budget a request would have nowhere to go
     /// although the rest of the ring can serve it.
-    fn next_clockwise(&self, now: Micros, key: Key, tried: &[Option<CacheId>]) -> Option<CacheId> {
+    fn next_clockwise(
+        &self,
+        key: &Key,
+        tried: &[Option<CacheId>],
+        fit: impl Fn(&Server) -> bool,
+    ) -> Option<CacheId> {
         let start = self.owner(point(key.0, 1));
         let steps = (1..self.ring.len()).map(|step| self.ring[(start + step) % self.ring.len()].1);
-        let usable = |c: &CacheId| self.servers.get(c).is_some_and(|s| self.open(s, now) && s.has_room(now));
-        steps.filter(|c| !tried.contains(&Some(*c))).find(usable)
+        steps.filter(|c| !tried.contains(&Some(*c))).find(|c| self.servers.get(c).is_some_and(&fit))
     }
 
     /// May an ordinary request go there now?
