--- a/crates/stairfront-policy/src/policy.rs
+++ b/crates/stairfront-policy/src/policy.rs
@@ -33,6 +33,8 @@
 const WINDOW_MAX: f64 = 256.0;
 const WINDOW_CUT: f64 = 0.8;
 /// Least time between two keys that move away from one full cache, and the stress below which one is idle.
+/// Time for which an error or a failed fetch says that the origin can take no more.
+const ORIGIN_SHORT: Micros = 3 * SECOND;
 const MOVE_GAP: Micros = 200 * MS;
 const IDLE: f64 = 0.7;
 /// First absence of a suspect, doubled at each further failure up to the last.
@@ -149,6 +151,8 @@
     started: bool,
     subscribed: bool,
     list_failures: u32,
+    /// Misses are not to be added to before then.
+    origin_short_until: Micros,
     log_after: Micros,
 }
 
@@ -171,6 +175,7 @@
             started: false,
             subscribed: false,
             list_failures: 0,
+            origin_short_until: Micros::MIN,
             log_after: Micros::MIN,
             set,
         }
@@ -399,6 +404,9 @@
         placed: CacheId,
         tried: &[Option<CacheId>],
     ) -> Option<CacheId> {
+        if now < self.origin_short_until || !self.fetch_queue.is_empty() {
+            return None;
+        }
         let server = self.servers.get_mut(&placed).filter(|s| now >= s.move_at)?;
         server.move_at = now + MOVE_GAP;
         let idle = |s: &Server| s.stress.value < IDLE && f64::from(s.inflight) < s.window / 2.0;
@@ -722,7 +730,11 @@
                 server.timed(now, s.elapsed as f64, goal);
                 server.strike(now, 1);
             }
-            Outcome::Full | Outcome::Errored => server.cut(now, goal),
+            Outcome::Full => server.cut(now, goal),
+            Outcome::Errored => {
+                server.cut(now, goal);
+                self.origin_short_until = now + ORIGIN_SHORT;
+            }
             Outcome::Cancelled | Outcome::Moot => {}
         }
         server.inflight = server.inflight.saturating_sub(1);
