--- a/crates/stairfront-policy/src/policy.rs
+++ b/crates/stairfront-policy/src/policy.rs
@@ -33,8 +33,13 @@
 const WINDOW_MAX: f64 = 256.0;
 const WINDOW_CUT: f64 = 0.8;
 /// Least time between two keys that move away from one full cache, and the stress below which one is idle.
-/// Time for which an error or a failed fetch says that the origin can take no more.
+/// Part of errors from which they mean a short origin, and the weight of one answer in it.
+const ERRORS_SHORT: f64 = 0.1;
+const ERROR_WEIGHT: f64 = 0.05;
+/// Time for which such an error says that the origin can take no more.
 const ORIGIN_SHORT: Micros = 3 * SECOND;
+/// Part of the likely misses that go on meanwhile, to see whether it has recovered.
+const SHORT_ADMIT: f64 = 0.2;
 const MOVE_GAP: Micros = 200 * MS;
 const IDLE: f64 = 0.7;
 /// First absence of a suspect, doubled at each further failure up to the last.
@@ -91,6 +96,8 @@
     cache: CacheId,
     epoch: u32,
     seen: Micros,
+    /// Its cache has served it since, so it likely holds it.
+    held: bool,
 }
 
 /// An attempt that may have run: what a guarded repeat is bound to.
@@ -153,6 +160,8 @@
     list_failures: u32,
     /// Misses are not to be added to before then.
     origin_short_until: Micros,
+    /// Part of late answers that are errors.
+    errors: f64,
     log_after: Micros,
 }
 
@@ -176,6 +185,7 @@
             subscribed: false,
             list_failures: 0,
             origin_short_until: Micros::MIN,
+            errors: 0.0,
             log_after: Micros::MIN,
             set,
         }
@@ -334,7 +344,7 @@
     fn put(&mut self, now: Micros, key: Key, cache: CacheId) {
         if let Some(server) = self.servers.get_mut(&cache) {
             server.keys += 1;
-            self.table.insert(key, Placement { cache, epoch: server.epoch, seen: now });
+            self.table.insert(key, Placement { cache, epoch: server.epoch, seen: now, held: false });
             self.ages.push_back((now, key));
         }
     }
@@ -479,11 +489,14 @@
         if let Some(rate) = self.tenant_rates.get_mut(request.tenant.0 as usize) {
             rate.add(now);
         }
+        // Danger: a short origin holds up caches with fetches that fail, and with them what they still hold.
+        let held = request.key.and_then(|k| self.table.get(&k)).is_some_and(|entry| entry.held);
+        let miss = !held && now < self.origin_short_until && self.random.unit() > SHORT_ADMIT;
         let (aim_at, stage) = (self.aim_at(now, &request), Stage::Cache);
         let p = Pending { request, aim_at, stage, sent: 0, out: None, ran: None, tried: [None; 2] };
         let give_up = self.give_up_at(&p);
         self.pending.insert(request.id, p);
-        if give_up <= now || self.shed(now, &request, actions) {
+        if miss || give_up <= now || self.shed(now, &request, actions) {
             return self.finish(now, request.id, actions);
         }
         actions.push(Action::Timer { delay: give_up - now, token: u64::from(request.id.0) });
@@ -572,6 +585,12 @@
             if let Some(out) = p.out.take_if(|out| out.attempt == s.attempt) {
                 p.ran = p.ran.or(Some(out).filter(|_| !never_ran(s.outcome)));
             }
+            if s.outcome == Outcome::Served || s.outcome == Outcome::Errored {
+                let entry = p.request.key.and_then(|key| self.table.get_mut(&key));
+                if let Some(entry) = entry.filter(|entry| entry.cache == s.cache) {
+                    entry.held = s.outcome == Outcome::Served && !p.request.write;
+                }
+            }
             if s.closed {
                 self.conclude(now, s.id, s.outcome == Outcome::Served, actions);
             } else {
@@ -594,7 +613,7 @@
             return;
         }
         // Danger: repeats of failures multiply the load that made them fail.
-        if self.retry_tokens < 1.0 {
+        if self.retry_tokens < 1.0 || outcome == Outcome::Errored && now < self.origin_short_until {
             return self.finish(now, id, actions);
         }
         self.retry_tokens -= 1.0;
@@ -715,6 +734,7 @@
         let goal = GOAL * class.map_or(shortest, |c| c.aim) as f64;
         let Some(server) = self.servers.get_mut(&s.cache) else { return };
         let was = server.suspected();
+        self.errors += ERROR_WEIGHT * (f64::from(u8::from(s.outcome == Outcome::Errored)) - self.errors);
         match s.outcome {
             Outcome::Served | Outcome::Miss => {
                 server.strikes = 0;
@@ -733,7 +753,10 @@
             Outcome::Full => server.cut(now, goal),
             Outcome::Errored => {
                 server.cut(now, goal);
-                self.origin_short_until = now + ORIGIN_SHORT;
+                // One error may be chance; several in a few answers come from behind the caches.
+                if self.errors > ERRORS_SHORT {
+                    self.origin_short_until = now + ORIGIN_SHORT;
+                }
             }
             Outcome::Cancelled | Outcome::Moot => {}
         }
