--- a/crates/stairfront-policy/src/policy.rs
+++ b/crates/stairfront-policy/src/policy.rs
@@ -34,7 +34,7 @@
 const WINDOW_CUT: f64 = 0.8;
 /// Least time between two keys that move away from one full cache, and the stress below which one is idle.
 /// Part of errors from which they mean a short origin, and the weight of one answer in it.
-const ERRORS_SHORT: f64 = 0.1;
+const ERRORS_SHORT: f64 = 0.06;
 const ERROR_WEIGHT: f64 = 0.05;
 /// Time for which such an error says that the origin can take no more.
 const ORIGIN_SHORT: Micros = 3 * SECOND;
