--- a/crates/stairfront-policy/src/interface.rs
+++ b/crates/stairfront-policy/src/interface.rs
@@ -10,7 +10,7 @@
 macro_rules! id {
     ($(#[$doc:meta])* $name:ident($inner:ty)) => {
         $(#[$doc])*
-        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
         pub struct $name(pub $inner);
     };
 }
@@ -69,17 +69,19 @@
 }
 
 /// Who fetches a value that a cache lacks.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum CacheMode {
     /// The balancer asks the listed origin, a member of this kind; writes go there too.
     Aside { origin: Kind },
     /// The cache does.
+    #[default]
     Through,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Discovery {
     /// Changes come unasked.
+    #[default]
     Push,
     /// Changes come only to subscribers.
     Ask,
@@ -97,7 +99,7 @@
     Other,
 }
 
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Limits {
     pub most_attempts: u8,
     pub may_duplicate: bool,
@@ -109,7 +111,7 @@
     pub connect_timeout: Micros,
 }
 
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Rules {
     pub answer_slack: Micros,
     pub ask_every: Micros,
@@ -122,7 +124,7 @@
     pub fall: Micros,
 }
 
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Settings {
     pub me: u16,
     pub balancers: u16,
@@ -142,15 +144,16 @@
     pub sized: bool,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum MemberState {
+    #[default]
     Ready,
     Draining,
     Gone,
 }
 
 /// One line of the server list.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Member {
     pub id: CacheId,
     pub state: MemberState,
--- a/crates/stairfront-policy/src/measure.rs
+++ b/crates/stairfront-policy/src/measure.rs
@@ -9,6 +9,7 @@
 }
 
 /// Random numbers of one balancer, the same for the same seed.
+#[derive(Default)]
 pub struct Random(pub u64);
 
 impl Random {
--- a/crates/stairfront-policy/src/policy.rs
+++ b/crates/stairfront-policy/src/policy.rs
@@ -64,12 +64,14 @@
 /// Timer token of the list; requests use their id.
 const LIST_TOKEN: u64 = u64::MAX;
 
-#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Clone, Copy, Default, PartialEq, Eq)]
 enum Role {
+    #[default]
     Cache,
     Origin,
 }
 
+#[derive(Default)]
 struct Server {
     member: Member,
     role: Role,
@@ -121,6 +123,9 @@
     Streaming,
 }
 
+/// The last caches that an attempt of a request went to.
+type Tried = [Option<CacheId>; 2];
+
 struct Pending {
     request: Request,
     aim_at: Micros,
@@ -129,14 +134,10 @@
     out: Option<Ran>,
     /// The earliest ended attempt that may have run.
     ran: Option<Ran>,
-    tried: [Option<CacheId>; 2],
-}
-
-struct Fetch {
-    leader: RequestId,
-    followers: Vec<RequestId>,
+    tried: Tried,
 }
 
+#[derive(Default)]
 pub struct Policy {
     set: Settings,
     random: Random,
@@ -147,7 +148,8 @@
     /// Keys by the time they were last looked at, oldest first, for lapse and bound.
     ages: VecDeque<(Micros, Key)>,
     pending: FxHashMap<RequestId, Pending>,
-    fetches: FxHashMap<Key, Fetch>,
+    /// The one reader of a key that fetches it, and those who wait for that.
+    fetches: FxHashMap<Key, (RequestId, Vec<RequestId>)>,
     fetch_queue: VecDeque<RequestId>,
     retry_tokens: f64,
     tenant_rates: Vec<Rate>,
@@ -167,28 +169,10 @@
 
 impl Policy {
     pub fn new(set: Settings, seed: u64) -> Self {
-        Policy {
-            random: Random(seed),
-            servers: BTreeMap::new(),
-            ring: Vec::new(),
-            table: FxHashMap::default(),
-            ages: VecDeque::new(),
-            pending: FxHashMap::default(),
-            fetches: FxHashMap::default(),
-            fetch_queue: VecDeque::new(),
-            retry_tokens: RETRY_BURST,
-            tenant_rates: vec![Rate::default(); set.tenants.len()],
-            usual_left: vec![(0, 0); set.classes.len()],
-            pressure: 0.0,
-            shedding: false,
-            started: false,
-            subscribed: false,
-            list_failures: 0,
-            origin_short_until: Micros::MIN,
-            errors: 0.0,
-            log_after: Micros::MIN,
-            set,
-        }
+        let tenant_rates = vec![Rate::default(); set.tenants.len()];
+        let usual_left = vec![(0, 0); set.classes.len()];
+        let (random, retry_tokens) = (Random(seed), RETRY_BURST);
+        Policy { set, random, retry_tokens, tenant_rates, usual_left, ..Policy::default() }
     }
 
     pub fn handle(&mut self, now: Micros, event: Event<'_>, actions: &mut Vec<Action>) {
@@ -197,9 +181,7 @@
             Event::Request(request) => self.on_request(now, request, actions),
             Event::Settled(settled) => self.on_settled(now, settled, actions),
             Event::Begun { id, .. } => {
-                if let Some(p) = self.pending.get_mut(&id) {
-                    p.stage = Stage::Streaming;
-                }
+                self.pending.entry(id).and_modify(|p| p.stage = Stage::Streaming);
             }
             Event::ClientGone { id } => self.conclude(now, id, false, actions),
             Event::Timer { token: LIST_TOKEN } if self.subscribed => {}
@@ -252,23 +234,10 @@
     fn learn(&mut self, now: Micros, line: &Member) {
         let origin = matches!(self.set.mode, CacheMode::Aside { origin } if origin == line.kind);
         let mean = self.mean_keys(line.id);
-        let fresh = |epoch, inflight| Server {
-            member: *line,
-            role: if origin { Role::Origin } else { Role::Cache },
-            keys: mean,
-            epoch,
-            inflight,
-            window: WINDOW_START,
-            cut_at: now,
-            pace: Average::default(),
-            stress: Average::default(),
-            strikes: 0,
-            suspect_until: now,
-            sent: Rate::default(),
-            cold_tokens: 1.0,
-            cold_at: now,
-            move_at: now,
-        };
+        let role = if origin { Role::Origin } else { Role::Cache };
+        let (member, window, cold_tokens, cold_at) = (*line, WINDOW_START, 1.0, now);
+        let start = Server { member, role, keys: mean, window, cold_tokens, cold_at, ..Server::default() };
+        let fresh = |epoch, inflight| Server { epoch, inflight, ..start };
         let server = self.servers.entry(line.id).or_insert_with(|| fresh(0, 0));
         // Danger: a restarted process comes back empty under its old id; its old keys would flood it.
         if line.born > server.member.born {
@@ -317,8 +286,7 @@
     }
 
     fn arc(&self, i: usize) -> u64 {
-        let before = if i == 0 { self.ring.len() - 1 } else { i - 1 };
-        self.ring[i].0.wrapping_sub(self.ring[before].0)
+        self.ring[i].0.wrapping_sub(self.ring[(i + self.ring.len() - 1) % self.ring.len()].0)
     }
 
     /// Where the key stays: its placement, or the candidate with fewer keys, shorter arc on ties.
@@ -399,28 +367,21 @@
         }
         self.pressure += PRESSURE_WEIGHT * (f64::from(u8::from(pick.is_none())) - self.pressure);
         if !usable {
-            return self.next_clockwise(&key, &tried, |s| self.open(s, now) && s.has_room(now));
+            return self.next_clockwise(key, &tried, |s| self.open(s, now) && s.has_room(now));
         }
         pick.or_else(|| self.relieve(now, key, placed, &tried))
     }
 
-    /// Danger: few caches own unequal arcs and are unequal machines, so all candidates of some keys can be full
-    /// while others idle. One key at a time then moves to the next clockwise cache that is well idle, and stays:
-    /// a miss a move, where spilling would miss again and again.
-    fn relieve(
-        &mut self,
-        now: Micros,
-        key: Key,
-        placed: CacheId,
-        tried: &[Option<CacheId>],
-    ) -> Option<CacheId> {
+    /// Danger: few caches own unequal arcs and are unequal machines, so all candidates of a key can be full
+    /// while others idle. One key at a time moves to the next clockwise idle cache, and stays: one miss a move.
+    fn relieve(&mut self, now: Micros, key: Key, placed: CacheId, tried: &Tried) -> Option<CacheId> {
         if now < self.origin_short_until || !self.fetch_queue.is_empty() {
             return None;
         }
         let server = self.servers.get_mut(&placed).filter(|s| now >= s.move_at)?;
         server.move_at = now + MOVE_GAP;
         let idle = |s: &Server| s.stress.value < IDLE && f64::from(s.inflight) < s.window / 2.0;
-        let to = self.next_clockwise(&key, tried, |s| self.open(s, now) && idle(s))?;
+        let to = self.next_clockwise(key, tried, |s| self.open(s, now) && idle(s))?;
         self.unplace(key);
         self.put(now, key, to);
         Some(to)
@@ -433,14 +394,8 @@
         (mean * SPILL_MULTIPLE).max(mean + SPILL_FLOOR)
     }
 
-    /// Danger: with every candidate suspect or out of its cold budget a request would have nowhere to go
-    /// although the rest of the ring can serve it.
-    fn next_clockwise(
-        &self,
-        key: &Key,
-        tried: &[Option<CacheId>],
-        fit: impl Fn(&Server) -> bool,
-    ) -> Option<CacheId> {
+    /// Danger: with all candidates suspect or cold a request has nowhere to go though the rest can serve it.
+    fn next_clockwise(&self, key: Key, tried: &Tried, fit: impl Fn(&Server) -> bool) -> Option<CacheId> {
         let start = self.owner(point(key.0, 1));
         let steps = (1..self.ring.len()).map(|step| self.ring[(start + step) % self.ring.len()].1);
         steps.filter(|c| !tried.contains(&Some(*c))).find(|c| self.servers.get(c).is_some_and(&fit))
@@ -448,12 +403,11 @@
 
     /// May an ordinary request go there now?
     fn open(&self, server: &Server, now: Micros) -> bool {
-        let ready = server.member.state == MemberState::Ready;
-        ready && self.trusted(server, now) && self.cold_allows(server, now)
+        let warm = || self.warmth(server, now) >= 1.0 || self.cold_tokens(server, now) >= 1.0;
+        server.member.state == MemberState::Ready && self.trusted(server, now) && warm()
     }
 
-    /// A suspect gets one request at a time once its absence is over. Danger: ejecting on little evidence
-    /// must not take away most of the fleet; past half of it, suspicion is ignored.
+    /// Suspects get one request at a time after their absence. Past half of the fleet suspicion is ignored.
     fn trusted(&self, server: &Server, now: Micros) -> bool {
         let trial = server.suspect_until <= now && server.inflight == 0;
         let suspects = || self.ring_servers().filter(|s| s.suspected()).count();
@@ -478,17 +432,11 @@
         (server.cold_tokens + rate * (now - server.cold_at) as f64 / SECOND as f64).min((rate / 2.0).max(1.0))
     }
 
-    fn cold_allows(&self, server: &Server, now: Micros) -> bool {
-        self.warmth(server, now) >= 1.0 || self.cold_tokens(server, now) >= 1.0
-    }
-
     // ---- requests ----
 
     fn on_request(&mut self, now: Micros, request: Request, actions: &mut Vec<Action>) {
         self.retry_tokens = (self.retry_tokens + RETRY_SHARE).min(RETRY_BURST);
-        if let Some(rate) = self.tenant_rates.get_mut(request.tenant.0 as usize) {
-            rate.add(now);
-        }
+        self.tenant_rates.get_mut(request.tenant.0 as usize).into_iter().for_each(|rate| rate.add(now));
         // Danger: a short origin holds up caches with fetches that fail, and with them what they still hold.
         let held = request.key.and_then(|k| self.table.get(&k)).is_some_and(|entry| entry.held);
         let miss = !held && now < self.origin_short_until && self.random.unit() > SHORT_ADMIT;
@@ -556,9 +504,9 @@
     fn follow(&mut self, id: RequestId) -> bool {
         let Some(p) = self.pending.get_mut(&id) else { return false };
         let fetch = p.request.key.and_then(|key| self.fetches.get_mut(&key));
-        let Some(fetch) = fetch.filter(|f| f.leader != id) else { return false };
+        let Some((_, followers)) = fetch.filter(|(leader, _)| *leader != id) else { return false };
         p.stage = Stage::Follow;
-        fetch.followers.push(id);
+        followers.push(id);
         true
     }
 
@@ -572,9 +520,7 @@
         server.sent.add(now);
         p.out = Some(Ran { attempt: p.sent, at: now, zone: server.member.zone, cell: server.member.cell });
         p.sent += 1;
-        if server.role == Role::Cache {
-            p.tried = [Some(to), p.tried[0]];
-        }
+        p.tried = [Some(to), p.tried[0]];
         let timeout = (p.request.expires - 2 * self.set.tick - now).max(self.set.tick);
         actions.push(Action::Send { id, cache: to, timeout });
     }
@@ -635,7 +581,7 @@
         let Some(p) = self.pending.get_mut(&id) else { return };
         p.stage = Stage::Fetch;
         if let Some(key) = p.request.key {
-            self.fetches.insert(key, Fetch { leader: id, followers: Vec::new() });
+            self.fetches.insert(key, (id, Vec::new()));
         }
         self.fetch_queue.push_back(id);
         self.start_fetches(now, actions);
@@ -704,10 +650,10 @@
     /// The request is over. Followers of its fetch read what it stored; if it failed, the next one fetches.
     fn conclude(&mut self, now: Micros, id: RequestId, stored: bool, actions: &mut Vec<Action>) {
         let Some(key) = self.pending.remove(&id).and_then(|p| p.request.key) else { return };
-        if self.fetches.get(&key).is_none_or(|f| f.leader != id) {
+        if self.fetches.get(&key).is_none_or(|(leader, _)| *leader != id) {
             return;
         }
-        let mut waiting = self.fetches.remove(&key).map_or(Vec::new(), |f| f.followers);
+        let mut waiting = self.fetches.remove(&key).map_or(Vec::new(), |(_, followers)| followers);
         waiting.retain(|f| self.pending.get(f).is_some_and(|p| p.stage == Stage::Follow));
         if let (false, Some(next)) = (stored, waiting.first().copied()) {
             self.lead(now, next, actions);
@@ -734,7 +680,12 @@
         let goal = GOAL * class.map_or(shortest, |c| c.aim) as f64;
         let Some(server) = self.servers.get_mut(&s.cache) else { return };
         let was = server.suspected();
-        self.errors += ERROR_WEIGHT * (f64::from(u8::from(s.outcome == Outcome::Errored)) - self.errors);
+        let error = s.outcome == Outcome::Errored;
+        self.errors += ERROR_WEIGHT * (f64::from(u8::from(error)) - self.errors);
+        // One error may be chance; several in a few answers come from behind the caches.
+        if error && self.errors > ERRORS_SHORT {
+            self.origin_short_until = now + ORIGIN_SHORT;
+        }
         match s.outcome {
             Outcome::Served | Outcome::Miss => {
                 server.strikes = 0;
@@ -750,20 +701,12 @@
                 server.timed(now, s.elapsed as f64, goal);
                 server.strike(now, 1);
             }
-            Outcome::Full => server.cut(now, goal),
-            Outcome::Errored => {
-                server.cut(now, goal);
-                // One error may be chance; several in a few answers come from behind the caches.
-                if self.errors > ERRORS_SHORT {
-                    self.origin_short_until = now + ORIGIN_SHORT;
-                }
-            }
+            Outcome::Full | Outcome::Errored => server.cut(now, goal),
             Outcome::Cancelled | Outcome::Moot => {}
         }
         server.inflight = server.inflight.saturating_sub(1);
-        let (is, id) = (server.suspected(), s.cache.0);
-        if was != is {
-            let verdict = if is { "suspect" } else { "cleared" };
+        let (verdict, id) = (if was { "cleared" } else { "suspect" }, s.cache.0);
+        if was != server.suspected() {
             self.log(now, actions, || format!("server {id:012x} {verdict} after {:?}", s.outcome));
         }
     }
