--- a/crates/stairfront-policy/src/policy.rs
+++ b/crates/stairfront-policy/src/policy.rs
@@ -373,7 +373,7 @@
     }
 
     /// Danger: few caches own unequal arcs and are unequal machines, so all candidates of a key can be full
-    /// while others idle. One key at a time moves to the next clockwise idle cache, and stays: one miss a move.
+    /// while others idle. One key at a time moves to the next clockwise idle cache and stays: one miss each.
     fn relieve(&mut self, now: Micros, key: Key, placed: CacheId, tried: &Tried) -> Option<CacheId> {
         if now < self.origin_short_until || !self.fetch_queue.is_empty() {
             return None;
