--- a/crates/stairfront-policy/src/policy.rs
+++ b/crates/stairfront-policy/src/policy.rs
@@ -28,7 +28,7 @@
 /// left for the spread around the average and for a second step.
 const GOAL: f64 = 0.4;
 /// Window of own requests out at one server: first value, bounds, and the factor of a cut.
-const WINDOW_START: f64 = 4.0;
+const WINDOW_START: f64 = 12.0;
 const WINDOW_MIN: f64 = 0.1;
 const WINDOW_MAX: f64 = 256.0;
 const WINDOW_CUT: f64 = 0.8;
@@ -235,7 +235,8 @@
         let origin = matches!(self.set.mode, CacheMode::Aside { origin } if origin == line.kind);
         let mean = self.mean_keys(line.id);
         let role = if origin { Role::Origin } else { Role::Cache };
-        let (member, window, cold_tokens, cold_at) = (*line, WINDOW_START, 1.0, now);
+        let window = (WINDOW_START / f64::from(self.set.balancers)).max(1.0);
+        let (member, cold_tokens, cold_at) = (*line, 1.0, now);
         let start = Server { member, role, keys: mean, window, cold_tokens, cold_at, ..Server::default() };
         let fresh = |epoch, inflight| Server { epoch, inflight, ..start };
         let server = self.servers.entry(line.id).or_insert_with(|| fresh(0, 0));
