--- a/crates/stairfront-policy/src/policy.rs
+++ b/crates/stairfront-policy/src/policy.rs
@@ -80,6 +80,7 @@
     epoch: u32,
     inflight: u32,
     window: f64,
+    step: f64,
     cut_at: Micros,
     /// Smoothed answer time, and the same over what it should be.
     pace: Average,
@@ -236,8 +237,10 @@
         let mean = self.mean_keys(line.id);
         let role = if origin { Role::Origin } else { Role::Cache };
         let window = (WINDOW_START / f64::from(self.set.balancers)).max(1.0);
-        let (member, cold_tokens, cold_at) = (*line, 1.0, now);
-        let start = Server { member, role, keys: mean, window, cold_tokens, cold_at, ..Server::default() };
+        let (member, cold_tokens, cold_at, step) =
+            (*line, 1.0, now, (2.0 / f64::from(self.set.balancers)).min(1.0));
+        let start =
+            Server { member, role, keys: mean, window, step, cold_tokens, cold_at, ..Server::default() };
         let fresh = |epoch, inflight| Server { epoch, inflight, ..start };
         let server = self.servers.entry(line.id).or_insert_with(|| fresh(0, 0));
         // Danger: a restarted process comes back empty under its old id; its old keys would flood it.
@@ -773,7 +776,7 @@
         if self.stress.value > 1.0 {
             self.cut(now, goal);
         } else if f64::from(self.inflight) >= self.window / 2.0 {
-            self.window = (self.window + 1.0 / self.window.max(1.0)).min(WINDOW_MAX);
+            self.window = (self.window + self.step / self.window.max(1.0)).min(WINDOW_MAX);
         }
     }
 
