--- a/crates/stairfront-policy/src/policy.rs
+++ b/crates/stairfront-policy/src/policy.rs
@@ -12,11 +12,9 @@
 /// Points that a key hashes to (the design's d); one more serves when two share an owner or have no room.
 const POINTS: usize = 2;
 const MOST_POINTS: usize = 3;
-/// Hash seed of a cache's ring point; keys use the seeds from 1 on.
 const RING_SEED: u64 = 0;
-/// Most keys remembered: some megabytes.
+/// Most keys remembered (some megabytes), and how long unseen (the design's start value).
 const TABLE_MAX: usize = 65_536;
-/// A key unseen for this long is placed anew (the design's start value).
 const ENTRY_AGE: Micros = 60 * SECOND;
 /// In-flight margin of the design: twice the mean and at least two requests above it.
 const SPILL_MULTIPLE: f64 = 2.0;
@@ -27,7 +25,8 @@
 /// Share of its class's aim that an answer may take on average before a server counts as crowded: the rest is
 /// left for the spread around the average and for a second step.
 const GOAL: f64 = 0.4;
-/// Window of own requests out at one server: first value, bounds, and the factor of a cut.
+/// Window of requests out at one server: first value (split by the balancers, as each growth by one is, since
+/// all add up there), bounds of this balancer's, and the factor of a cut.
 const WINDOW_START: f64 = 12.0;
 const WINDOW_MIN: f64 = 0.1;
 const WINDOW_MAX: f64 = 256.0;
@@ -42,7 +41,7 @@
 const SHORT_ADMIT: f64 = 0.2;
 const MOVE_GAP: Micros = 200 * MS;
 const IDLE: f64 = 0.7;
-/// First absence of a suspect, doubled at each further failure up to the last.
+/// First absence of a suspect, doubled at each further failure, and the longest.
 const SUSPECT_FIRST: Micros = 400 * MS;
 const SUSPECT_LAST: Micros = 6 * SECOND;
 /// Time-outs in a row that make a suspect; a refused connection counts as so many at once.
@@ -236,12 +235,10 @@
         let origin = matches!(self.set.mode, CacheMode::Aside { origin } if origin == line.kind);
         let mean = self.mean_keys(line.id);
         let role = if origin { Role::Origin } else { Role::Cache };
-        let window = (WINDOW_START / f64::from(self.set.balancers)).max(1.0);
-        let (member, cold_tokens, cold_at, step) =
-            (*line, 1.0, now, (2.0 / f64::from(self.set.balancers)).min(1.0));
-        let start =
-            Server { member, role, keys: mean, window, step, cold_tokens, cold_at, ..Server::default() };
-        let fresh = |epoch, inflight| Server { epoch, inflight, ..start };
+        let step = 1.0 / f64::from(self.set.balancers);
+        let (member, window, cold_tokens, cold_at) = (*line, (WINDOW_START * step).max(1.0), 1.0, now);
+        let blank = Server { member, role, window, step, cold_tokens, cold_at, ..Server::default() };
+        let fresh = |epoch, inflight| Server { keys: mean, epoch, inflight, ..blank };
         let server = self.servers.entry(line.id).or_insert_with(|| fresh(0, 0));
         // Danger: a restarted process comes back empty under its old id; its old keys would flood it.
         if line.born > server.member.born {
@@ -391,7 +388,7 @@
         Some(to)
     }
 
-    /// From so many own requests on, a cache holds well over the mean: the design's in-flight margin.
+    /// The design's in-flight margin: from here on a cache holds well over the mean.
     fn spill_margin(&self) -> f64 {
         let sum: u32 = self.ring_servers().map(|s| s.inflight).sum();
         let mean = f64::from(sum) / self.ring.len().max(1) as f64;
