--- a/crates/stairfront-policy/src/policy.rs
+++ b/crates/stairfront-policy/src/policy.rs
@@ -31,11 +31,10 @@
 const WINDOW_MIN: f64 = 0.1;
 const WINDOW_MAX: f64 = 256.0;
 const WINDOW_CUT: f64 = 0.8;
-/// Least time between two keys that move away from one full cache, and the stress below which one is idle.
-/// Part of errors from which they mean a short origin, and the weight of one answer in it.
+/// Pause of both ends of a key's move (a hot key shall not run through the ring); stress of an idle cache.
+/// Part of errors from which they mean a short origin, the weight of one answer in it, and for how long.
 const ERRORS_SHORT: f64 = 0.06;
 const ERROR_WEIGHT: f64 = 0.05;
-/// Time for which such an error says that the origin can take no more.
 const ORIGIN_SHORT: Micros = 3 * SECOND;
 /// Part of the likely misses that go on meanwhile, to see whether it has recovered.
 const SHORT_ADMIT: f64 = 0.2;
@@ -376,15 +375,16 @@
     /// Danger: few caches own unequal arcs and are unequal machines, so all candidates of a key can be full
     /// while others idle. One key at a time moves to the next clockwise idle cache and stays: one miss each.
     fn relieve(&mut self, now: Micros, key: Key, placed: CacheId, tried: &Tried) -> Option<CacheId> {
-        if now < self.origin_short_until || !self.fetch_queue.is_empty() {
+        let wait = self.servers.get(&placed)?.move_at.max(self.origin_short_until);
+        if now < wait || !self.fetch_queue.is_empty() {
             return None;
         }
-        let server = self.servers.get_mut(&placed).filter(|s| now >= s.move_at)?;
-        server.move_at = now + MOVE_GAP;
         let idle = |s: &Server| s.stress.value < IDLE && f64::from(s.inflight) < s.window / 2.0;
         let to = self.next_clockwise(key, tried, |s| self.open(s, now) && idle(s))?;
         self.unplace(key);
         self.put(now, key, to);
+        let ends = self.servers.iter_mut().filter(|(id, _)| **id == placed || **id == to);
+        ends.for_each(|(_, s)| s.move_at = now + MOVE_GAP);
         Some(to)
     }
 
@@ -433,8 +433,6 @@
         (server.cold_tokens + rate * (now - server.cold_at) as f64 / SECOND as f64).min((rate / 2.0).max(1.0))
     }
 
-    // ---- requests ----
-
     fn on_request(&mut self, now: Micros, request: Request, actions: &mut Vec<Action>) {
         self.retry_tokens = (self.retry_tokens + RETRY_SHARE).min(RETRY_BURST);
         self.tenant_rates.get_mut(request.tenant.0 as usize).into_iter().for_each(|rate| rate.add(now));
@@ -547,7 +545,6 @@
         self.start_fetches(now, actions);
     }
 
-    /// An attempt ended without an answer: fetch, try again, or end it.
     fn carry_on(&mut self, now: Micros, id: RequestId, outcome: Outcome, actions: &mut Vec<Action>) {
         let Some(p) = self.pending.get(&id) else { return };
         if p.sent >= self.set.limits.most_attempts || self.give_up_at(p) <= now + self.set.tick {
@@ -605,7 +602,7 @@
         }
     }
 
-    // ---- effects: may it be sent again, may it be refused ----
+    // ---- effects ----
 
     fn may_send(&self, now: Micros, id: RequestId, to: CacheId) -> bool {
         let (Some(p), Some(server)) = (self.pending.get(&id), self.servers.get(&to)) else { return false };
@@ -648,7 +645,7 @@
         self.conclude(now, id, false, actions);
     }
 
-    /// The request is over. Followers of its fetch read what it stored; if it failed, the next one fetches.
+    /// Followers of a fetch that is over read what it stored; if it failed, the next of them fetches.
     fn conclude(&mut self, now: Micros, id: RequestId, stored: bool, actions: &mut Vec<Action>) {
         let Some(key) = self.pending.remove(&id).and_then(|p| p.request.key) else { return };
         if self.fetches.get(&key).is_none_or(|(leader, _)| *leader != id) {
@@ -678,18 +675,21 @@
     fn observe(&mut self, now: Micros, s: &Settled, actions: &mut Vec<Action>) {
         let shortest = self.set.classes.iter().map(|c| c.aim).min().unwrap_or(SECOND);
         let class = self.pending.get(&s.id).and_then(|p| self.class(&p.request));
-        let goal = GOAL * class.map_or(shortest, |c| c.aim) as f64;
+        let (goal, aside) = (GOAL * class.map_or(shortest, |c| c.aim) as f64, self.aside());
         let Some(server) = self.servers.get_mut(&s.cache) else { return };
         let was = server.suspected();
         let error = s.outcome == Outcome::Errored;
         self.errors += ERROR_WEIGHT * (f64::from(u8::from(error)) - self.errors);
-        // One error may be chance; several in a few answers come from behind the caches.
-        if error && self.errors > ERRORS_SHORT {
+        // Several errors in a few answers come from behind caches that fetch. Else they are the cache's own:
+        // Danger: one that errs at once looks idle and draws requests.
+        if error && aside {
+            server.strike(now, 2);
+        } else if error && self.errors > ERRORS_SHORT {
             self.origin_short_until = now + ORIGIN_SHORT;
         }
         match s.outcome {
             Outcome::Served | Outcome::Miss => {
-                server.strikes = 0;
+                server.strikes /= 2;
                 server.window = if was { 1.0 } else { server.window };
                 // A cache's own fetch says nothing of how crowded the cache is.
                 let own_fetch = s.note == Note::Fetched && server.role == Role::Cache;
--- a/crates/stairfront-policy/tests/protection.rs
+++ b/crates/stairfront-policy/tests/protection.rs
@@ -217,3 +217,71 @@
     let rig = Rig::new(through(), &ready(1..=3));
     assert_eq!(list_timer(&rig.out), None);
 }
+
+#[test]
+fn a_cache_that_errs_at_once_is_left_alone_in_aside_mode() {
+    let mut rig = Rig::new(aside(), &with_origin(ready(1..=6)));
+    let bad = rig.serve(42);
+    let mut to_bad = 0;
+    for key in 100..400 {
+        let id = rig.ask(key);
+        while rig.finals(id) == 0 {
+            let at_bad = rig.last_cache(id) == Some(bad);
+            to_bad += usize::from(at_bad);
+            rig.settle(id, if at_bad { Outcome::Errored } else { Outcome::Served });
+            if !at_bad {
+                break;
+            }
+        }
+        rig.now += 10 * MS;
+    }
+    assert!(to_bad < 15, "{to_bad} of 300 requests met a cache that only errs");
+}
+
+#[test]
+fn a_key_whose_candidates_are_full_moves_to_an_idle_cache_and_stays() {
+    let mut rig = Rig::new(through(), &ready(1..=8));
+    (1..100).for_each(|key| assert!(rig.serve(key).0 > 0));
+    let open: Vec<_> = (0..40).map(|_| rig.ask(7)).collect();
+    let mut used: BTreeMap<u64, usize> = BTreeMap::new();
+    open.iter().filter_map(|id| rig.last_cache(*id)).for_each(|c| *used.entry(c.0).or_default() += 1);
+    assert_eq!(used.len(), 4, "its three points and the idle cache that it moved to: {used:?}");
+    let placed: Vec<_> = open.into_iter().filter(|id| rig.finals(*id) == 0).collect();
+    placed.into_iter().for_each(|id| drop(rig.settle(id, Outcome::Served)));
+    let home = rig.serve(7);
+    assert!((0..5).all(|_| rig.serve(7) == home));
+}
+
+/// How many requests for these keys are sent, with none of them answered.
+fn taken(rig: &mut Rig, keys: std::ops::Range<u64>) -> usize {
+    let sent = |key| {
+        let id = rig.ask(key);
+        usize::from(rig.last_cache(id).is_some())
+    };
+    keys.map(sent).sum()
+}
+
+#[test]
+fn a_larger_fleet_of_balancers_starts_with_smaller_windows() {
+    let out = |balancers| {
+        let mut set = through();
+        set.balancers = balancers;
+        let mut rig = Rig::new(set, &ready([1]));
+        taken(&mut rig, 0..40)
+    };
+    assert_eq!((out(3), out(12), out(40)), (4, 1, 1));
+}
+
+#[test]
+fn while_errors_pile_up_behind_the_caches_likely_misses_are_mostly_refused() {
+    let mut rig = Rig::new(through(), &ready(1..=6));
+    (1..=20).for_each(|key| assert!(rig.serve(key).0 > 0));
+    for key in 100..104 {
+        let id = rig.ask(key);
+        while rig.finals(id) == 0 {
+            rig.settle(id, Outcome::Errored);
+        }
+    }
+    let (held, unknown) = (taken(&mut rig, 1..21), taken(&mut rig, 500..520));
+    assert!(held >= 10 && unknown <= 10, "held {held}, unknown {unknown} of 20 each");
+}
