--- a/crates/stairfront-policy/src/policy.rs
+++ b/crates/stairfront-policy/src/policy.rs
@@ -602,8 +602,6 @@
         }
     }
 
-    // ---- effects ----
-
     fn may_send(&self, now: Micros, id: RequestId, to: CacheId) -> bool {
         let (Some(p), Some(server)) = (self.pending.get(&id), self.servers.get(&to)) else { return false };
         if p.out.is_some() || p.sent >= self.set.limits.most_attempts {
