--- a/crates/stairfront-policy/src/policy.rs
+++ b/crates/stairfront-policy/src/policy.rs
@@ -112,7 +112,6 @@
 
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Stage {
-    /// At a cache, or on the way there.
     Cache,
     /// Its own fetch from the origin is out, or waits for its turn.
     Fetch,
@@ -585,8 +584,7 @@
         self.start_fetches(now, actions);
     }
 
-    /// Danger: past what the origin can do, every fetch is late. A window of them is out, the rest wait their
-    /// turn, and nothing is sent that cannot return in time.
+    /// Danger: past what the origin can do, every fetch is late. A window of them is out, the rest wait.
     fn start_fetches(&mut self, now: Micros, actions: &mut Vec<Action>) {
         while let Some(origin) = self.origin() {
             let Some(server) = self.servers.get(&origin).filter(|s| s.has_room(now)) else { return };
@@ -594,7 +592,9 @@
             let Some(id) = self.fetch_queue.pop_front() else { return };
             let waits = |p: &&Pending| p.stage == Stage::Fetch && p.out.is_none();
             let Some(p) = self.pending.get(&id).filter(waits) else { continue };
-            if now + pace / 2 > self.give_up_at(p) || !self.may_send(now, id, origin) {
+            // Danger: served in turn, a long queue has every reader answered too late.
+            let late = if self.fetch_queue.is_empty() { self.give_up_at(p) } else { p.aim_at };
+            if now + pace / 2 > late || !self.may_send(now, id, origin) {
                 self.finish(now, id, actions);
             } else {
                 self.send(now, id, origin, actions);
--- a/crates/stairfront-policy/tests/protection.rs
+++ b/crates/stairfront-policy/tests/protection.rs
@@ -288,3 +288,20 @@
     let (held, unknown) = (taken(&mut rig, 1..21), taken(&mut rig, 500..520));
     assert!(held >= 10 && unknown <= 10, "held {held}, unknown {unknown} of 20 each");
 }
+
+#[test]
+fn while_fetches_queue_one_that_is_too_late_gives_way() {
+    let mut rig = Rig::new(aside(), &with_origin(ready(1..=9)));
+    let early: Vec<_> = (1..=20).map(|key| rig.ask(key)).collect();
+    early.iter().filter(|id| rig.finals(**id) == 0).copied().collect::<Vec<_>>().into_iter().for_each(|id| {
+        rig.settle(id, Outcome::Miss);
+    });
+    let out: Vec<_> = early.iter().copied().filter(|id| rig.last_cache(*id) == Some(ORIGIN)).collect();
+    rig.now += 490 * MS;
+    let late = rig.ask(500);
+    rig.settle(late, Outcome::Miss);
+    // The first readers' aim is as good as past; their fetches come back at last.
+    rig.now += 15 * MS;
+    out.iter().for_each(|id| drop(rig.settle(*id, Outcome::Served)));
+    assert_eq!(rig.last_cache(late), Some(ORIGIN), "the reader still in time is fetched for");
+}
