--- a/crates/stairfront-policy/src/policy.rs
+++ b/crates/stairfront-policy/src/policy.rs
@@ -594,7 +594,7 @@
             let Some(p) = self.pending.get(&id).filter(waits) else { continue };
             // Danger: served in turn, a long queue has every reader answered too late.
             let late = if self.fetch_queue.is_empty() { self.give_up_at(p) } else { p.aim_at };
-            if now + pace / 2 > late || !self.may_send(now, id, origin) {
+            if now + pace > late || !self.may_send(now, id, origin) {
                 self.finish(now, id, actions);
             } else {
                 self.send(now, id, origin, actions);
