--- a/crates/stairfront-policy/src/policy.rs
+++ b/crates/stairfront-policy/src/policy.rs
@@ -83,7 +83,6 @@
     /// Smoothed answer time, and the same over what it should be.
     pace: Average,
     stress: Average,
-    /// Failures in a row, by weight.
     strikes: u32,
     suspect_until: Micros,
     sent: Rate,
@@ -189,8 +188,6 @@
         }
     }
 
-    // ---- the list ----
-
     fn on_list(&mut self, now: Micros, news: ListNews<'_>, actions: &mut Vec<Action>) {
         let lines = match news {
             ListNews::Failed => {
@@ -345,6 +342,9 @@
     fn choose(&mut self, now: Micros, id: RequestId) -> Option<CacheId> {
         let p = self.pending.get(&id)?;
         let (key, tried) = (p.request.key.unwrap_or(Key(u64::from(id.0))), p.tried);
+        // What is worth more than another class is refused last: before that it may use twice the window.
+        let worth = self.class(&p.request).map_or(0.0, |c| c.worth);
+        let (favoured, mut resort) = (self.set.classes.iter().any(|c| c.worth < worth), None);
         let placed = self.place(now, key)?;
         let (found, n) = self.candidates(key);
         let others = found[..n].iter().map(|i| self.ring[*i].1).filter(|c| *c != placed);
@@ -354,6 +354,8 @@
             let Some(server) = self.servers.get(&cache).filter(|s| self.open(s, now)) else { continue };
             usable = true;
             if !server.has_room(now) {
+                let borrows = favoured && f64::from(server.inflight) < 2.0 * server.window;
+                resort = resort.or(Some(cache).filter(|_| borrows));
                 continue;
             }
             if f64::from(server.inflight) < margin {
@@ -368,7 +370,7 @@
         if !usable {
             return self.next_clockwise(key, &tried, |s| self.open(s, now) && s.has_room(now));
         }
-        pick.or_else(|| self.relieve(now, key, placed, &tried))
+        pick.or_else(|| self.relieve(now, key, placed, &tried)).or(resort)
     }
 
     /// Danger: few caches own unequal arcs and are unequal machines, so all candidates of a key can be full
@@ -567,8 +569,6 @@
         }
     }
 
-    // ---- the origin ----
-
     fn origin(&self) -> Option<CacheId> {
         let ready = |s: &&Server| s.role == Role::Origin && s.member.state == MemberState::Ready;
         self.servers.values().filter(ready).min_by_key(|s| s.inflight).map(|s| s.member.id)
@@ -668,8 +668,6 @@
         }
     }
 
-    // ---- health and windows ----
-
     fn observe(&mut self, now: Micros, s: &Settled, actions: &mut Vec<Action>) {
         let shortest = self.set.classes.iter().map(|c| c.aim).min().unwrap_or(SECOND);
         let class = self.pending.get(&s.id).and_then(|p| self.class(&p.request));
@@ -710,8 +708,6 @@
         }
     }
 
-    // ---- fairness ----
-
     /// Refuses, under pressure alone, what its tenant sends beyond its share. This balancer sees only its
     /// slice, so shares are judged by the median use of quotas here, not by the quotas themselves.
     fn shed(&mut self, now: Micros, request: &Request, actions: &mut Vec<Action>) -> bool {
--- a/crates/stairfront-policy/tests/protection.rs
+++ b/crates/stairfront-policy/tests/protection.rs
@@ -305,3 +305,17 @@
     out.iter().for_each(|id| drop(rig.settle(*id, Outcome::Served)));
     assert_eq!(rig.last_cache(late), Some(ORIGIN), "the reader still in time is fetched for");
 }
+
+#[test]
+fn a_class_worth_more_is_refused_last() {
+    let mut set = through();
+    set.classes.push(Class { worth: 3.0, ..class(Semantics::Free) });
+    let mut rig = Rig::new(set, &ready([1]));
+    let common = taken(&mut rig, 1..40);
+    let mut dear = 0;
+    for key in 100..140 {
+        let id = rig.ask_as(1, key, false);
+        dear += usize::from(rig.last_cache(id).is_some());
+    }
+    assert_eq!((common, dear), (4, 4), "a full window for all, as much again for what is worth more");
+}
