--- a/crates/stairfront-policy/src/policy.rs
+++ b/crates/stairfront-policy/src/policy.rs
@@ -73,9 +73,8 @@
 struct Server {
     member: Member,
     role: Role,
-    /// Keys that this balancer has placed here; placements of an earlier epoch (process) are void.
+    /// Keys that this balancer has placed here, on this process.
     keys: i64,
-    epoch: u32,
     inflight: u32,
     window: f64,
     step: f64,
@@ -94,7 +93,8 @@
 
 struct Placement {
     cache: CacheId,
-    epoch: u32,
+    /// Start of the process it was placed on: void when that is over, also if it left the list meanwhile.
+    born: Micros,
     seen: Micros,
     /// Its cache has served it since, so it likely holds it.
     held: bool,
@@ -233,11 +233,11 @@
         let step = 1.0 / f64::from(self.set.balancers);
         let (member, window, cold_tokens, cold_at) = (*line, (WINDOW_START * step).max(1.0), 1.0, now);
         let blank = Server { member, role, window, step, cold_tokens, cold_at, ..Server::default() };
-        let fresh = |epoch, inflight| Server { keys: mean, epoch, inflight, ..blank };
-        let server = self.servers.entry(line.id).or_insert_with(|| fresh(0, 0));
+        let fresh = |inflight| Server { keys: mean, inflight, ..blank };
+        let server = self.servers.entry(line.id).or_insert_with(|| fresh(0));
         // Danger: a restarted process comes back empty under its old id; its old keys would flood it.
         if line.born > server.member.born {
-            *server = fresh(server.epoch + 1, server.inflight);
+            *server = fresh(server.inflight);
         }
         server.member = *line;
     }
@@ -289,7 +289,7 @@
     fn place(&mut self, now: Micros, key: Key) -> Option<CacheId> {
         if let Some(entry) = self.table.get_mut(&key) {
             let server = self.servers.get(&entry.cache);
-            let stands = |s: &Server| s.member.state == MemberState::Ready && s.epoch == entry.epoch;
+            let stands = |s: &Server| s.member.state == MemberState::Ready && s.member.born == entry.born;
             if now - entry.seen < ENTRY_AGE && server.is_some_and(stands) {
                 entry.seen = now;
                 return Some(entry.cache);
@@ -308,14 +308,14 @@
     fn put(&mut self, now: Micros, key: Key, cache: CacheId) {
         if let Some(server) = self.servers.get_mut(&cache) {
             server.keys += 1;
-            self.table.insert(key, Placement { cache, epoch: server.epoch, seen: now, held: false });
+            self.table.insert(key, Placement { cache, born: server.member.born, seen: now, held: false });
             self.ages.push_back((now, key));
         }
     }
 
     fn unplace(&mut self, key: Key) {
         let Some(old) = self.table.remove(&key) else { return };
-        if let Some(server) = self.servers.get_mut(&old.cache).filter(|s| s.epoch == old.epoch) {
+        if let Some(server) = self.servers.get_mut(&old.cache).filter(|s| s.member.born == old.born) {
             server.keys -= 1;
         }
     }
--- a/crates/stairfront-policy/tests/placement.rs
+++ b/crates/stairfront-policy/tests/placement.rs
@@ -183,3 +183,14 @@
     let used: BTreeSet<_> = (1..2_000).map(|key| rig.serve(key)).collect();
     assert_eq!(used.len(), 10);
 }
+
+#[test]
+fn a_process_that_left_the_list_and_restarted_is_a_new_cache_too() {
+    let mut rig = Rig::new(through(), &ready(1..=4));
+    let old: Vec<u64> = (1..=400).filter(|key| rig.serve(*key) == CacheId(3)).collect();
+    rig.event(Event::List(ListNews::Delta(&[member(3, MemberState::Gone)])));
+    let born = rig.now;
+    rig.event(Event::List(ListNews::Delta(&[Member { born, ..member(3, MemberState::Ready) }])));
+    let back = old.iter().filter(|key| rig.serve(**key) == CacheId(3)).count();
+    assert!(back < old.len(), "its old placements are void: {back} of {}", old.len());
+}
