--- a/crates/stairfront-policy/src/policy.rs
+++ b/crates/stairfront-policy/src/policy.rs
@@ -59,7 +59,6 @@
 const USUAL_VOTES: i32 = 500;
 /// Least time between two log lines of one balancer.
 const LOG_GAP: Micros = 200 * MS;
-/// Timer token of the list; requests use their id.
 const LIST_TOKEN: u64 = u64::MAX;
 
 #[derive(Clone, Copy, Default, PartialEq, Eq)]
@@ -120,7 +119,6 @@
     Streaming,
 }
 
-/// The last caches that an attempt of a request went to.
 type Tried = [Option<CacheId>; 2];
 
 struct Pending {
@@ -145,7 +143,6 @@
     /// Keys by the time they were last looked at, oldest first, for lapse and bound.
     ages: VecDeque<(Micros, Key)>,
     pending: FxHashMap<RequestId, Pending>,
-    /// The one reader of a key that fetches it, and those who wait for that.
     fetches: FxHashMap<Key, (RequestId, Vec<RequestId>)>,
     fetch_queue: VecDeque<RequestId>,
     retry_tokens: f64,
@@ -673,7 +670,7 @@
         let class = self.pending.get(&s.id).and_then(|p| self.class(&p.request));
         let (goal, aside) = (GOAL * class.map_or(shortest, |c| c.aim) as f64, self.aside());
         let Some(server) = self.servers.get_mut(&s.cache) else { return };
-        let was = server.suspected();
+        let (was, before) = (server.suspected(), server.window);
         let error = s.outcome == Outcome::Errored;
         self.errors += ERROR_WEIGHT * (f64::from(u8::from(error)) - self.errors);
         // Several errors in a few answers come from behind caches that fetch. Else they are the cache's own:
@@ -703,7 +700,10 @@
         }
         server.inflight = server.inflight.saturating_sub(1);
         let (verdict, id) = (if was { "cleared" } else { "suspect" }, s.cache.0);
-        if was != server.suspected() {
+        let (window, origin) = (server.window, server.role == Role::Origin);
+        if origin && window < before {
+            self.log(now, actions, || format!("origin {id:012x} window cut to {window:.1}"));
+        } else if was != server.suspected() {
             self.log(now, actions, || format!("server {id:012x} {verdict} after {:?}", s.outcome));
         }
     }
