--- a/crates/stairfront-policy/src/policy.rs
+++ b/crates/stairfront-policy/src/policy.rs
@@ -37,7 +37,7 @@
 const ERROR_WEIGHT: f64 = 0.05;
 const ORIGIN_SHORT: Micros = 3 * SECOND;
 /// Part of the likely misses that go on meanwhile, to see whether it has recovered.
-const SHORT_ADMIT: f64 = 0.2;
+const SHORT_ADMIT: f64 = 0.08;
 const MOVE_GAP: Micros = 200 * MS;
 const IDLE: f64 = 0.7;
 /// First absence of a suspect, doubled at each further failure, and the longest.
