--- a/crates/stairfront-policy/src/interface.rs
+++ b/crates/stairfront-policy/src/interface.rs
@@ -192,6 +192,13 @@
     Moot,
 }
 
+impl Outcome {
+    /// Proves that the attempt had no effect.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Outcome::Miss | Outcome::Full | Outcome::ConnectFailed | Outcome::Moot)
+    }
+}
+
 /// What the answering cache said about the key.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Note {
--- a/crates/stairfront-policy/src/lib.rs
+++ b/crates/stairfront-policy/src/lib.rs
@@ -2,5 +2,6 @@
 pub mod interface;
 mod measure;
 mod policy;
+mod state;
 
 pub use policy::Policy;
--- a/crates/stairfront-policy/src/policy.rs
+++ b/crates/stairfront-policy/src/policy.rs
@@ -7,7 +7,8 @@
 use rustc_hash::FxHashMap;
 
 use crate::interface::*;
-use crate::measure::{point, Average, Random, Rate};
+use crate::measure::{point, Random, Rate};
+use crate::state::*;
 
 /// Points that a key hashes to (the design's d); one more serves when two share an owner or have no room.
 const POINTS: usize = 2;
@@ -48,8 +49,12 @@
 /// Repeats earned by each first try, and the most that may be saved up: a retry budget.
 const RETRY_SHARE: f64 = 0.1;
 const RETRY_BURST: f64 = 10.0;
-/// Requests a second that a cold cache always gets, so that it warms and can be judged.
-const COLD_TRICKLE: f64 = 0.5;
+/// Requests a second that a cold cache always gets from all balancers together, so that it warms.
+const COLD_TRICKLE: f64 = 1.5;
+/// Time between two looks over the whole fleet, which are not taken for each request.
+const LOOK_GAP: Micros = 100 * MS;
+/// Part of the time allowed without a call to discovery within which this balancer makes one.
+const ASK_PART: f64 = 0.7;
 /// A tenant counts as over its share beyond this multiple of the median use of quotas here.
 const FAIR_SLACK: f64 = 1.2;
 /// Pressure from which all excess is shed (below, in proportion), and the weight of one request in it.
@@ -61,77 +66,6 @@
 const LOG_GAP: Micros = 200 * MS;
 const LIST_TOKEN: u64 = u64::MAX;
 
-#[derive(Clone, Copy, Default, PartialEq, Eq)]
-enum Role {
-    #[default]
-    Cache,
-    Origin,
-}
-
-#[derive(Default)]
-struct Server {
-    member: Member,
-    role: Role,
-    /// Keys that this balancer has placed here, on this process.
-    keys: i64,
-    inflight: u32,
-    window: f64,
-    step: f64,
-    cut_at: Micros,
-    /// Smoothed answer time, and the same over what it should be.
-    pace: Average,
-    stress: Average,
-    strikes: u32,
-    suspect_until: Micros,
-    sent: Rate,
-    cold_tokens: f64,
-    cold_at: Micros,
-    /// When another key may move away for want of room.
-    move_at: Micros,
-}
-
-struct Placement {
-    cache: CacheId,
-    /// Start of the process it was placed on: void when that is over, also if it left the list meanwhile.
-    born: Micros,
-    seen: Micros,
-    /// Its cache has served it since, so it likely holds it.
-    held: bool,
-}
-
-/// An attempt that may have run: what a guarded repeat is bound to.
-#[derive(Clone, Copy)]
-struct Ran {
-    attempt: u8,
-    at: Micros,
-    zone: Zone,
-    cell: Cell,
-}
-
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Stage {
-    Cache,
-    /// Its own fetch from the origin is out, or waits for its turn.
-    Fetch,
-    /// Waits for another request's fetch of the same key.
-    Follow,
-    /// A streamed answer has begun: the client's from here.
-    Streaming,
-}
-
-type Tried = [Option<CacheId>; 2];
-
-struct Pending {
-    request: Request,
-    aim_at: Micros,
-    stage: Stage,
-    sent: u8,
-    out: Option<Ran>,
-    /// The earliest ended attempt that may have run.
-    ran: Option<Ran>,
-    tried: Tried,
-}
-
 #[derive(Default)]
 pub struct Policy {
     set: Settings,
@@ -143,6 +77,11 @@
     /// Keys by the time they were last looked at, oldest first, for lapse and bound.
     ages: VecDeque<(Micros, Key)>,
     pending: FxHashMap<RequestId, Pending>,
+    /// Attempts out at caches.
+    out: u32,
+    warm_rate: f64,
+    suspects: usize,
+    looked_at: Micros,
     fetches: FxHashMap<Key, (RequestId, Vec<RequestId>)>,
     fetch_queue: VecDeque<RequestId>,
     retry_tokens: f64,
@@ -207,6 +146,7 @@
         self.list_failures = 0;
         self.servers.retain(|_, s| s.member.state != MemberState::Gone || s.inflight > 0);
         self.rebuild_ring();
+        self.looked_at = now - LOOK_GAP;
         if !self.started {
             self.started = true;
             self.ask_later(actions);
@@ -217,8 +157,9 @@
     fn ask_later(&mut self, actions: &mut Vec<Action>) {
         if self.set.discovery == Discovery::Ask {
             let spread = Micros::from(self.set.balancers) * (SECOND / 2) * (1 << self.list_failures);
-            let delay = (self.random.unit() * spread as f64) as Micros;
-            let delay = self.set.tick + delay.min(self.set.rules.ask_every.max(SECOND));
+            // Danger: past the stated time without a call the balancer counts as told what its list lacks.
+            let most = ASK_PART * self.set.rules.ask_every.max(SECOND) as f64;
+            let delay = self.set.tick + (self.random.unit() * most.min(spread as f64)) as Micros;
             actions.push(Action::Timer { delay, token: LIST_TOKEN });
         }
     }
@@ -228,7 +169,9 @@
         let mean = self.mean_keys(line.id);
         let role = if origin { Role::Origin } else { Role::Cache };
         let step = 1.0 / f64::from(self.set.balancers);
-        let (member, window, cold_tokens, cold_at) = (*line, (WINDOW_START * step).max(1.0), 1.0, now);
+        // Danger: a whole first request from each of hundreds of balancers pushes a cold cache over at once.
+        let cold_tokens = self.random.unit();
+        let (member, window, cold_at) = (*line, (WINDOW_START * step).max(1.0), now);
         let blank = Server { member, role, window, step, cold_tokens, cold_at, ..Server::default() };
         let fresh = |inflight| Server { keys: mean, inflight, ..blank };
         let server = self.servers.entry(line.id).or_insert_with(|| fresh(0));
@@ -388,8 +331,7 @@
 
     /// The design's in-flight margin: from here on a cache holds well over the mean.
     fn spill_margin(&self) -> f64 {
-        let sum: u32 = self.ring_servers().map(|s| s.inflight).sum();
-        let mean = f64::from(sum) / self.ring.len().max(1) as f64;
+        let mean = f64::from(self.out) / self.ring.len().max(1) as f64;
         (mean * SPILL_MULTIPLE).max(mean + SPILL_FLOOR)
     }
 
@@ -409,8 +351,19 @@
     /// Suspects get one request at a time after their absence. Past half of the fleet suspicion is ignored.
     fn trusted(&self, server: &Server, now: Micros) -> bool {
         let trial = server.suspect_until <= now && server.inflight == 0;
-        let suspects = || self.ring_servers().filter(|s| s.suspected()).count();
-        !server.suspected() || trial || 2 * suspects() > self.ring.len()
+        !server.suspected() || trial || 2 * self.suspects > self.ring.len()
+    }
+
+    /// What needs a walk over all caches: the mean rate sent to a warm one, and how many are suspect.
+    fn look_over(&mut self, now: Micros) {
+        if now - self.looked_at < LOOK_GAP {
+            return;
+        }
+        self.looked_at = now;
+        let warm = self.ring_servers().filter(|s| self.warmth(s, now) >= 1.0);
+        let (sum, n) = warm.fold((0.0, 0), |(sum, n), s| (sum + s.sent.per_second(now), n + 1));
+        self.warm_rate = sum / f64::from(n.max(1));
+        self.suspects = self.ring_servers().filter(|s| s.suspected()).count();
     }
 
     /// Fraction of its capacity that a cache surely has by its stated warm-up.
@@ -425,13 +378,13 @@
     /// Danger: a cold cache sent a multiple of its present capacity falls over and stays down. What this
     /// balancer sends to a warm cache stands for its part of the capacity, so no other balancer is asked.
     fn cold_tokens(&self, server: &Server, now: Micros) -> f64 {
-        let warm = self.ring_servers().filter(|s| self.warmth(s, now) >= 1.0);
-        let (sum, n) = warm.fold((0.0, 0), |(sum, n), s| (sum + s.sent.per_second(now), n + 1));
-        let rate = (sum / f64::from(n.max(1)) * self.warmth(server, now)).max(COLD_TRICKLE);
+        let trickle = COLD_TRICKLE / f64::from(self.set.balancers);
+        let rate = (self.warm_rate * self.warmth(server, now)).max(trickle);
         (server.cold_tokens + rate * (now - server.cold_at) as f64 / SECOND as f64).min((rate / 2.0).max(1.0))
     }
 
     fn on_request(&mut self, now: Micros, request: Request, actions: &mut Vec<Action>) {
+        self.look_over(now);
         self.retry_tokens = (self.retry_tokens + RETRY_SHARE).min(RETRY_BURST);
         self.tenant_rates.get_mut(request.tenant.0 as usize).into_iter().for_each(|rate| rate.add(now));
         // Danger: a short origin holds up caches with fetches that fail, and with them what they still hold.
@@ -514,6 +467,7 @@
         let (Some(p), Some(server)) = (self.pending.get_mut(&id), self.servers.get_mut(&to)) else { return };
         (server.cold_tokens, server.cold_at) = (tokens - 1.0, now);
         server.inflight += 1;
+        self.out += u32::from(server.role == Role::Cache);
         server.sent.add(now);
         p.out = Some(Ran { attempt: p.sent, at: now, zone: server.member.zone, cell: server.member.cell });
         p.sent += 1;
@@ -526,7 +480,7 @@
         self.observe(now, &s, actions);
         if let Some(p) = self.pending.get_mut(&s.id) {
             if let Some(out) = p.out.take_if(|out| out.attempt == s.attempt) {
-                p.ran = p.ran.or(Some(out).filter(|_| !never_ran(s.outcome)));
+                p.ran = p.ran.or(Some(out).filter(|_| !s.outcome.never_ran()));
             }
             if s.outcome == Outcome::Served || s.outcome == Outcome::Errored {
                 let entry = p.request.key.and_then(|key| self.table.get_mut(&key));
@@ -699,11 +653,13 @@
             Outcome::Cancelled | Outcome::Moot => {}
         }
         server.inflight = server.inflight.saturating_sub(1);
+        self.out = self.out.saturating_sub(u32::from(server.role == Role::Cache));
         let (verdict, id) = (if was { "cleared" } else { "suspect" }, s.cache.0);
         let (window, origin) = (server.window, server.role == Role::Origin);
         if origin && window < before {
             self.log(now, actions, || format!("origin {id:012x} window cut to {window:.1}"));
         } else if was != server.suspected() {
+            self.looked_at = now - LOOK_GAP;
             self.log(now, actions, || format!("server {id:012x} {verdict} after {:?}", s.outcome));
         }
     }
@@ -778,7 +734,3 @@
         }
     }
 }
-
-fn never_ran(outcome: Outcome) -> bool {
-    matches!(outcome, Outcome::Miss | Outcome::Full | Outcome::ConnectFailed | Outcome::Moot)
-}
