Windows below one are halved and grow by half; their pause is bounded by 0.1 s for each balancer

Cause: a balancer of hundreds gets an answer from one cache every ten seconds; steps of a fifth down and of one over the number of balancers up never got anywhere, and a window of 0.1 at each of 200 balancers still crowds a cache.

--- a/crates/stairfront-policy/src/policy.rs
+++ b/crates/stairfront-policy/src/policy.rs
@@ -29,9 +29,14 @@
 /// Window of requests out at one server: first value (split by the balancers, as each growth by one is, since
 /// all add up there), bounds of this balancer's, and the factor of a cut.
 const WINDOW_START: f64 = 12.0;
-const WINDOW_MIN: f64 = 0.1;
+const WINDOW_MIN: f64 = 0.01;
 const WINDOW_MAX: f64 = 256.0;
 const WINDOW_CUT: f64 = 0.8;
+/// Factors of a cut and of a growth at a window of one and less, where answers are too rare for small steps.
+const SPARSE_CUT: f64 = 0.5;
+const SPARSE_GROWTH: f64 = 1.5;
+/// Longest pause between two requests that a window stands for: so many in this time from all balancers.
+const PAUSE_SPLIT: Micros = 100 * MS;
 /// Pause of both ends of a key's move (a hot key shall not run through the ring); stress of an idle cache.
 /// Part of errors from which they mean a short origin, the weight of one answer in it, and for how long.
 const ERRORS_SHORT: f64 = 0.06;
@@ -705,7 +710,8 @@
         if self.window >= 1.0 || self.inflight > 0 {
             return f64::from(self.inflight) < self.window;
         }
-        (now - self.sent.at) as f64 >= self.pace.value / self.window
+        let longest = PAUSE_SPLIT as f64 / self.step;
+        (now - self.sent.at) as f64 >= (self.pace.value / self.window).min(longest)
     }
 
     fn strike(&mut self, now: Micros, weight: u32) {
@@ -723,14 +729,19 @@
         if self.stress.value > 1.0 {
             self.cut(now, goal);
         } else if f64::from(self.inflight) >= self.window / 2.0 {
-            self.window = (self.window + self.step / self.window.max(1.0)).min(WINDOW_MAX);
+            self.window = if self.window < 1.0 {
+                (self.window * SPARSE_GROWTH).min(1.0)
+            } else {
+                (self.window + self.step / self.window).min(WINDOW_MAX)
+            };
         }
     }
 
     fn cut(&mut self, now: Micros, goal: f64) {
         if now - self.cut_at > goal.max(self.pace.value) as Micros {
             self.cut_at = now;
-            self.window = (self.window * WINDOW_CUT).max(WINDOW_MIN);
+            let factor = if self.window > 1.0 { WINDOW_CUT } else { SPARSE_CUT };
+            self.window = (self.window * factor).max(WINDOW_MIN);
         }
     }
 }
