Fairness by each tenant's part of the last 400 requests, begun at the quotas

Cause looked for: a balancer with six requests a second has none of most tenants in 4 s, so the median of their uses is nothing and all is shed alike. Rate's span stands in policy.rs now.

--- a/crates/stairfront-policy/src/measure.rs
+++ b/crates/stairfront-policy/src/measure.rs
@@ -33,15 +33,13 @@
 }
 
 impl Rate {
-    pub const SPAN: f64 = 4.0 * SECOND as f64;
-
-    pub fn add(&mut self, now: Micros) {
-        self.sum = self.sum * faded(now - self.at, Self::SPAN) + 1.0;
+    pub fn add(&mut self, now: Micros, span: f64) {
+        self.sum = self.sum * faded(now - self.at, span) + 1.0;
         self.at = now;
     }
 
-    pub fn per_second(&self, now: Micros) -> f64 {
-        self.sum * faded(now - self.at, Self::SPAN) * SECOND as f64 / Self::SPAN
+    pub fn per_second(&self, now: Micros, span: f64) -> f64 {
+        self.sum * faded(now - self.at, span) * SECOND as f64 / span
     }
 }
 
--- a/crates/stairfront-policy/src/policy.rs
+++ b/crates/stairfront-policy/src/policy.rs
@@ -7,7 +7,7 @@
 use rustc_hash::FxHashMap;
 
 use crate::interface::*;
-use crate::measure::{point, Random, Rate};
+use crate::measure::{point, Random};
 use crate::state::*;
 
 /// Points that a key hashes to (the design's d); one more serves when two share an owner or have no room.
@@ -56,12 +56,17 @@
 const RETRY_BURST: f64 = 10.0;
 /// Requests a second that a cold cache always gets from all balancers together, so that it warms.
 const COLD_TRICKLE: f64 = 1.5;
+/// Time constant of the rate sent to a cache.
+const SENT_SPAN: f64 = 4.0 * SECOND as f64;
 /// Time between two looks over the whole fleet, which are not taken for each request.
 const LOOK_GAP: Micros = 100 * MS;
 /// Part of the time allowed without a call to discovery within which this balancer makes one.
 const ASK_PART: f64 = 0.7;
 /// A tenant counts as over its share beyond this multiple of the median use of quotas here.
 const FAIR_SLACK: f64 = 1.2;
+/// Requests that the shares of traffic remember, and for how many the quotas stand in at the start.
+const FAIR_MEMORY: f64 = 400.0;
+const FAIR_PRIOR: f64 = 20.0;
 /// Pressure from which all excess is shed (below, in proportion), and the weight of one request in it.
 const PRESSURE_FULL: f64 = 0.2;
 const PRESSURE_WEIGHT: f64 = 0.03;
@@ -90,7 +95,9 @@
     fetches: FxHashMap<Key, (RequestId, Vec<RequestId>)>,
     fetch_queue: VecDeque<RequestId>,
     retry_tokens: f64,
-    tenant_rates: Vec<Rate>,
+    /// Each tenant's part of the requests that came lately, and how many it was learned from.
+    tenant_parts: Vec<f64>,
+    tenant_votes: f64,
     /// The usual time left on arrival and the votes for it, by class.
     usual_left: Vec<(Micros, i32)>,
     pressure: f64,
@@ -107,10 +114,12 @@
 
 impl Policy {
     pub fn new(set: Settings, seed: u64) -> Self {
-        let tenant_rates = vec![Rate::default(); set.tenants.len()];
+        let quotas: f64 = set.tenants.iter().map(|t| t.quota_per_s).sum();
+        let tenant_parts = set.tenants.iter().map(|t| t.quota_per_s / quotas.max(1e-9)).collect();
         let usual_left = vec![(0, 0); set.classes.len()];
         let (random, retry_tokens) = (Random(seed), RETRY_BURST);
-        Policy { set, random, retry_tokens, tenant_rates, usual_left, ..Policy::default() }
+        let tenant_votes = FAIR_PRIOR;
+        Policy { set, random, retry_tokens, tenant_parts, tenant_votes, usual_left, ..Policy::default() }
     }
 
     pub fn handle(&mut self, now: Micros, event: Event<'_>, actions: &mut Vec<Action>) {
@@ -366,7 +375,7 @@
         }
         self.looked_at = now;
         let warm = self.ring_servers().filter(|s| self.warmth(s, now) >= 1.0);
-        let (sum, n) = warm.fold((0.0, 0), |(sum, n), s| (sum + s.sent.per_second(now), n + 1));
+        let (sum, n) = warm.fold((0.0, 0), |(sum, n), s| (sum + s.sent.per_second(now, SENT_SPAN), n + 1));
         self.warm_rate = sum / f64::from(n.max(1));
         self.suspects = self.ring_servers().filter(|s| s.suspected()).count();
     }
@@ -391,7 +400,7 @@
     fn on_request(&mut self, now: Micros, request: Request, actions: &mut Vec<Action>) {
         self.look_over(now);
         self.retry_tokens = (self.retry_tokens + RETRY_SHARE).min(RETRY_BURST);
-        self.tenant_rates.get_mut(request.tenant.0 as usize).into_iter().for_each(|rate| rate.add(now));
+        self.count_tenant(request.tenant);
         // Danger: a short origin holds up caches with fetches that fail, and with them what they still hold.
         let held = request.key.and_then(|k| self.table.get(&k)).is_some_and(|entry| entry.held);
         let miss = !held && now < self.origin_short_until && self.random.unit() > SHORT_ADMIT;
@@ -473,7 +482,7 @@
         (server.cold_tokens, server.cold_at) = (tokens - 1.0, now);
         server.inflight += 1;
         self.out += u32::from(server.role == Role::Cache);
-        server.sent.add(now);
+        server.sent.add(now, SENT_SPAN);
         p.out = Some(Ran { attempt: p.sent, at: now, zone: server.member.zone, cell: server.member.cell });
         p.sent += 1;
         p.tried = [Some(to), p.tried[0]];
@@ -678,13 +687,23 @@
             let turn = if self.shedding { "starts" } else { "ends" };
             self.log(now, actions, || format!("shedding over-share traffic {turn}"));
         }
-        let excess = self.excess(now, request.tenant);
+        let excess = self.excess(request.tenant);
         excess > 0.0 && self.set.over_share_worth < 1.0 && self.random.unit() < excess * level
     }
 
-    fn excess(&self, now: Micros, tenant: TenantId) -> f64 {
-        let uses = self.tenant_rates.iter().zip(&self.set.tenants);
-        let mut uses: Vec<f64> = uses.map(|(r, t)| r.per_second(now) / t.quota_per_s.max(1e-9)).collect();
+    /// Danger: a balancer that sees few requests has none of most tenants in any few seconds, and the median of
+    /// their rates is nothing. Parts of the last requests, begun at the quotas, say as much as the slice tells.
+    fn count_tenant(&mut self, tenant: TenantId) {
+        self.tenant_votes = (self.tenant_votes + 1.0).min(FAIR_MEMORY);
+        for (i, part) in self.tenant_parts.iter_mut().enumerate() {
+            let came = f64::from(u8::from(i == tenant.0 as usize));
+            *part += (came - *part) / self.tenant_votes;
+        }
+    }
+
+    fn excess(&self, tenant: TenantId) -> f64 {
+        let uses = self.tenant_parts.iter().zip(&self.set.tenants);
+        let mut uses: Vec<f64> = uses.map(|(part, t)| part / t.quota_per_s.max(1e-9)).collect();
         let Some(own) = uses.get(tenant.0 as usize).copied().filter(|own| *own > 0.0) else { return 0.0 };
         uses.sort_unstable_by(f64::total_cmp);
         let median = uses[(uses.len() - 1) / 2];
