--- a/crates/stairfront-policy/src/policy.rs
+++ b/crates/stairfront-policy/src/policy.rs
@@ -14,6 +14,8 @@
 const POINTS: usize = 2;
 const MOST_POINTS: usize = 3;
 const RING_SEED: u64 = 0;
+/// Two counts of keys tie within this many standard deviations of their difference under chance alone.
+const COUNT_CHANCE: f64 = 2.0;
 /// Most keys remembered (some megabytes), and how long unseen (the design's start value).
 const TABLE_MAX: usize = 65_536;
 const ENTRY_AGE: Micros = 60 * SECOND;
@@ -252,13 +254,25 @@
         }
         self.lapse(now);
         let (found, n) = self.candidates(key);
-        let keys = |i: usize| self.servers.get(&self.ring[i].1).map_or(0, |s| s.keys);
-        let least = found[..n.min(POINTS)].iter().min_by_key(|i| (keys(**i), self.arc(**i)))?;
-        let cache = self.ring[*least].1;
+        let cache = self.ring[self.lesser(*found[..n].first()?, found[..n.min(POINTS)][n.min(POINTS) - 1])].1;
         self.put(now, key, cache);
         Some(cache)
     }
 
+    /// The owner with fewer keys, the shorter arc on ties. Danger: the few keys that one of many balancers has
+    /// placed differ by chance, and each would choose another cache; within chance counts are a tie.
+    fn lesser(&self, a: usize, b: usize) -> usize {
+        let keys = |i: usize| self.servers.get(&self.ring[i].1).map_or(0, |s| s.keys.max(0)) as f64;
+        let chance = COUNT_CHANCE * (keys(a) + keys(b)).sqrt();
+        let tie = (keys(a) - keys(b)).abs() <= chance;
+        let a_first = if tie { self.arc(a) <= self.arc(b) } else { keys(a) < keys(b) };
+        if a_first {
+            a
+        } else {
+            b
+        }
+    }
+
     fn put(&mut self, now: Micros, key: Key, cache: CacheId) {
         if let Some(server) = self.servers.get_mut(&cache) {
             server.keys += 1;
@@ -691,8 +705,8 @@
         excess > 0.0 && self.set.over_share_worth < 1.0 && self.random.unit() < excess * level
     }
 
-    /// Danger: a balancer that sees few requests has none of most tenants in any few seconds, and the median of
-    /// their rates is nothing. Parts of the last requests, begun at the quotas, say as much as the slice tells.
+    /// Danger: a balancer that sees few requests has none of most tenants in any few seconds, so that the median
+    /// of their rates is nothing. Parts of the last requests, begun at the quotas, say what the slice tells.
     fn count_tenant(&mut self, tenant: TenantId) {
         self.tenant_votes = (self.tenant_votes + 1.0).min(FAIR_MEMORY);
         for (i, part) in self.tenant_parts.iter_mut().enumerate() {
