--- a/crates/stairfront-policy/src/policy.rs
+++ b/crates/stairfront-policy/src/policy.rs
@@ -31,14 +31,15 @@
 /// Window of requests out at one server: first value (split by the balancers, as each growth by one is, since
 /// all add up there), bounds of this balancer's, and the factor of a cut.
 const WINDOW_START: f64 = 12.0;
-const WINDOW_MIN: f64 = 0.01;
+const WINDOW_MIN: f64 = 0.1;
+const ORIGIN_MIN: f64 = 0.01;
 const WINDOW_MAX: f64 = 256.0;
 const WINDOW_CUT: f64 = 0.8;
 /// Factors of a cut and of a growth at a window of one and less, where answers are too rare for small steps.
 const SPARSE_CUT: f64 = 0.5;
 const SPARSE_GROWTH: f64 = 1.5;
-/// Longest pause between two requests that a window stands for: so many in this time from all balancers.
-const PAUSE_SPLIT: Micros = 100 * MS;
+/// Longest pause between two requests that a window stands for.
+const PAUSE_LAST: f64 = 20.0 * SECOND as f64;
 /// Pause of both ends of a key's move (a hot key shall not run through the ring); stress of an idle cache.
 /// Part of errors from which they mean a short origin, the weight of one answer in it, and for how long.
 const ERRORS_SHORT: f64 = 0.06;
@@ -321,7 +322,7 @@
         for cache in std::iter::once(placed).chain(others).filter(|c| !tried.contains(&Some(*c))) {
             let Some(server) = self.servers.get(&cache).filter(|s| self.open(s, now)) else { continue };
             usable = true;
-            if !server.has_room(now) {
+            if !server.has_room(now, self.gap()) {
                 let borrows = favoured && f64::from(server.inflight) < 2.0 * server.window;
                 resort = resort.or(Some(cache).filter(|_| borrows));
                 continue;
@@ -336,7 +337,7 @@
         }
         self.pressure += PRESSURE_WEIGHT * (f64::from(u8::from(pick.is_none())) - self.pressure);
         if !usable {
-            return self.next_clockwise(key, &tried, |s| self.open(s, now) && s.has_room(now));
+            return self.next_clockwise(key, &tried, |s| self.open(s, now) && s.has_room(now, self.gap()));
         }
         pick.or_else(|| self.relieve(now, key, placed, &tried)).or(resort)
     }
@@ -357,6 +358,11 @@
         Some(to)
     }
 
+    /// Usual time between two requests of this balancer to one cache.
+    fn gap(&self) -> f64 {
+        SECOND as f64 / self.warm_rate.max(1e-3)
+    }
+
     /// The design's in-flight margin: from here on a cache holds well over the mean.
     fn spill_margin(&self) -> f64 {
         let mean = f64::from(self.out) / self.ring.len().max(1) as f64;
@@ -566,7 +572,9 @@
     /// Danger: past what the origin can do, every fetch is late. A window of them is out, the rest wait.
     fn start_fetches(&mut self, now: Micros, actions: &mut Vec<Action>) {
         while let Some(origin) = self.origin() {
-            let Some(server) = self.servers.get(&origin).filter(|s| s.has_room(now)) else { return };
+            let Some(server) = self.servers.get(&origin).filter(|s| s.has_room(now, self.gap())) else {
+                return;
+            };
             let pace = server.pace.value as Micros;
             let Some(id) = self.fetch_queue.pop_front() else { return };
             let waits = |p: &&Pending| p.stage == Stage::Fetch && p.out.is_none();
@@ -738,13 +746,13 @@
     }
 
     /// Danger: many balancers with one request each can still crowd a server. A window below one stands for
-    /// that part of the time: the next request goes after a pause.
-    fn has_room(&self, now: Micros) -> bool {
+    /// that part of an answer time or, where this balancer asks a cache less often, of the usual `gap` between.
+    fn has_room(&self, now: Micros, gap: f64) -> bool {
         if self.window >= 1.0 || self.inflight > 0 {
             return f64::from(self.inflight) < self.window;
         }
-        let longest = PAUSE_SPLIT as f64 / self.step;
-        (now - self.sent.at) as f64 >= (self.pace.value / self.window).min(longest)
+        let unit = if self.role == Role::Origin { self.pace.value } else { gap.max(self.pace.value) };
+        (now - self.sent.at) as f64 >= (unit / self.window).min(PAUSE_LAST)
     }
 
     fn strike(&mut self, now: Micros, weight: u32) {
@@ -773,8 +781,9 @@
     fn cut(&mut self, now: Micros, goal: f64) {
         if now - self.cut_at > goal.max(self.pace.value) as Micros {
             self.cut_at = now;
+            let least = if self.role == Role::Origin { ORIGIN_MIN } else { WINDOW_MIN };
             let factor = if self.window > 1.0 { WINDOW_CUT } else { SPARSE_CUT };
-            self.window = (self.window * factor).max(WINDOW_MIN);
+            self.window = (self.window * factor).max(least);
         }
     }
 }
