--- a/crates/stairfront-policy/src/policy.rs
+++ b/crates/stairfront-policy/src/policy.rs
@@ -70,9 +70,9 @@
 /// Requests that the shares of traffic remember, and for how many the quotas stand in at the start.
 const FAIR_MEMORY: f64 = 400.0;
 const FAIR_PRIOR: f64 = 20.0;
-/// Pressure from which all excess is shed (below, in proportion), and the weight of one request in it.
-const PRESSURE_FULL: f64 = 0.2;
-const PRESSURE_WEIGHT: f64 = 0.03;
+/// Part of requests that may find their candidates full before the shed level rises, and the step of one request.
+const PRESSED: f64 = 0.1;
+const PRESSED_STEP: f64 = 0.03;
 /// Most votes that the usual time left may gather, so that a change of habit is noticed.
 const USUAL_VOTES: i32 = 500;
 /// Least time between two log lines of one balancer.
@@ -103,7 +103,7 @@
     tenant_votes: f64,
     /// The usual time left on arrival and the votes for it, by class.
     usual_left: Vec<(Micros, i32)>,
-    pressure: f64,
+    shed_level: f64,
     shedding: bool,
     started: bool,
     subscribed: bool,
@@ -335,13 +335,19 @@
                 (pick, least) = (Some(cache), server.inflight);
             }
         }
-        self.pressure += PRESSURE_WEIGHT * (f64::from(u8::from(pick.is_none())) - self.pressure);
+        self.press(pick.is_none());
         if !usable {
             return self.next_clockwise(key, &tried, |s| self.open(s, now) && s.has_room(now, self.gap()));
         }
         pick.or_else(|| self.relieve(now, key, placed, &tried)).or(resort)
     }
 
+    /// Shedding rises as long as more than a small part of the requests is pressed, and falls when fewer are.
+    fn press(&mut self, pressed: bool) {
+        let step = f64::from(u8::from(pressed)) - PRESSED;
+        self.shed_level = (self.shed_level + PRESSED_STEP * step).clamp(0.0, 1.0);
+    }
+
     /// Danger: few caches own unequal arcs and are unequal machines, so all candidates of a key can be full
     /// while others idle. One key at a time moves to the next clockwise idle cache and stays: one miss each.
     fn relieve(&mut self, now: Micros, key: Key, placed: CacheId, tried: &Tried) -> Option<CacheId> {
@@ -703,7 +709,7 @@
     /// Refuses, under pressure alone, what its tenant sends beyond its share. This balancer sees only its
     /// slice, so shares are judged by the median use of quotas here, not by the quotas themselves.
     fn shed(&mut self, now: Micros, request: &Request, actions: &mut Vec<Action>) -> bool {
-        let level = (self.pressure / PRESSURE_FULL).min(1.0);
+        let level = self.shed_level;
         if self.shedding != (level > 0.5) {
             self.shedding = level > 0.5;
             let turn = if self.shedding { "starts" } else { "ends" };
