--- a/crates/stairfront-policy/src/policy.rs
+++ b/crates/stairfront-policy/src/policy.rs
@@ -59,6 +59,8 @@
 const RETRY_BURST: f64 = 10.0;
 /// Requests a second that a cold cache always gets from all balancers together, so that it warms.
 const COLD_TRICKLE: f64 = 1.5;
+/// Part of the stated multiple of its present capacity that a cold cache is sent at the load of a warm one.
+const COLD_PART: f64 = 0.5;
 /// Time constant of the rate sent to a cache.
 const SENT_SPAN: f64 = 4.0 * SECOND as f64;
 /// Time between two looks over the whole fleet, which are not taken for each request.
@@ -419,7 +421,8 @@
     /// balancer sends to a warm cache stands for its part of the capacity, so no other balancer is asked.
     fn cold_tokens(&self, server: &Server, now: Micros) -> f64 {
         let trickle = COLD_TRICKLE / f64::from(self.set.balancers);
-        let rate = (self.warm_rate * self.warmth(server, now)).max(trickle);
+        let part = self.warmth(server, now) * (COLD_PART * self.set.rules.fall_multiple).max(1.0);
+        let rate = (self.warm_rate * part.min(1.0)).max(trickle);
         (server.cold_tokens + rate * (now - server.cold_at) as f64 / SECOND as f64).min((rate / 2.0).max(1.0))
     }
 
