--- a/crates/stairfront-policy/src/policy.rs
+++ b/crates/stairfront-policy/src/policy.rs
@@ -7,7 +7,7 @@
 use rustc_hash::FxHashMap;
 
 use crate::interface::*;
-use crate::measure::{point, Random};
+use crate::measure::{point, Average, Random};
 use crate::state::*;
 
 /// Points that a key hashes to (the design's d); one more serves when two share an owner or have no room.
@@ -48,6 +48,8 @@
 /// Part of the likely misses that go on meanwhile, to see whether it has recovered.
 const SHORT_ADMIT: f64 = 0.08;
 const MOVE_GAP: Micros = 200 * MS;
+/// Part of its aim that a fetch may add to a read on average before no key moves.
+const FETCH_SLOW: f64 = 0.4;
 const IDLE: f64 = 0.7;
 /// First absence of a suspect, doubled at each further failure, and the longest.
 const SUSPECT_FIRST: Micros = 400 * MS;
@@ -112,6 +114,9 @@
     list_failures: u32,
     /// Misses are not to be added to before then.
     origin_short_until: Micros,
+    /// Part of their aim that reads took, those which the cache had to fetch and those it held.
+    fetch_part: Average,
+    hit_part: Average,
     /// Part of late answers that are errors.
     errors: f64,
     log_after: Micros,
@@ -354,7 +359,9 @@
     /// while others idle. One key at a time moves to the next clockwise idle cache and stays: one miss each.
     fn relieve(&mut self, now: Micros, key: Key, placed: CacheId, tried: &Tried) -> Option<CacheId> {
         let wait = self.servers.get(&placed)?.move_at.max(self.origin_short_until);
-        if now < wait || !self.fetch_queue.is_empty() {
+        // Danger: each balancer's move is a miss; where fetches are slow, moves keep the origin short.
+        let slow = self.fetch_part.value - self.hit_part.value > FETCH_SLOW;
+        if now < wait || slow || !self.fetch_queue.is_empty() {
             return None;
         }
         let idle = |s: &Server| s.stress.value < IDLE && f64::from(s.inflight) < s.window / 2.0;
@@ -679,6 +686,12 @@
         } else if error && self.errors > ERRORS_SHORT {
             self.origin_short_until = now + ORIGIN_SHORT;
         }
+        let part = s.elapsed as f64 * GOAL / goal;
+        match s.note {
+            Note::Fetched if !aside => self.fetch_part.add(now, part, TIME_WEIGHT, TIME_SPAN),
+            Note::Hit if !aside => self.hit_part.add(now, part, TIME_WEIGHT, TIME_SPAN),
+            _ => {}
+        }
         match s.outcome {
             Outcome::Served | Outcome::Miss => {
                 server.strikes /= 2;
