--- a/crates/stairfront-policy/src/policy.rs
+++ b/crates/stairfront-policy/src/policy.rs
@@ -40,6 +40,8 @@
 const SPARSE_GROWTH: f64 = 1.5;
 /// Longest pause between two requests that a window stands for.
 const PAUSE_LAST: f64 = 20.0 * SECOND as f64;
+/// The same in usual gaps: the balancers together then send a quarter of the usual load.
+const PAUSE_GAPS: f64 = 4.0;
 /// Pause of both ends of a key's move (a hot key shall not run through the ring); stress of an idle cache.
 /// Part of errors from which they mean a short origin, the weight of one answer in it, and for how long.
 const ERRORS_SHORT: f64 = 0.06;
@@ -774,7 +776,7 @@
             return f64::from(self.inflight) < self.window;
         }
         let unit = if self.role == Role::Origin { self.pace.value } else { gap.max(self.pace.value) };
-        (now - self.sent.at) as f64 >= (unit / self.window).min(PAUSE_LAST)
+        (now - self.sent.at) as f64 >= (unit / self.window).min(PAUSE_LAST.max(PAUSE_GAPS * gap))
     }
 
     fn strike(&mut self, now: Micros, weight: u32) {
