--- a/crates/stairfront-policy/src/policy.rs
+++ b/crates/stairfront-policy/src/policy.rs
@@ -38,6 +38,8 @@
 /// Factors of a cut and of a growth at a window of one and less, where answers are too rare for small steps.
 const SPARSE_CUT: f64 = 0.5;
 const SPARSE_GROWTH: f64 = 1.5;
+/// Stress that cuts such a window: more than the spread of single answers of a healthy cache.
+const SPARSE_STRESS: f64 = 1.5;
 /// Longest pause between two requests that a window stands for.
 const PAUSE_LAST: f64 = 20.0 * SECOND as f64;
 /// The same in usual gaps: the balancers together then send a quarter of the usual load.
@@ -791,7 +793,8 @@
     fn timed(&mut self, now: Micros, elapsed: f64, goal: f64) {
         self.pace.add(now, elapsed, TIME_WEIGHT, TIME_SPAN);
         self.stress.add(now, elapsed / goal, TIME_WEIGHT, TIME_SPAN);
-        if self.stress.value > 1.0 {
+        let most = if self.window <= 1.0 { SPARSE_STRESS } else { 1.0 };
+        if self.stress.value > most {
             self.cut(now, goal);
         } else if f64::from(self.inflight) >= self.window / 2.0 {
             self.window = if self.window < 1.0 {
