--- a/crates/stairfront-policy/src/policy.rs
+++ b/crates/stairfront-policy/src/policy.rs
@@ -346,14 +346,16 @@
                 (pick, least) = (Some(cache), server.inflight);
             }
         }
-        self.press(pick.is_none());
+        if pick.is_none() {
+            self.press(true);
+        }
         if !usable {
             return self.next_clockwise(key, &tried, |s| self.open(s, now) && s.has_room(now, self.gap()));
         }
         pick.or_else(|| self.relieve(now, key, placed, &tried)).or(resort)
     }
 
-    /// Shedding rises as long as more than a small part of the requests is pressed, and falls when fewer are.
+    /// Shedding rises as long as more than a small part of the requests find candidates full or end late.
     fn press(&mut self, pressed: bool) {
         let step = f64::from(u8::from(pressed)) - PRESSED;
         self.shed_level = (self.shed_level + PRESSED_STEP * step).clamp(0.0, 1.0);
@@ -542,7 +544,9 @@
                     entry.held = s.outcome == Outcome::Served && !p.request.write;
                 }
             }
+            let late = now > p.aim_at;
             if s.closed {
+                self.press(late || s.outcome != Outcome::Served);
                 self.conclude(now, s.id, s.outcome == Outcome::Served, actions);
             } else {
                 self.carry_on(now, s.id, s.outcome, actions);
@@ -671,6 +675,8 @@
         if last > now && p.out.is_some() {
             actions.push(Action::Timer { delay: last - now, token: u64::from(id.0) });
         } else {
+            // Danger: caches that answer everybody too late turn nobody away.
+            self.press(true);
             self.finish(now, id, actions);
         }
     }
