--- a/crates/stairfront-policy/src/policy.rs
+++ b/crates/stairfront-policy/src/policy.rs
@@ -79,7 +79,7 @@
 const FAIR_MEMORY: f64 = 400.0;
 const FAIR_PRIOR: f64 = 20.0;
 /// Part of requests that may find their candidates full before the shed level rises, and the step of one request.
-const PRESSED: f64 = 0.04;
+const PRESSED: f64 = 0.08;
 const PRESSED_STEP: f64 = 0.06;
 /// Most votes that the usual time left may gather, so that a change of habit is noticed.
 const USUAL_VOTES: i32 = 500;
