--- a/crates/stairfront-policy/src/lib.rs
+++ b/crates/stairfront-policy/src/lib.rs
@@ -4,4 +4,4 @@
 mod policy;
 mod state;
 
-pub use policy::Policy;
+pub use state::Policy;
--- a/crates/stairfront-policy/src/policy.rs
+++ b/crates/stairfront-policy/src/policy.rs
@@ -1,18 +1,16 @@
-//! Every decision of one balancer. The types it speaks in stand in `interface.rs`.
+//! Every decision of one balancer. The types it speaks in stand in `interface.rs`, what it keeps in mind in
+//! `state.rs`.
 //!
 //! Ordinary path: two-point ring placement after Byers, Considine and Mitzenmacher. Everything else here
 //! is what that design leaves open: list, health, repeats, cold caches, origin, overload, fairness.
-use std::collections::{BTreeMap, VecDeque};
-
-use rustc_hash::FxHashMap;
-
 use crate::interface::*;
-use crate::measure::{point, Average, Random};
+use crate::measure::{point, Random};
 use crate::state::*;
 
 /// Points that a key hashes to (the design's d); one more serves when two share an owner or have no room.
 const POINTS: usize = 2;
 const MOST_POINTS: usize = 3;
+/// Seed of the caches' own points; those of keys follow it.
 const RING_SEED: u64 = 0;
 /// Two counts of keys tie within this many standard deviations of their difference under chance alone.
 const COUNT_CHANCE: f64 = 2.0;
@@ -32,34 +30,33 @@
 /// all add up there), bounds of this balancer's, and the factor of a cut.
 const WINDOW_START: f64 = 12.0;
 const WINDOW_MIN: f64 = 0.1;
-const ORIGIN_MIN: f64 = 0.01;
 const WINDOW_MAX: f64 = 256.0;
 const WINDOW_CUT: f64 = 0.8;
+/// The least at the origin, which hundreds of balancers ask all the time.
+const ORIGIN_MIN: f64 = 0.01;
 /// Factors of a cut and of a growth at a window of one and less, where answers are too rare for small steps.
 const SPARSE_CUT: f64 = 0.5;
 const SPARSE_GROWTH: f64 = 1.5;
 /// Stress that cuts such a window: more than the spread of single answers of a healthy cache.
 const SPARSE_STRESS: f64 = 1.5;
+/// Most of a window after a failed connection, or an error that is the server's own.
+const WINDOW_FAILED: f64 = 0.25;
 /// Longest pause between two requests that a window stands for.
 const PAUSE_LAST: f64 = 20.0 * SECOND as f64;
 /// The same in usual gaps: the balancers together then send a quarter of the usual load.
 const PAUSE_GAPS: f64 = 4.0;
-/// Pause of both ends of a key's move (a hot key shall not run through the ring); stress of an idle cache.
 /// Part of errors from which they mean a short origin, the weight of one answer in it, and for how long.
 const ERRORS_SHORT: f64 = 0.06;
 const ERROR_WEIGHT: f64 = 0.05;
 const ORIGIN_SHORT: Micros = 3 * SECOND;
 /// Part of the likely misses that go on meanwhile, to see whether it has recovered.
 const SHORT_ADMIT: f64 = 0.08;
+/// Pause of both ends of a key's move: a hot key shall not run through the ring.
 const MOVE_GAP: Micros = 200 * MS;
 /// Part of its aim that a fetch may add to a read on average before no key moves.
 const FETCH_SLOW: f64 = 0.4;
+/// Stress up to which a cache is idle enough to take a key.
 const IDLE: f64 = 0.7;
-/// First absence of a suspect, doubled at each further failure, and the longest.
-const SUSPECT_FIRST: Micros = 400 * MS;
-const SUSPECT_LAST: Micros = 6 * SECOND;
-/// Time-outs in a row that make a suspect; a refused connection counts as so many at once.
-const SUSPECT_STRIKES: u32 = 3;
 /// Repeats earned by each first try, and the most that may be saved up: a retry budget.
 const RETRY_SHARE: f64 = 0.1;
 const RETRY_BURST: f64 = 10.0;
@@ -69,6 +66,8 @@
 const COLD_PART: f64 = 0.5;
 /// Time constant of the rate sent to a cache.
 const SENT_SPAN: f64 = 4.0 * SECOND as f64;
+/// Most that counts as the usual time between two own requests to a cache.
+const GAP_MOST: f64 = 30.0 * SECOND as f64;
 /// Time between two looks over the whole fleet, which are not taken for each request.
 const LOOK_GAP: Micros = 100 * MS;
 /// Part of the time allowed without a call to discovery within which this balancer makes one.
@@ -78,7 +77,7 @@
 /// Requests that the shares of traffic remember, and for how many the quotas stand in at the start.
 const FAIR_MEMORY: f64 = 400.0;
 const FAIR_PRIOR: f64 = 20.0;
-/// Part of requests that may find their candidates full before the shed level rises, and the step of one request.
+/// Part of requests that may find candidates full or end late before the shed level rises, and one's step.
 const PRESSED: f64 = 0.08;
 const PRESSED_STEP: f64 = 0.06;
 /// Most votes that the usual time left may gather, so that a change of habit is noticed.
@@ -87,45 +86,6 @@
 const LOG_GAP: Micros = 200 * MS;
 const LIST_TOKEN: u64 = u64::MAX;
 
-#[derive(Default)]
-pub struct Policy {
-    set: Settings,
-    random: Random,
-    servers: BTreeMap<CacheId, Server>,
-    /// Points of the ready caches, ascending: the design's ring.
-    ring: Vec<(u64, CacheId)>,
-    table: FxHashMap<Key, Placement>,
-    /// Keys by the time they were last looked at, oldest first, for lapse and bound.
-    ages: VecDeque<(Micros, Key)>,
-    pending: FxHashMap<RequestId, Pending>,
-    /// Attempts out at caches.
-    out: u32,
-    warm_rate: f64,
-    suspects: usize,
-    looked_at: Micros,
-    fetches: FxHashMap<Key, (RequestId, Vec<RequestId>)>,
-    fetch_queue: VecDeque<RequestId>,
-    retry_tokens: f64,
-    /// Each tenant's part of the requests that came lately, and how many it was learned from.
-    tenant_parts: Vec<f64>,
-    tenant_votes: f64,
-    /// The usual time left on arrival and the votes for it, by class.
-    usual_left: Vec<(Micros, i32)>,
-    shed_level: f64,
-    shedding: bool,
-    started: bool,
-    subscribed: bool,
-    list_failures: u32,
-    /// Misses are not to be added to before then.
-    origin_short_until: Micros,
-    /// Part of their aim that reads took, those which the cache had to fetch and those it held.
-    fetch_part: Average,
-    hit_part: Average,
-    /// Part of late answers that are errors.
-    errors: f64,
-    log_after: Micros,
-}
-
 impl Policy {
     pub fn new(set: Settings, seed: u64) -> Self {
         let quotas: f64 = set.tenants.iter().map(|t| t.quota_per_s).sum();
@@ -271,8 +231,8 @@
         Some(cache)
     }
 
-    /// The owner with fewer keys, the shorter arc on ties. Danger: the few keys that one of many balancers has
-    /// placed differ by chance, and each would choose another cache; within chance counts are a tie.
+    /// The owner with fewer keys, the shorter arc on ties. Danger: the few keys that one of many balancers
+    /// has placed differ by chance, and each would choose another cache; within chance counts are a tie.
     fn lesser(&self, a: usize, b: usize) -> usize {
         let keys = |i: usize| self.servers.get(&self.ring[i].1).map_or(0, |s| s.keys.max(0)) as f64;
         let chance = COUNT_CHANCE * (keys(a) + keys(b)).sqrt();
@@ -381,7 +341,7 @@
 
     /// Usual time between two requests of this balancer to one cache.
     fn gap(&self) -> f64 {
-        SECOND as f64 / self.warm_rate.max(1e-3)
+        (SECOND as f64 / self.warm_rate.max(1e-9)).min(GAP_MOST)
     }
 
     /// The design's in-flight margin: from here on a cache holds well over the mean.
@@ -390,7 +350,7 @@
         (mean * SPILL_MULTIPLE).max(mean + SPILL_FLOOR)
     }
 
-    /// Danger: with all candidates suspect or cold a request has nowhere to go though the rest can serve it.
+    /// Danger: with all candidates tried or cold a request has nowhere to go though the rest can serve it.
     fn next_clockwise(&self, key: Key, tried: &Tried, fit: impl Fn(&Server) -> bool) -> Option<CacheId> {
         let start = self.owner(point(key.0, 1));
         let steps = (1..self.ring.len()).map(|step| self.ring[(start + step) % self.ring.len()].1);
@@ -400,16 +360,10 @@
     /// May an ordinary request go there now?
     fn open(&self, server: &Server, now: Micros) -> bool {
         let warm = || self.warmth(server, now) >= 1.0 || self.cold_tokens(server, now) >= 1.0;
-        server.member.state == MemberState::Ready && self.trusted(server, now) && warm()
+        server.member.state == MemberState::Ready && warm()
     }
 
-    /// Suspects get one request at a time after their absence. Past half of the fleet suspicion is ignored.
-    fn trusted(&self, server: &Server, now: Micros) -> bool {
-        let trial = server.suspect_until <= now && server.inflight == 0;
-        !server.suspected() || trial || 2 * self.suspects > self.ring.len()
-    }
-
-    /// What needs a walk over all caches: the mean rate sent to a warm one, and how many are suspect.
+    /// The mean rate sent to a warm cache: it needs a walk over all of them.
     fn look_over(&mut self, now: Micros) {
         if now - self.looked_at < LOOK_GAP {
             return;
@@ -418,7 +372,6 @@
         let warm = self.ring_servers().filter(|s| self.warmth(s, now) >= 1.0);
         let (sum, n) = warm.fold((0.0, 0), |(sum, n), s| (sum + s.sent.per_second(now, SENT_SPAN), n + 1));
         self.warm_rate = sum / f64::from(n.max(1));
-        self.suspects = self.ring_servers().filter(|s| s.suspected()).count();
     }
 
     /// Fraction of its capacity that a cache surely has by its stated warm-up.
@@ -686,13 +639,13 @@
         let class = self.pending.get(&s.id).and_then(|p| self.class(&p.request));
         let (goal, aside) = (GOAL * class.map_or(shortest, |c| c.aim) as f64, self.aside());
         let Some(server) = self.servers.get_mut(&s.cache) else { return };
-        let (was, before) = (server.suspected(), server.window);
+        let before = server.window;
         let error = s.outcome == Outcome::Errored;
         self.errors += ERROR_WEIGHT * (f64::from(u8::from(error)) - self.errors);
         // Several errors in a few answers come from behind caches that fetch. Else they are the cache's own:
         // Danger: one that errs at once looks idle and draws requests.
         if error && aside {
-            server.strike(now, 2);
+            server.fail(now);
         } else if error && self.errors > ERRORS_SHORT {
             self.origin_short_until = now + ORIGIN_SHORT;
         }
@@ -704,31 +657,25 @@
         }
         match s.outcome {
             Outcome::Served | Outcome::Miss => {
-                server.strikes /= 2;
-                server.window = if was { 1.0 } else { server.window };
                 // A cache's own fetch says nothing of how crowded the cache is.
                 let own_fetch = s.note == Note::Fetched && server.role == Role::Cache;
                 if s.outcome == Outcome::Served && !own_fetch {
                     server.timed(now, s.elapsed as f64, goal);
                 }
             }
-            Outcome::ConnectFailed | Outcome::Reset => server.strike(now, SUSPECT_STRIKES),
-            Outcome::TimedOut => {
-                server.timed(now, s.elapsed as f64, goal);
-                server.strike(now, 1);
-            }
+            Outcome::ConnectFailed | Outcome::Reset => server.fail(now),
+            Outcome::TimedOut => server.timed(now, s.elapsed as f64, goal),
             Outcome::Full | Outcome::Errored => server.cut(now, goal),
             Outcome::Cancelled | Outcome::Moot => {}
         }
         server.inflight = server.inflight.saturating_sub(1);
         self.out = self.out.saturating_sub(u32::from(server.role == Role::Cache));
-        let (verdict, id) = (if was { "cleared" } else { "suspect" }, s.cache.0);
-        let (window, origin) = (server.window, server.role == Role::Origin);
-        if origin && window < before {
+        let (window, id) = (server.window, s.cache.0);
+        if server.role == Role::Origin && window < before {
             self.log(now, actions, || format!("origin {id:012x} window cut to {window:.1}"));
-        } else if was != server.suspected() {
-            self.looked_at = now - LOOK_GAP;
-            self.log(now, actions, || format!("server {id:012x} {verdict} after {:?}", s.outcome));
+        } else if (window < 1.0) != (before < 1.0) {
+            let turn = if window < 1.0 { "rests" } else { "is back" };
+            self.log(now, actions, || format!("server {id:012x} {turn} after {:?}", s.outcome));
         }
     }
 
@@ -745,7 +692,7 @@
         excess > 0.0 && self.set.over_share_worth < 1.0 && self.random.unit() < excess * level
     }
 
-    /// Danger: a balancer that sees few requests has none of most tenants in any few seconds, so that the median
+    /// Danger: a balancer that sees few requests has none of most tenants in any few seconds, so the median
     /// of their rates is nothing. Parts of the last requests, begun at the quotas, say what the slice tells.
     fn count_tenant(&mut self, tenant: TenantId) {
         self.tenant_votes = (self.tenant_votes + 1.0).min(FAIR_MEMORY);
@@ -773,12 +720,8 @@
 }
 
 impl Server {
-    fn suspected(&self) -> bool {
-        self.strikes >= SUSPECT_STRIKES
-    }
-
     /// Danger: many balancers with one request each can still crowd a server. A window below one stands for
-    /// that part of an answer time or, where this balancer asks a cache less often, of the usual `gap` between.
+    /// that part of an answer time or, where this balancer asks a cache less often, of its usual `gap`.
     fn has_room(&self, now: Micros, gap: f64) -> bool {
         if self.window >= 1.0 || self.inflight > 0 {
             return f64::from(self.inflight) < self.window;
@@ -787,12 +730,10 @@
         (now - self.sent.at) as f64 >= (unit / self.window).min(PAUSE_LAST.max(PAUSE_GAPS * gap))
     }
 
-    fn strike(&mut self, now: Micros, weight: u32) {
-        self.strikes = (self.strikes + weight).min(64);
-        if self.suspected() {
-            let doublings = (self.strikes / SUSPECT_STRIKES - 1).min(8);
-            self.suspect_until = now + (SUSPECT_FIRST << doublings).min(SUSPECT_LAST);
-        }
+    /// Danger: a dead or broken server answers at once; a failed connection says more than a slow answer.
+    fn fail(&mut self, now: Micros) {
+        self.cut_at = now;
+        self.window = (self.window * SPARSE_CUT).clamp(WINDOW_MIN, WINDOW_FAILED);
     }
 
     /// Additive increase while answers come in good time, multiplicative decrease when they do not.
--- a/crates/stairfront-policy/src/state.rs
+++ b/crates/stairfront-policy/src/state.rs
@@ -1,7 +1,11 @@
 //! What one balancer keeps in mind about servers, keys and requests: data alone, every decision on it stands in
 //! `policy.rs`.
+use std::collections::{BTreeMap, VecDeque};
+
+use rustc_hash::FxHashMap;
+
 use crate::interface::*;
-use crate::measure::{Average, Rate};
+use crate::measure::{Average, Random, Rate};
 
 #[derive(Clone, Copy, Default, PartialEq, Eq)]
 pub enum Role {
@@ -23,8 +27,6 @@
     /// Smoothed answer time, and the same over what it should be.
     pub pace: Average,
     pub stress: Average,
-    pub strikes: u32,
-    pub suspect_until: Micros,
     pub sent: Rate,
     pub cold_tokens: f64,
     pub cold_at: Micros,
@@ -73,3 +75,42 @@
     pub ran: Option<Ran>,
     pub tried: Tried,
 }
+
+/// One balancer: what it was told at the start and has seen since.
+#[derive(Default)]
+pub struct Policy {
+    pub(crate) set: Settings,
+    pub(crate) random: Random,
+    pub(crate) servers: BTreeMap<CacheId, Server>,
+    /// Points of the ready caches, ascending: the design's ring.
+    pub(crate) ring: Vec<(u64, CacheId)>,
+    pub(crate) table: FxHashMap<Key, Placement>,
+    /// Keys by the time they were last looked at, oldest first, for lapse and bound.
+    pub(crate) ages: VecDeque<(Micros, Key)>,
+    pub(crate) pending: FxHashMap<RequestId, Pending>,
+    /// Attempts out at caches.
+    pub(crate) out: u32,
+    pub(crate) warm_rate: f64,
+    pub(crate) looked_at: Micros,
+    pub(crate) fetches: FxHashMap<Key, (RequestId, Vec<RequestId>)>,
+    pub(crate) fetch_queue: VecDeque<RequestId>,
+    pub(crate) retry_tokens: f64,
+    /// Each tenant's part of the requests that came lately, and how many it was learned from.
+    pub(crate) tenant_parts: Vec<f64>,
+    pub(crate) tenant_votes: f64,
+    /// The usual time left on arrival and the votes for it, by class.
+    pub(crate) usual_left: Vec<(Micros, i32)>,
+    pub(crate) shed_level: f64,
+    pub(crate) shedding: bool,
+    pub(crate) started: bool,
+    pub(crate) subscribed: bool,
+    pub(crate) list_failures: u32,
+    /// Misses are not to be added to before then.
+    pub(crate) origin_short_until: Micros,
+    /// Part of their aim that reads took, those which the cache had to fetch and those it held.
+    pub(crate) fetch_part: Average,
+    pub(crate) hit_part: Average,
+    /// Part of late answers that are errors.
+    pub(crate) errors: f64,
+    pub(crate) log_after: Micros,
+}
