--- a/crates/stairfront-policy/tests/common/mod.rs
+++ b/crates/stairfront-policy/tests/common/mod.rs
@@ -78,7 +78,11 @@
 
 impl Rig {
     pub fn new(settings: Settings, list: &[Member]) -> Rig {
-        let policy = Policy::new(settings, 7);
+        Rig::seeded(settings, list, 7)
+    }
+
+    pub fn seeded(settings: Settings, list: &[Member], seed: u64) -> Rig {
+        let policy = Policy::new(settings, seed);
         let mut rig = Rig { policy, now: 100 * SECOND, out: vec![], sent: BTreeMap::new(), next: 0 };
         rig.event(Event::List(ListNews::Cached(list)));
         rig
@@ -102,10 +106,14 @@
     }
 
     pub fn ask_as(&mut self, class: u8, key: u64, write: bool) -> RequestId {
+        self.ask_of(0, class, key, write)
+    }
+
+    pub fn ask_of(&mut self, tenant: u32, class: u8, key: u64, write: bool) -> RequestId {
         self.next += 1;
         let id = RequestId(self.next);
         let (key, expires) = (Some(Key(key)), self.now + 1_000 * MS);
-        let (class, tenant) = (ClassId(class), TenantId(0));
+        let (class, tenant) = (ClassId(class), TenantId(tenant));
         self.event(Event::Request(Request { id, class, tenant, key, expires, write, repeat: false }));
         id
     }
--- a/crates/stairfront-policy/tests/rules.rs
+++ b/crates/stairfront-policy/tests/rules.rs
@@ -283,8 +283,8 @@
     set
 }
 
-fn play(set: Settings, seed: u64, slow: bool, per_tick: u64) -> Vec<String> {
-    let list = with_origin(ready(1..=6));
+fn play(set: Settings, caches: u64, seed: u64, slow: bool, per_tick: u64) -> Vec<String> {
+    let list = with_origin(ready(1..=caches));
     let mut world = World::new(set, &list, seed, slow);
     let mut id = 0;
     for _ in 0..300 {
@@ -309,8 +309,11 @@
 
     #[test]
     fn the_rules_hold_on_random_days(aside_mode: bool, ask: bool, group: u8, probes: bool, slow: bool,
-                                     tries in 1u8..6, seed: u64, per_tick in 1u64..5) {
-        let faults = play(any_settings(aside_mode, ask, group, probes, tries), seed, slow, per_tick);
+                                     tries in 1u8..6, seed: u64, per_tick in 1u64..5,
+                                     tier in 0usize..3, fleet in 0usize..4) {
+        let mut set = any_settings(aside_mode, ask, group, probes, tries);
+        set.balancers = [1, 3, 400][tier];
+        let faults = play(set, [0, 1, 6, 255][fleet], seed, slow, per_tick);
         prop_assert!(faults.is_empty(), "{:#?}", &faults[..faults.len().min(8)]);
     }
 }
--- /dev/null
+++ b/crates/stairfront-policy/tests/scale.rs
@@ -0,0 +1,144 @@
+//! What each balancer allows itself, summed over many of them: cold caches, discovery, resting caches, fairness.
+mod common;
+
+use common::*;
+use stairfront_policy::interface::*;
+
+const CACHES: u64 = 10;
+const COLD: CacheId = CacheId(3);
+/// Requests a second at one cache, by all balancers together.
+const LOAD: i64 = 20;
+
+fn tier(balancers: u16, mut set: Settings) -> Vec<Rig> {
+    set.balancers = balancers;
+    let rig = |me| {
+        let mut rig = Rig::seeded(Settings { me, ..set.clone() }, &ready(1..=CACHES), u64::from(me) * 7_919);
+        rig.now = 100 * SECOND;
+        rig
+    };
+    (0..balancers).map(rig).collect()
+}
+
+/// Sends to the cold cache in each tenth of a second after its start, by all balancers together.
+fn cold_sends(balancers: u16, seconds: i64) -> Vec<usize> {
+    let mut rigs = tier(balancers, through());
+    let step = SECOND / (LOAD * CACHES as i64);
+    let (warm, mut sent) = (20 * SECOND, vec![0; 10 * seconds as usize]);
+    let born = 100 * SECOND + warm;
+    for i in 0..(warm + seconds * SECOND) / step {
+        let now = 100 * SECOND + i * step;
+        if now == born {
+            let line = [Member { born, ..member(COLD.0, MemberState::Ready) }];
+            rigs.iter_mut().for_each(|rig| {
+                rig.now = now;
+                rig.event(Event::List(ListNews::Delta(&line)));
+            });
+        }
+        let rig = &mut rigs[(i * 101 % i64::from(balancers)) as usize];
+        rig.now = now;
+        let id = rig.ask((i * 7_907 % 1_009) as u64);
+        if rig.last_cache(id) == Some(COLD) && now >= born {
+            sent[((now - born) / (SECOND / 10)) as usize] += 1;
+        }
+        if rig.last_cache(id).is_some() {
+            rig.settle(id, Outcome::Served);
+        }
+    }
+    sent
+}
+
+/// Danger: one first request and half a request a second from each of hundreds of balancers push a cold cache over.
+#[test]
+fn many_balancers_together_keep_a_cold_cache_within_its_budget() {
+    let rules = through().rules;
+    for balancers in [4, 50, 400] {
+        let sent = cold_sends(balancers, 8);
+        let span = (rules.fall / (SECOND / 10)) as usize;
+        for (i, window) in sent.windows(span).enumerate() {
+            let age = i as f64 / 10.0 / (rules.warm_up as f64 / SECOND as f64);
+            let part = rules.cold_from + (1.0 - rules.cold_from) * age;
+            let budget = rules.fall_multiple * part * (LOAD * rules.fall / SECOND) as f64;
+            let sum: usize = window.iter().sum();
+            assert!((sum as f64) < budget, "{balancers} balancers, from {i}: {sum} of {budget:.0}; {sent:?}");
+        }
+        assert!(sent.iter().sum::<usize>() > 0, "{balancers} balancers: but it gets some, to warm");
+    }
+}
+
+/// Danger: past the stated time without a call a balancer counts as told what its old list lacks; and calls made
+/// all at once fail.
+#[test]
+fn first_calls_to_discovery_are_spread_and_come_within_the_time_allowed() {
+    let mut set = through();
+    set.discovery = Discovery::Ask;
+    let delays = |balancers| -> Vec<Micros> {
+        let delay = |rig: &Rig| {
+            let timer = |a: &Action| match a {
+                Action::Timer { delay, token: u64::MAX } => Some(*delay),
+                _ => None,
+            };
+            rig.out.iter().find_map(timer).expect("asks after the start")
+        };
+        tier(balancers, set.clone()).iter().map(delay).collect()
+    };
+    for balancers in [3, 50, 400] {
+        let delays = delays(balancers);
+        let last = delays.iter().max().copied().unwrap_or(0);
+        assert!(last < set.rules.ask_every * 3 / 4, "{balancers} balancers: the last after {last}");
+        let first = delays.iter().filter(|d| **d < SECOND).count();
+        assert!(
+            balancers == 3 || first < delays.len() / 4,
+            "{balancers} balancers: {first} in the first second"
+        );
+    }
+    assert!(delays(3).iter().all(|d| *d < 2 * SECOND), "few balancers need not wait");
+}
+
+/// Danger: where a balancer asks a cache every few seconds, a rest counted in answer times is over before the next
+/// request for it, so that hundreds of balancers go on filling a cache that answers too late.
+#[test]
+fn a_late_answer_makes_a_rare_asker_pass_the_cache_by() {
+    let mut set = through();
+    set.balancers = 400;
+    let mut rig = Rig::new(set, &ready(1..=CACHES));
+    for key in 0..40 {
+        rig.now += SECOND;
+        rig.serve(100 + key);
+    }
+    let home = rig.serve(5);
+    let id = rig.ask(5);
+    assert_eq!(rig.last_cache(id), Some(home));
+    rig.now += 900 * MS;
+    let (attempt, outcome, closed, elapsed) = (0, Outcome::TimedOut, true, 900 * MS);
+    let (cache, note, load) = (home, Note::None, Load::default());
+    rig.event(Event::Settled(Settled { id, attempt, cache, outcome, closed, elapsed, note, load }));
+    rig.now += 3 * SECOND;
+    assert_ne!(rig.serve(5), home, "three answer times later it still rests");
+}
+
+/// Danger: a balancer with few requests has seen none of most tenants lately; taken as a median of nothing that made
+/// every tenant one beyond its share, so all were shed alike.
+#[test]
+fn with_few_requests_only_the_tenant_beyond_its_share_is_shed() {
+    let mut set = through();
+    set.balancers = 400;
+    set.over_share_worth = 0.05;
+    set.tenants = (0..4).map(|_| Tenant { quota_per_s: 50.0, share: 0.25 }).collect();
+    let mut rig = Rig::new(set, &ready(1..=CACHES));
+    let mut shed = [0; 4];
+    // Every answer comes too late, which raises the shed level to the full; one request in two seconds.
+    for i in 0..400u64 {
+        rig.now += 2 * SECOND;
+        let tenant = if i % 8 < 5 { 0 } else { i as usize % 8 - 4 };
+        let id = rig.ask_of(tenant as u32, 0, i, false);
+        if rig.last_cache(id).is_none() {
+            shed[tenant] += 1;
+            continue;
+        }
+        rig.now += 600 * MS;
+        rig.settle(id, Outcome::Served);
+    }
+    let [heavy, light @ ..] = shed;
+    assert!(heavy > 100, "the tenant with five eighths of the traffic is shed: {heavy}");
+    assert!(light.iter().all(|n| *n <= 3), "the others are not: {light:?}");
+}
