--- a/crates/stairfront-policy/src/policy.rs
+++ b/crates/stairfront-policy/src/policy.rs
@@ -60,8 +60,8 @@
 const RETRY_BURST: f64 = 10.0;
 /// Requests a second that a cold cache always gets from all balancers together, so that it warms.
 const COLD_TRICKLE: f64 = 1.5;
-/// Part of the stated multiple of its present capacity that a cold cache is sent at the load of a warm one.
-const COLD_PART: f64 = 0.5;
+/// Part of the stated budget of a cold cache that all balancers together may save up.
+const COLD_SAVED: f64 = 0.3;
 /// Time constant of the rate sent to a cache.
 const SENT_SPAN: f64 = 4.0 * SECOND as f64;
 /// Most that counts as the usual time between two own requests to a cache.
@@ -155,10 +155,8 @@
         let mean = self.mean_keys(line.id);
         let role = if origin { Role::Origin } else { Role::Cache };
         let step = 1.0 / f64::from(self.set.balancers);
-        // Danger: a whole first request from each of hundreds of balancers pushes a cold cache over at once.
-        let cold_tokens = self.random.unit();
         let (member, window, cold_at) = (*line, (WINDOW_START * step).max(1.0), now);
-        let blank = Server { member, role, window, step, cold_tokens, cold_at, ..Server::default() };
+        let blank = Server { member, role, window, step, cold_at, ..Server::default() };
         let fresh = |inflight| Server { keys: mean, inflight, ..blank };
         let server = self.servers.entry(line.id).or_insert_with(|| fresh(0));
         // Danger: a restarted process comes back empty under its old id; its old keys would flood it.
@@ -287,9 +285,12 @@
         let (found, n) = self.candidates(key);
         let others = found[..n].iter().map(|i| self.ring[*i].1).filter(|c| *c != placed);
         let margin = self.spill_margin();
-        let (mut pick, mut least, mut usable) = (None, u32::MAX, false);
+        let (mut pick, mut least, mut usable, mut lost) = (None, u32::MAX, false, Vec::new());
         for cache in std::iter::once(placed).chain(others).filter(|c| !tried.contains(&Some(*c))) {
-            let Some(server) = self.servers.get(&cache).filter(|s| self.open(s, now)) else { continue };
+            let Some(server) = self.servers.get(&cache).filter(|s| self.open(s, now)) else {
+                lost.push(cache);
+                continue;
+            };
             usable = true;
             if !server.has_room(now, self.gap()) {
                 let borrows = favoured && f64::from(server.inflight) < 2.0 * server.window;
@@ -304,6 +305,7 @@
                 (pick, least) = (Some(cache), server.inflight);
             }
         }
+        lost.into_iter().for_each(|cache| self.forgo(now, cache));
         if pick.is_none() {
             self.press(true);
         }
@@ -354,7 +356,7 @@
 
     /// May an ordinary request go there now?
     fn open(&self, server: &Server, now: Micros) -> bool {
-        let warm = || self.warmth(server, now) >= 1.0 || self.cold_tokens(server, now) >= 1.0;
+        let warm = || self.warmth(server, now) >= 1.0 || self.cold_tokens(server, now) > self.draw;
         server.member.state == MemberState::Ready && warm()
     }
 
@@ -382,13 +384,25 @@
     /// balancer sends to a warm cache stands for its part of the capacity, so no other balancer is asked.
     fn cold_tokens(&self, server: &Server, now: Micros) -> f64 {
         let trickle = COLD_TRICKLE / f64::from(self.set.balancers);
-        let part = self.warmth(server, now) * (COLD_PART * self.set.rules.fall_multiple).max(1.0);
-        let rate = (self.warm_rate * part.min(1.0)).max(trickle);
-        (server.cold_tokens + rate * (now - server.cold_at) as f64 / SECOND as f64).min((rate / 2.0).max(1.0))
+        let rate = (self.warm_rate * self.warmth(server, now)).max(trickle) / SECOND as f64;
+        // Danger: whole tokens, saved up by each of hundreds of balancers, all go out in one burst. What may
+        // be saved is a part of the budget; where that is below one, a request draws for it.
+        let (multiple, span) = (self.set.rules.fall_multiple.max(1.0), self.set.rules.fall.max(SECOND));
+        let most = (COLD_SAVED * multiple * rate * span as f64).min((rate * SECOND as f64 / 2.0).max(1.0));
+        (server.cold_tokens + rate * (now - server.cold_at) as f64).min(most)
+    }
+
+    /// A draw that was lost spends what it was drawn for, or asking often enough would always win.
+    fn forgo(&mut self, now: Micros, cache: CacheId) {
+        let lost = |s: &&Server| self.warmth(s, now) < 1.0 && self.cold_tokens(s, now) < 1.0;
+        if self.servers.get(&cache).filter(lost).is_some() {
+            self.servers.entry(cache).and_modify(|s| (s.cold_tokens, s.cold_at) = (0.0, now));
+        }
     }
 
     fn on_request(&mut self, now: Micros, request: Request, actions: &mut Vec<Action>) {
         self.look_over(now);
+        self.draw = self.random.unit();
         self.retry_tokens = (self.retry_tokens + RETRY_SHARE).min(RETRY_BURST);
         self.count_tenant(request.tenant);
         // Danger: a short origin holds up caches with fetches that fail, and with them what they still hold.
@@ -469,7 +483,7 @@
     fn send(&mut self, now: Micros, id: RequestId, to: CacheId, actions: &mut Vec<Action>) {
         let Some(tokens) = self.servers.get(&to).map(|s| self.cold_tokens(s, now)) else { return };
         let (Some(p), Some(server)) = (self.pending.get_mut(&id), self.servers.get_mut(&to)) else { return };
-        (server.cold_tokens, server.cold_at) = (tokens - 1.0, now);
+        (server.cold_tokens, server.cold_at) = ((tokens - 1.0).max(0.0), now);
         server.inflight += 1;
         self.out += u32::from(server.role == Role::Cache);
         server.sent.add(now, SENT_SPAN);
--- a/crates/stairfront-policy/src/state.rs
+++ b/crates/stairfront-policy/src/state.rs
@@ -89,6 +89,8 @@
     /// Attempts out at caches.
     pub(crate) out: u32,
     pub(crate) warm_rate: f64,
+    /// This request's draw for a part of a cold cache's token.
+    pub(crate) draw: f64,
     pub(crate) looked_at: Micros,
     pub(crate) fetches: FxHashMap<Key, (RequestId, Vec<RequestId>)>,
     pub(crate) fetch_queue: VecDeque<RequestId>,
