--- a/crates/stairfront-policy/tests/scale.rs
+++ b/crates/stairfront-policy/tests/scale.rs
@@ -3,6 +3,7 @@
 
 use common::*;
 use stairfront_policy::interface::*;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 const CACHES: u64 = 10;
 const COLD: CacheId = CacheId(3);
@@ -65,6 +66,50 @@
     }
 }
 
+/// Whether one of a key's three points lies on the arc of this cache.
+fn may_go_to(key: u64, cache: CacheId) -> bool {
+    let hash = |value: u64, seed| xxh3_64_with_seed(&value.to_le_bytes(), seed);
+    let mut ring: Vec<_> = (1..=CACHES).map(|id| (hash(id, 0), id)).collect();
+    ring.sort_unstable();
+    let owner = |at| ring.iter().find(|(point, _)| *point >= at).unwrap_or(&ring[0]).1;
+    (1..=3).any(|seed| owner(hash(key, seed)) == cache.0)
+}
+
+/// Danger: a burst for keys of a cache that came back cold finds a whole token saved up at each of hundreds of
+/// balancers, and all go out at once.
+#[test]
+fn a_burst_from_all_balancers_at_once_does_not_push_a_cold_cache_over() {
+    let (balancers, mut set) = (400, through());
+    set.rules.warm_up = 60 * SECOND;
+    let (rules, mut rigs) = (set.rules.clone(), tier(balancers, set));
+    let home = rigs[0].serve(5);
+    let (born, age) = (120 * SECOND, rules.warm_up / 2);
+    let line = [Member { born, ..member(home.0, MemberState::Ready) }];
+    for rig in &mut rigs {
+        // A request every two seconds, which saves up tokens for the cold cache.
+        for i in 0..25 {
+            rig.now = born - 20 * SECOND + i * 2 * SECOND;
+            if rig.now == born {
+                rig.event(Event::List(ListNews::Delta(&line)));
+            }
+            let key = (1_000 * (1 + i as u64)..).find(|key| !may_go_to(*key, home));
+            rig.serve(key.expect("keys do not end"));
+        }
+        rig.now = born + age;
+    }
+    let asks = |rig: &mut Rig| {
+        let ids: Vec<_> = (0..10).map(|_| rig.ask(5)).collect();
+        ids.iter().filter(|id| rig.last_cache(**id) == Some(home)).count()
+    };
+    let sent: usize = rigs.iter_mut().map(asks).sum();
+    // Each sends half a request a second to ten caches: that much a warm cache has from all of them together.
+    let warm = f64::from(balancers) * 0.5 / CACHES as f64;
+    let part = rules.cold_from + (1.0 - rules.cold_from) / 2.0;
+    let budget = rules.fall_multiple * part * warm * (rules.fall / SECOND) as f64;
+    assert!((sent as f64) < budget, "{sent} at once, {budget:.0} allowed");
+    assert!(sent > 0, "but it gets some");
+}
+
 /// Danger: past the stated time without a call a balancer counts as told what its old list lacks; and calls made
 /// all at once fail.
 #[test]
