--- a/crates/stairfront-policy/src/policy.rs
+++ b/crates/stairfront-policy/src/policy.rs
@@ -71,7 +71,7 @@
 /// Part of the time allowed without a call to discovery within which this balancer makes one.
 const ASK_PART: f64 = 0.7;
 /// A tenant counts as over its share beyond this multiple of the median use of quotas here.
-const FAIR_SLACK: f64 = 1.2;
+const FAIR_SLACK: f64 = 1.5;
 /// Requests that the shares of traffic remember, and for how many the quotas stand in at the start.
 const FAIR_MEMORY: f64 = 400.0;
 const FAIR_PRIOR: f64 = 20.0;
