--- a/crates/stairfront-policy/src/policy.rs
+++ b/crates/stairfront-policy/src/policy.rs
@@ -71,7 +71,9 @@
 /// Part of the time allowed without a call to discovery within which this balancer makes one.
 const ASK_PART: f64 = 0.7;
 /// A tenant counts as over its share beyond this multiple of the median use of quotas here.
-const FAIR_SLACK: f64 = 1.5;
+const FAIR_SLACK: f64 = 1.2;
+/// Use below this multiple of the median is chance and the spread of a day: nothing of it is shed.
+const FAIR_FROM: f64 = 1.5;
 /// Requests that the shares of traffic remember, and for how many the quotas stand in at the start.
 const FAIR_MEMORY: f64 = 400.0;
 const FAIR_PRIOR: f64 = 20.0;
@@ -717,7 +719,8 @@
         let Some(own) = uses.get(tenant.0 as usize).copied().filter(|own| *own > 0.0) else { return 0.0 };
         uses.sort_unstable_by(f64::total_cmp);
         let median = uses[(uses.len() - 1) / 2];
-        (1.0 - FAIR_SLACK * median / own).max(0.0)
+        let beyond = own >= FAIR_FROM * median;
+        f64::from(u8::from(beyond)) * (1.0 - FAIR_SLACK * median / own)
     }
 
     fn log(&mut self, now: Micros, actions: &mut Vec<Action>, text: impl Fn() -> String) {
