--- /dev/null
+++ b/crates/stairfront-settings/src/lib.rs
@@ -0,0 +1,391 @@
+//! The settings that a balancer is started with, on the simulator's wire and on sockets alike: read, checked and
+//! given defaults here and nowhere else. Unknown keys are ignored; absent optional ones get their documented
+//! default; an error names the key at fault.
+use serde::Deserialize;
+use stairfront_policy::interface::{
+    CacheMode, Class, Discovery, Group, Kind, Limits, Micros, ReportField, Rules, Semantics, Settings,
+    Tenant, Zone, MS,
+};
+
+/// What a key of the settings has that it should not have.
+#[derive(Debug, thiserror::Error, PartialEq, Eq)]
+#[error("{key}: {problem}")]
+pub struct SettingsError {
+    /// Path of the key, as in `profiles[0].aim`.
+    pub key: String,
+    pub problem: String,
+}
+
+impl SettingsError {
+    fn new(key: impl Into<String>, problem: impl Into<String>) -> Self {
+        SettingsError { key: key.into(), problem: problem.into() }
+    }
+}
+
+/// What the numbers of the decision module are called in the settings, in the lists and by clients.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Names {
+    pub classes: Vec<String>,
+    pub tenants: Vec<String>,
+    pub zones: Vec<String>,
+    pub kinds: Vec<String>,
+    /// Fields of a load report, in the order of `Settings::report`.
+    pub report: Vec<String>,
+}
+
+/// Limits that a host of the module keeps by itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HostLimits {
+    /// Most requests open at once.
+    pub open_requests: usize,
+    /// Time after which a server closes a connection that stands idle.
+    pub idle: Micros,
+}
+
+/// Everything that the settings object says.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Start {
+    pub settings: Settings,
+    pub names: Names,
+    pub host: HostLimits,
+}
+
+impl Start {
+    pub fn from_text(text: &str) -> Result<Self, SettingsError> {
+        Self::read(&mut serde_json::Deserializer::from_str(text))
+    }
+
+    pub fn from_value(value: serde_json::Value) -> Result<Self, SettingsError> {
+        Self::read(value)
+    }
+
+    fn read<'a>(
+        source: impl serde::Deserializer<'a, Error = serde_json::Error>,
+    ) -> Result<Self, SettingsError> {
+        let raw: Raw = serde_path_to_error::deserialize(source)
+            .map_err(|e| SettingsError::new(e.path().to_string(), e.inner().to_string()))?;
+        raw.check()?;
+        raw.start()
+    }
+}
+
+#[derive(Deserialize)]
+struct Raw {
+    #[serde(default)]
+    me: u16,
+    #[serde(default = "one")]
+    replicas_of_me: u16,
+    #[serde(default)]
+    locality: u8,
+    #[serde(default)]
+    areas: Vec<String>,
+    #[serde(default)]
+    models: Vec<String>,
+    #[serde(default)]
+    tick: f64,
+    #[serde(default)]
+    registry_mode: String,
+    #[serde(default)]
+    weights: String,
+    profiles: Vec<RawClass>,
+    #[serde(default)]
+    tenants: Vec<RawTenant>,
+    #[serde(default = "full")]
+    over_share_worth: f64,
+    #[serde(default)]
+    caps: RawCaps,
+    rules: RawRules,
+    #[serde(default)]
+    report: RawReport,
+    #[serde(default)]
+    family_info: RawFamily,
+}
+
+#[derive(Deserialize)]
+struct RawClass {
+    #[serde(default)]
+    name: String,
+    semantics: String,
+    #[serde(default)]
+    group: String,
+    #[serde(default)]
+    key_ttl: f64,
+    aim: f64,
+    deadline: f64,
+    #[serde(default = "full")]
+    worth: f64,
+    #[serde(default)]
+    late_worth: f64,
+    #[serde(default)]
+    stream: bool,
+}
+
+#[derive(Deserialize)]
+struct RawTenant {
+    #[serde(default)]
+    name: String,
+    #[serde(default)]
+    quota_rps: f64,
+    #[serde(default)]
+    share: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(default)]
+struct RawCaps {
+    most_tries: u8,
+    may_duplicate: bool,
+    cancel: bool,
+    probes: bool,
+    peer_messages: bool,
+    retry_after: bool,
+    max_retry_after: f64,
+    connect_timeout: f64,
+    keepalive: f64,
+    open_cap: usize,
+}
+
+impl Default for RawCaps {
+    fn default() -> Self {
+        RawCaps {
+            most_tries: 1,
+            may_duplicate: false,
+            cancel: false,
+            probes: false,
+            peer_messages: false,
+            retry_after: false,
+            max_retry_after: 0.0,
+            connect_timeout: 0.0,
+            keepalive: DEFAULT_IDLE_MS,
+            open_cap: DEFAULT_OPEN_REQUESTS,
+        }
+    }
+}
+
+#[derive(Deserialize)]
+struct RawRules {
+    #[serde(default)]
+    answer_slack: f64,
+    #[serde(default)]
+    ask_every: f64,
+    #[serde(default)]
+    stop_sending_within: f64,
+    #[serde(default = "full")]
+    cold_from: f64,
+    #[serde(default)]
+    warm_up: f64,
+    #[serde(default)]
+    fall_multiple: f64,
+    #[serde(default)]
+    fall: f64,
+}
+
+#[derive(Deserialize, Default)]
+struct RawReport {
+    #[serde(default)]
+    fields: Vec<String>,
+}
+
+#[derive(Deserialize)]
+struct RawFamily {
+    #[serde(default)]
+    mode: String,
+    #[serde(default = "no_kind")]
+    origin_kind: i64,
+}
+
+impl Default for RawFamily {
+    fn default() -> Self {
+        RawFamily { mode: String::new(), origin_kind: no_kind() }
+    }
+}
+
+fn one() -> u16 {
+    1
+}
+fn full() -> f64 {
+    1.0
+}
+fn no_kind() -> i64 {
+    -1
+}
+
+/// Without a word of when servers close idle connections, a quarter of a minute is safe with common ones.
+const DEFAULT_IDLE_MS: f64 = 15_000.0;
+/// Requests open at once where the settings set no limit.
+const DEFAULT_OPEN_REQUESTS: usize = 20_000;
+/// Times beyond this (a day) are slips of a unit, not settings.
+const LONGEST_MS: f64 = 86_400_000.0;
+
+fn us(ms: f64) -> Micros {
+    (ms * MS as f64).round() as Micros
+}
+
+fn class(i: usize, raw: &RawClass) -> Result<Class, SettingsError> {
+    let unknown = |key: &str, word: &str| {
+        Err(SettingsError::new(format!("profiles[{i}].{key}"), format!("unknown word {word:?}")))
+    };
+    let semantics = match raw.semantics.as_str() {
+        "free" => Semantics::Free,
+        "single_shot" => Semantics::SingleShot,
+        "guarded" => Semantics::Guarded {
+            key_ttl: us(raw.key_ttl),
+            group: match raw.group.as_str() {
+                "all" => Group::All,
+                "zone" => Group::Zone,
+                "cell" => Group::Cell,
+                other => return unknown("group", other),
+            },
+        },
+        other => return unknown("semantics", other),
+    };
+    Ok(Class {
+        semantics,
+        aim: us(raw.aim),
+        deadline: us(raw.deadline),
+        worth: raw.worth,
+        late_worth: raw.late_worth,
+        stream: raw.stream,
+    })
+}
+
+fn field(name: &str) -> ReportField {
+    match name {
+        "outstanding" => ReportField::Outstanding,
+        "backlog" => ReportField::Backlog,
+        "utilization" => ReportField::Utilization,
+        "recent_ms" => ReportField::RecentMs,
+        "throughput" => ReportField::Throughput,
+        "errors_per_s" => ReportField::ErrorsPerS,
+        _ => ReportField::Other,
+    }
+}
+
+fn names<T>(list: &[T], name: impl Fn(&T) -> &String) -> Vec<String> {
+    list.iter().map(|item| name(item).clone()).collect()
+}
+
+impl Raw {
+    /// Figures that would only show up as strange decisions hours later.
+    fn check(&self) -> Result<(), SettingsError> {
+        if self.profiles.is_empty() {
+            return Err(SettingsError::new("profiles", "at least one class is needed"));
+        }
+        for (i, class) in self.profiles.iter().enumerate() {
+            let key = |name: &str| format!("profiles[{i}].{name}");
+            positive(key("aim"), class.aim)?;
+            positive(key("deadline"), class.deadline)?;
+            time(key("key_ttl"), class.key_ttl)?;
+            share(key("late_worth"), class.late_worth)?;
+        }
+        for (i, tenant) in self.tenants.iter().enumerate() {
+            at_least_zero(format!("tenants[{i}].quota_rps"), tenant.quota_rps)?;
+        }
+        time("tick", self.tick)?;
+        share("over_share_worth", self.over_share_worth)?;
+        time("caps.max_retry_after", self.caps.max_retry_after)?;
+        time("caps.connect_timeout", self.caps.connect_timeout)?;
+        positive("caps.keepalive", self.caps.keepalive)?;
+        if self.caps.open_cap == 0 {
+            return Err(SettingsError::new("caps.open_cap", "must be above 0"));
+        }
+        let rules = &self.rules;
+        time("rules.answer_slack", rules.answer_slack)?;
+        time("rules.ask_every", rules.ask_every)?;
+        time("rules.stop_sending_within", rules.stop_sending_within)?;
+        time("rules.warm_up", rules.warm_up)?;
+        time("rules.fall", rules.fall)?;
+        share("rules.cold_from", rules.cold_from)?;
+        at_least_zero("rules.fall_multiple", rules.fall_multiple)
+    }
+
+    fn start(&self) -> Result<Start, SettingsError> {
+        let mode = match (self.family_info.mode.as_str(), u16::try_from(self.family_info.origin_kind)) {
+            ("aside", Ok(kind)) => CacheMode::Aside { origin: Kind(kind) },
+            ("aside", Err(_)) => {
+                return Err(SettingsError::new("family_info.origin_kind", "mode aside needs an origin kind"))
+            }
+            _ => CacheMode::Through,
+        };
+        let classes = self.profiles.iter().enumerate().map(|(i, raw)| class(i, raw));
+        let classes = classes.collect::<Result<Vec<_>, _>>()?;
+        Ok(Start {
+            names: Names {
+                classes: names(&self.profiles, |c| &c.name),
+                tenants: names(&self.tenants, |t| &t.name),
+                zones: self.areas.clone(),
+                kinds: self.models.clone(),
+                report: self.report.fields.clone(),
+            },
+            host: HostLimits { open_requests: self.caps.open_cap, idle: us(self.caps.keepalive) },
+            settings: self.settings(mode, classes),
+        })
+    }
+
+    fn settings(&self, mode: CacheMode, classes: Vec<Class>) -> Settings {
+        let tenant = |t: &RawTenant| Tenant { quota_per_s: t.quota_rps, share: t.share };
+        Settings {
+            me: self.me,
+            balancers: self.replicas_of_me.max(1),
+            zone: Zone(self.locality),
+            tick: us(self.tick),
+            mode,
+            discovery: if self.registry_mode == "ask" { Discovery::Ask } else { Discovery::Push },
+            classes,
+            tenants: self.tenants.iter().map(tenant).collect(),
+            over_share_worth: self.over_share_worth,
+            limits: self.caps.limits(),
+            rules: self.rules.rules(),
+            report: self.report.fields.iter().map(|name| field(name)).collect(),
+            sized: !matches!(self.weights.as_str(), "off" | "none" | ""),
+        }
+    }
+}
+
+impl RawCaps {
+    fn limits(&self) -> Limits {
+        Limits {
+            most_attempts: self.most_tries.max(1),
+            may_duplicate: self.may_duplicate,
+            may_cancel: self.cancel,
+            may_probe: self.probes,
+            may_tell: self.peer_messages,
+            max_retry_after: if self.retry_after { us(self.max_retry_after) } else { 0 },
+            connect_timeout: us(self.connect_timeout),
+        }
+    }
+}
+
+impl RawRules {
+    fn rules(&self) -> Rules {
+        Rules {
+            answer_slack: us(self.answer_slack),
+            ask_every: us(self.ask_every),
+            stop_sending_within: us(self.stop_sending_within),
+            cold_from: self.cold_from,
+            warm_up: us(self.warm_up),
+            fall_multiple: self.fall_multiple,
+            fall: us(self.fall),
+        }
+    }
+}
+
+fn must(good: bool, key: impl Into<String>, problem: &str) -> Result<(), SettingsError> {
+    good.then_some(()).ok_or_else(|| SettingsError::new(key, problem))
+}
+
+fn positive(key: impl Into<String>, ms: f64) -> Result<(), SettingsError> {
+    must(ms > 0.0 && ms <= LONGEST_MS, key, "must be a time in milliseconds above 0, a day at most")
+}
+
+fn time(key: impl Into<String>, ms: f64) -> Result<(), SettingsError> {
+    must((0.0..=LONGEST_MS).contains(&ms), key, "must be a time in milliseconds, a day at most")
+}
+
+fn share(key: impl Into<String>, value: f64) -> Result<(), SettingsError> {
+    must((0.0..=1.0).contains(&value), key, "must be between 0 and 1")
+}
+
+fn at_least_zero(key: impl Into<String>, value: f64) -> Result<(), SettingsError> {
+    must(value >= 0.0 && value.is_finite(), key, "must be 0 or more")
+}
--- a/crates/stairfront-wirehost/src/host.rs
+++ b/crates/stairfront-wirehost/src/host.rs
@@ -5,8 +5,8 @@
 use rustc_hash::FxHashMap;
 use stairfront_policy::interface::{Action, Event, ListNews, Member, Micros};
 use stairfront_policy::Policy;
+use stairfront_settings::Start;
 
-use crate::settings;
 use crate::wire::{self, Batch, FrameError, Reply, Scope, WireEvent};
 
 #[derive(Default)]
@@ -41,12 +41,12 @@
         };
         let event = match event {
             WireEvent::Boot { seed, params, .. } => {
-                let settings = settings::parse(params).map_err(|problem| FrameError::Field {
+                let start = Start::from_text(params).map_err(|error| FrameError::Field {
                     record,
                     field: "params",
-                    problem,
+                    problem: error.to_string(),
                 })?;
-                self.instances.insert(instance, Policy::new(settings, seed));
+                self.instances.insert(instance, Policy::new(start.settings, seed));
                 return Ok(());
             }
             WireEvent::Killed { .. } => {
--- /dev/null
+++ b/crates/stairfront/src/clock.rs
@@ -0,0 +1,37 @@
+//! The one clock of a balancer: Unix time read once at the start, carried on by the monotonic clock. So the start
+//! times in discovery's lists compare with `now`, and a clock that is set meanwhile moves nothing.
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use stairfront_policy::interface::Micros;
+use tokio::time::Instant;
+
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    unix: Micros,
+    start: Instant,
+}
+
+impl Clock {
+    pub fn start() -> Self {
+        // A machine whose clock stands before 1970 counts from 1970.
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { unix: micros(unix), start: Instant::now() }
+    }
+
+    pub fn now(&self) -> Micros {
+        self.at(Instant::now())
+    }
+
+    pub fn at(&self, instant: Instant) -> Micros {
+        self.unix + micros(instant.saturating_duration_since(self.start))
+    }
+}
+
+pub fn micros(time: Duration) -> Micros {
+    Micros::try_from(time.as_micros()).unwrap_or(Micros::MAX)
+}
+
+/// A length of time that the decision module names; what is below zero is none.
+pub fn duration(time: Micros) -> Duration {
+    Duration::from_micros(u64::try_from(time).unwrap_or(0))
+}
--- /dev/null
+++ b/crates/stairfront/src/config.rs
@@ -0,0 +1,114 @@
+//! The configuration a balancer is started with: one JSON file, read and checked here.
+use std::env;
+use std::fs;
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use stairfront_settings::Start;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::discovery::{RawList, ServerList};
+
+const CONFIG: &str = "ROUTER_CONFIG";
+/// Descriptors that are not connections: standard streams, event queue, signals, listener, discovery, a connection
+/// just accepted that has no place yet, and some for the libraries.
+const RESERVE: usize = 24;
+/// Fewer would leave no room for a client and a server connection at once.
+const FEWEST_SOCKETS: usize = RESERVE + 8;
+/// The most sockets that the deployment ever grants; a larger limit is not used.
+const MOST_SOCKETS: usize = 1024;
+
+#[derive(Debug, thiserror::Error)]
+pub enum ConfigError {
+    #[error("{CONFIG} is not set: it names the configuration file")]
+    NoPath,
+    #[error("{path}: {problem}")]
+    File { path: String, problem: std::io::Error },
+    #[error("{path}: {key}: {problem}")]
+    Key { path: String, key: String, problem: String },
+}
+
+#[derive(Deserialize)]
+struct Raw {
+    #[serde(default)]
+    name: String,
+    listen: SocketAddr,
+    discovery: SocketAddr,
+    #[serde(default)]
+    seed: String,
+    #[serde(default)]
+    limits: RawLimits,
+    #[serde(default)]
+    known: RawList,
+    settings: serde_json::Value,
+}
+
+#[derive(Deserialize, Default)]
+struct RawLimits {
+    sockets: Option<usize>,
+}
+
+/// How the descriptors are dealt out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Sockets {
+    pub clients: usize,
+    pub servers: usize,
+}
+
+impl Sockets {
+    fn split(limit: usize) -> Self {
+        let free = limit.min(MOST_SOCKETS) - RESERVE;
+        Sockets { clients: free / 2, servers: free - free / 2 }
+    }
+}
+
+#[derive(Debug)]
+pub struct Config {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub seed: u64,
+    pub sockets: Sockets,
+    pub known: ServerList,
+    pub start: Start,
+}
+
+impl Config {
+    pub fn from_environment() -> Result<Self, ConfigError> {
+        let path = env::var(CONFIG).map_err(|_| ConfigError::NoPath)?;
+        match fs::read_to_string(&path) {
+            Ok(text) => Self::from_text(&path, &text),
+            Err(problem) => Err(ConfigError::File { path, problem }),
+        }
+    }
+
+    /// `path` only names the source in errors.
+    pub fn from_text(path: &str, text: &str) -> Result<Self, ConfigError> {
+        let fault = |key: String, problem: String| ConfigError::Key { path: path.to_string(), key, problem };
+        let raw: Raw = serde_path_to_error::deserialize(&mut serde_json::Deserializer::from_str(text))
+            .map_err(|e| fault(e.path().to_string(), e.inner().to_string()))?;
+        let start =
+            Start::from_value(raw.settings).map_err(|e| fault(format!("settings.{}", e.key), e.problem))?;
+        let sockets = raw.limits.sockets.unwrap_or(MOST_SOCKETS);
+        if sockets < FEWEST_SOCKETS {
+            let problem = format!("{sockets} is too few, {FEWEST_SOCKETS} at least");
+            return Err(fault("limits.sockets".to_string(), problem));
+        }
+        let known =
+            raw.known.read(&start.names).map_err(|e| fault("known.endpoints".to_string(), e.to_string()))?;
+        Ok(Config {
+            name: raw.name,
+            listen: raw.listen,
+            discovery: raw.discovery,
+            seed: seed(&raw.seed),
+            sockets: Sockets::split(sockets),
+            known,
+            start,
+        })
+    }
+}
+
+/// Any text is a seed; the usual one is 16 hexadecimal digits.
+fn seed(text: &str) -> u64 {
+    u64::from_str_radix(text, 16).unwrap_or_else(|_| xxh3_64(text.as_bytes()))
+}
--- /dev/null
+++ b/crates/stairfront/src/counters.rs
@@ -0,0 +1,86 @@
+//! What the balancer took in, sent and answered. Printed at the end and on `INFO`.
+use std::cell::Cell;
+use std::fmt;
+
+use stairfront_policy::interface::Outcome;
+
+macro_rules! counters {
+    ($($(#[$doc:meta])* $name:ident),* $(,)?) => {
+        #[derive(Debug, Default)]
+        pub struct Counters { $($(#[$doc])* pub $name: Counter,)* }
+
+        impl fmt::Display for Counters {
+            /// One `name:value` a line, as `INFO` answers of this protocol go.
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                $(write!(f, concat!(stringify!($name), ":{}\r\n"), self.$name.get())?;)*
+                Ok(())
+            }
+        }
+    };
+}
+
+counters! {
+    /// Requests read whole from clients.
+    taken_in,
+    served,
+    refused,
+    failed,
+    /// Clients that left before their answer.
+    client_gone,
+    /// Requests turned away before a decision: no room for one more.
+    over_cap,
+    /// Commands answered with an error of our own, and connections ended for broken input.
+    rejected,
+    malformed,
+    /// Attempts by how they ended.
+    attempts_sent,
+    attempts_served,
+    attempts_missed,
+    attempts_errored,
+    attempts_full,
+    attempts_timed_out,
+    attempts_connect_failed,
+    attempts_reset,
+    attempts_cancelled,
+    attempts_moot,
+    lists_heard,
+    lists_failed,
+    decision_panics,
+    client_connections_accepted,
+    client_connections_open,
+    server_connections_opened,
+    server_connections_open,
+}
+
+/// A number that one thread counts.
+#[derive(Debug, Default)]
+pub struct Counter(Cell<u64>);
+
+impl Counter {
+    pub fn add(&self) {
+        self.0.set(self.0.get() + 1);
+    }
+    pub fn sub(&self) {
+        self.0.set(self.0.get().saturating_sub(1));
+    }
+    pub fn get(&self) -> u64 {
+        self.0.get()
+    }
+}
+
+impl Counters {
+    pub fn ended(&self, outcome: Outcome) {
+        match outcome {
+            Outcome::Served => &self.attempts_served,
+            Outcome::Miss => &self.attempts_missed,
+            Outcome::Errored => &self.attempts_errored,
+            Outcome::Full => &self.attempts_full,
+            Outcome::TimedOut => &self.attempts_timed_out,
+            Outcome::ConnectFailed => &self.attempts_connect_failed,
+            Outcome::Reset => &self.attempts_reset,
+            Outcome::Cancelled => &self.attempts_cancelled,
+            Outcome::Moot => &self.attempts_moot,
+        }
+        .add();
+    }
+}
--- /dev/null
+++ b/crates/stairfront/src/discovery.rs
@@ -0,0 +1,240 @@
+//! Discovery's lists and the watch on its agent.
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::{SinkExt, StreamExt};
+use serde::Deserialize;
+use stairfront_policy::interface::{CacheId, Cell, Kind, Member, MemberState, Micros, Zone, MS};
+use stairfront_settings::Names;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::time::{sleep, timeout};
+use tokio_util::codec::Framed;
+use tracing::{info, warn};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::http::{HttpCodec, HttpError, Request};
+use crate::messages::Input;
+
+/// How long the agent may hold a watch for news.
+const HOLD: Duration = Duration::from_secs(20);
+/// What an answer may take beyond the hold before the agent counts as dead: it is on this machine.
+const ANSWER_LIMIT: Duration = Duration::from_secs(1);
+/// Pause after a failed call. A watch goes on only if the next call comes within 200 ms.
+const RETRY: Duration = Duration::from_millis(100);
+/// Pause after a list that made no sense, before the whole list is asked for.
+const BAD_LIST_PAUSE: Duration = Duration::from_millis(500);
+/// Some thousand servers.
+const LARGEST_LIST: usize = 2 * 1024 * 1024;
+/// One line in the log for so many failed calls in a row.
+const LOG_EVERY: u32 = 50;
+
+/// A list as discovery writes it.
+#[derive(Debug, Default, Deserialize)]
+pub struct RawList {
+    #[serde(default)]
+    index: u64,
+    #[serde(default)]
+    snapshot: bool,
+    #[serde(default)]
+    endpoints: Vec<RawEndpoint>,
+}
+
+#[derive(Debug, Deserialize)]
+struct RawEndpoint {
+    name: String,
+    address: String,
+    #[serde(default)]
+    zone: String,
+    #[serde(default, rename = "type")]
+    kind: String,
+    #[serde(default)]
+    group: u16,
+    status: String,
+    #[serde(default = "one")]
+    weight: f32,
+    #[serde(default)]
+    since_ms: f64,
+}
+
+fn one() -> f32 {
+    1.0
+}
+
+#[derive(Debug, thiserror::Error)]
+pub enum ListError {
+    #[error("server {name:?}: unknown status {status:?}")]
+    Status { name: String, status: String },
+    #[error("server {name:?}: {address:?} is not an address and a port")]
+    Address { name: String, address: String },
+    #[error("server {name:?}: since_ms {since_ms} is not a time")]
+    Since { name: String, since_ms: f64 },
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Line {
+    pub member: Member,
+    pub address: SocketAddr,
+}
+
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ServerList {
+    pub index: u64,
+    /// The complete list, not changes alone.
+    pub full: bool,
+    pub lines: Vec<Line>,
+}
+
+/// The same at every balancer and after every restart, whatever the address.
+pub fn cache_id(name: &str) -> CacheId {
+    CacheId(xxh3_64(name.as_bytes()))
+}
+
+/// Position of a name; an unknown one gets a number that no known one has.
+fn position(names: &[String], name: &str) -> Option<usize> {
+    names.iter().position(|known| known == name)
+}
+
+impl RawList {
+    pub fn read(self, names: &Names) -> Result<ServerList, ListError> {
+        let lines = self.endpoints.into_iter().map(|raw| raw.read(names)).collect::<Result<_, _>>()?;
+        Ok(ServerList { index: self.index, full: self.snapshot, lines })
+    }
+}
+
+impl RawEndpoint {
+    fn read(self, names: &Names) -> Result<Line, ListError> {
+        let RawEndpoint { name, address, status, since_ms, .. } = self;
+        let state = match status.as_str() {
+            "SERVING" => MemberState::Ready,
+            "DRAINING" => MemberState::Draining,
+            "DELETED" => MemberState::Gone,
+            _ => return Err(ListError::Status { name, status }),
+        };
+        let Ok(address) = address.parse::<SocketAddr>() else {
+            return Err(ListError::Address { name, address });
+        };
+        // Within the range of the clock; beyond a few thousand years it is a slip of a unit.
+        if !(0.0..1e14).contains(&since_ms) {
+            return Err(ListError::Since { name, since_ms });
+        }
+        let zone = position(&names.zones, &self.zone).and_then(|i| u8::try_from(i).ok());
+        let kind = position(&names.kinds, &self.kind).and_then(|i| u16::try_from(i).ok());
+        let member = Member {
+            id: cache_id(&name),
+            state,
+            born: (since_ms * MS as f64) as Micros,
+            zone: Zone(zone.unwrap_or(u8::MAX)),
+            cell: Cell(self.group),
+            kind: Kind(kind.unwrap_or(u16::MAX)),
+            size: self.weight,
+        };
+        Ok(Line { member, address })
+    }
+}
+
+#[derive(Debug, thiserror::Error)]
+enum CallError {
+    #[error("{0}")]
+    Http(#[from] HttpError),
+    #[error("no answer in time")]
+    Late,
+    #[error("the connection ended")]
+    Ended,
+    #[error("status {0}")]
+    Status(u16),
+    #[error("not a list: {0}")]
+    Json(String),
+    #[error("not a list: {0}")]
+    List(#[from] ListError),
+}
+
+impl From<io::Error> for CallError {
+    fn from(error: io::Error) -> Self {
+        CallError::Http(error.into())
+    }
+}
+
+/// Keeps a watch on the agent for as long as the balancer runs and passes on all that changes. A dead agent costs
+/// nothing but these calls: serving goes on with the list in hand.
+pub struct Watch {
+    address: SocketAddr,
+    names: Names,
+    inbox: mpsc::Sender<Input>,
+    wire: Option<Framed<TcpStream, HttpCodec>>,
+    /// The version in hand; none asks for the whole list.
+    index: Option<u64>,
+}
+
+impl Watch {
+    pub fn new(address: SocketAddr, names: Names, known: u64, inbox: mpsc::Sender<Input>) -> Self {
+        Watch { address, names, inbox, wire: None, index: Some(known) }
+    }
+
+    pub async fn run(mut self) {
+        let mut failures = 0;
+        loop {
+            match self.call().await {
+                Ok(list) => {
+                    if failures > 0 {
+                        info!("discovery answers again");
+                    }
+                    failures = 0;
+                    self.index = Some(list.index);
+                    if self.inbox.send(Input::List(list)).await.is_err() {
+                        return;
+                    }
+                }
+                Err(problem) => {
+                    if failures % LOG_EVERY == 0 {
+                        warn!("discovery at {}: {problem}", self.address);
+                    }
+                    failures += 1;
+                    self.wire = None;
+                    let bad =
+                        matches!(problem, CallError::Json(_) | CallError::List(_) | CallError::Status(_));
+                    if bad {
+                        // What it was to tell is not known: only the whole list mends that.
+                        self.index = None;
+                    }
+                    sleep(if bad { BAD_LIST_PAUSE } else { RETRY }).await;
+                }
+            }
+        }
+    }
+
+    async fn call(&mut self) -> Result<ServerList, CallError> {
+        let wire = match &mut self.wire {
+            Some(wire) => wire,
+            none => {
+                let connected = timeout(ANSWER_LIMIT, TcpStream::connect(self.address));
+                let socket = connected.await.map_err(|_| CallError::Late)??;
+                socket.set_nodelay(true)?;
+                none.insert(Framed::new(socket, HttpCodec::new(LARGEST_LIST)))
+            }
+        };
+        let (target, limit) = match self.index {
+            Some(index) => {
+                let target = format!("/api/targets?from={index}&hold_ms={}", HOLD.as_millis());
+                (target, HOLD + ANSWER_LIMIT)
+            }
+            None => ("/api/targets".to_string(), ANSWER_LIMIT),
+        };
+        let host = Bytes::from(self.address.to_string());
+        wire.send(Request { method: "GET", target, headers: vec![("Host", host)], body: None }).await?;
+        let answer = timeout(limit, wire.next()).await.map_err(|_| CallError::Late)?;
+        let response = answer.ok_or(CallError::Ended)??;
+        if response.last {
+            self.wire = None;
+        }
+        if response.status != 200 {
+            return Err(CallError::Status(response.status));
+        }
+        let raw: RawList =
+            serde_path_to_error::deserialize(&mut serde_json::Deserializer::from_slice(&response.body))
+                .map_err(|e| CallError::Json(e.to_string()))?;
+        Ok(raw.read(&self.names)?)
+    }
+}
--- /dev/null
+++ b/crates/stairfront/src/engine.rs
@@ -0,0 +1,269 @@
+//! The one task that owns the decision module, the open requests, the pool and the timers. It hands events to the
+//! module and carries its actions out, each through its stage.
+use std::collections::VecDeque;
+use std::future::poll_fn;
+use std::rc::Rc;
+use std::time::Duration;
+
+use rustc_hash::FxHashMap;
+use stairfront_policy::interface::{
+    Action, CacheId, CacheMode, Event, ListNews, Load, Member, MemberState, Micros, Outcome, RequestId, MS,
+};
+use stairfront_policy::Policy;
+use stairfront_settings::Start;
+use tokio::sync::{mpsc, watch};
+use tokio::time::sleep;
+use tokio_util::time::DelayQueue;
+use tracing::info;
+
+use crate::caches::{Endpoint, Job, Pool, Protocol};
+use crate::clock::{duration, Clock};
+use crate::counters::Counters;
+use crate::discovery::{Line, ServerList};
+use crate::messages::{Answer, AttemptEnd, AttemptId, Input};
+use crate::stages::admit::Table;
+use crate::stages::route;
+use crate::stages::send::Sending;
+
+/// How long a start waits for discovery's word before it serves with the list it was given.
+const READY_AFTER: Duration = Duration::from_millis(250);
+
+enum Due {
+    /// A timer of the decision module.
+    Token(u64),
+    /// An attempt that has waited for a socket for as long as a connection may take.
+    Socket(AttemptId),
+}
+
+pub struct Engine {
+    policy: Policy,
+    clock: Clock,
+    table: Table,
+    pool: Pool,
+    timers: DelayQueue<Due>,
+    counters: Rc<Counters>,
+    ready: watch::Sender<bool>,
+    mode: CacheMode,
+    most_attempts: u8,
+    connect_timeout: Duration,
+    /// What each server of the list was last said to be.
+    servers: FxHashMap<CacheId, Member>,
+    /// Ends of attempts that the module has not heard yet.
+    ends: VecDeque<AttemptEnd>,
+    actions: Vec<Action>,
+}
+
+impl Engine {
+    pub fn new(
+        start: Start,
+        seed: u64,
+        clock: Clock,
+        pool: Pool,
+        counters: Rc<Counters>,
+        ready: watch::Sender<bool>,
+    ) -> Self {
+        let Start { mut settings, host, .. } = start;
+        // The agent is watched at no cost from the start, whatever the simulator's discovery would ask for.
+        settings.discovery = stairfront_policy::interface::Discovery::Push;
+        Engine {
+            clock,
+            table: Table::new(host.open_requests),
+            pool,
+            timers: DelayQueue::new(),
+            counters,
+            ready,
+            mode: settings.mode,
+            most_attempts: settings.limits.most_attempts,
+            connect_timeout: duration(settings.limits.connect_timeout),
+            servers: FxHashMap::default(),
+            ends: VecDeque::new(),
+            actions: Vec::new(),
+            policy: Policy::new(settings, seed),
+        }
+    }
+
+    pub async fn run(mut self, known: ServerList, mut inputs: mpsc::Receiver<Input>) {
+        self.learn(known, true);
+        let soon_ready = sleep(READY_AFTER);
+        tokio::pin!(soon_ready);
+        loop {
+            let waits = !*self.ready.borrow();
+            tokio::select! {
+                biased;
+                due = poll_fn(|cx| self.timers.poll_expired(cx)), if !self.timers.is_empty() => {
+                    if let Some(due) = due {
+                        self.fire(due.into_inner());
+                    }
+                }
+                input = inputs.recv() => match input {
+                    Some(input) => self.hear(input),
+                    None => return,
+                },
+                () = &mut soon_ready, if waits => self.set_ready(),
+            }
+        }
+    }
+
+    fn set_ready(&mut self) {
+        self.ready.send_replace(true);
+    }
+
+    fn hear(&mut self, input: Input) {
+        match input {
+            Input::Arrived(arrival) => match self.table.admit(arrival) {
+                Some(request) => self.tell(Event::Request(request)),
+                None => self.counters.over_cap.add(),
+            },
+            Input::ClientGone(id) => self.client_gone(id),
+            Input::Pool(news) => {
+                let mut ends = Vec::new();
+                self.pool.hear(news, &mut ends);
+                self.ends.extend(ends);
+            }
+            Input::List(list) => {
+                self.counters.lists_heard.add();
+                self.learn(list, false);
+                self.set_ready();
+            }
+        }
+        self.settle();
+    }
+
+    fn fire(&mut self, due: Due) {
+        match due {
+            Due::Token(token) => self.tell(Event::Timer { token }),
+            Due::Socket(attempt) => self.ends.extend(self.pool.give_up_waiting(attempt)),
+        }
+        self.settle();
+    }
+
+    fn client_gone(&mut self, id: RequestId) {
+        let answer = self.table.open.get_mut(&id).and_then(|open| open.answer.take());
+        if answer.is_some() {
+            self.counters.client_gone.add();
+            self.tell(Event::ClientGone { id });
+            self.table.book(id);
+        }
+    }
+
+    /// Tells the module of every attempt that has ended, also of those that its own actions end at once.
+    fn settle(&mut self) {
+        while let Some(end) = self.ends.pop_front() {
+            let id = end.attempt.request;
+            self.counters.ended(end.verdict.outcome);
+            let open = self.is_open(id);
+            let settled = self.table.relay(&end);
+            if open && settled.closed {
+                self.counters.served.add();
+            }
+            if let Some(job) = self.table.send_deferred(id) {
+                self.dispatch(job);
+            }
+            self.tell(Event::Settled(settled));
+            self.table.book(id);
+        }
+    }
+
+    fn is_open(&self, id: RequestId) -> bool {
+        self.table.open.get(&id).is_some_and(|open| open.answer.is_some())
+    }
+
+    fn tell(&mut self, event: Event<'_>) {
+        let mut actions = std::mem::take(&mut self.actions);
+        if !route::route(&mut self.policy, self.clock.now(), event, &mut actions) {
+            self.counters.decision_panics.add();
+        }
+        for action in actions.drain(..) {
+            self.carry_out(action);
+        }
+        self.actions = actions;
+    }
+
+    fn carry_out(&mut self, action: Action) {
+        match action {
+            Action::Send { id, cache, timeout } => self.send(id, cache, timeout),
+            Action::Refuse { id, retry_after } => {
+                let after_ms = u64::try_from(retry_after / MS).ok().filter(|ms| *ms > 0);
+                if self.table.answer(id, Answer::Busy { after_ms }) {
+                    self.counters.refused.add();
+                }
+                self.table.book(id);
+            }
+            Action::Fail { id } => {
+                if self.table.answer(id, Answer::Failed) {
+                    self.counters.failed.add();
+                }
+                self.table.book(id);
+            }
+            Action::Cancel { id, attempt } => self.table.cancel(id, attempt),
+            Action::Timer { delay, token } => {
+                self.timers.insert(Due::Token(token), duration(delay));
+            }
+            Action::Disconnect { cache } => self.pool.close_idle(cache),
+            Action::Log(text) => info!("{text}"),
+            // Probes answer as not made, so that a module that tries them learns nothing wrong.
+            Action::Probe { cache } => {
+                let (outcome, load) = (Outcome::Moot, Load::default());
+                self.tell(Event::Probed { cache, outcome, elapsed: 0, load });
+            }
+            // Balancers share nothing here, and the watch on discovery's agent never ends.
+            Action::Tell { .. } | Action::Subscribe(_) | Action::FetchList => {}
+        }
+    }
+
+    fn send(&mut self, id: RequestId, cache: CacheId, timeout: Micros) {
+        match self.table.send(id, cache, timeout, self.most_attempts) {
+            Sending::Job(job) => self.dispatch(job),
+            Sending::Ended(end) => self.ends.push_back(end),
+            Sending::Deferred => {}
+        }
+    }
+
+    fn dispatch(&mut self, job: Job) {
+        self.counters.attempts_sent.add();
+        let (attempt, waiting) = (job.attempt, self.pool.waiting());
+        let left = job.give_up.saturating_duration_since(job.sent_at);
+        self.ends.extend(self.pool.dispatch(job));
+        if self.pool.waiting() > waiting {
+            self.timers.insert(Due::Socket(attempt), left.min(self.connect_timeout));
+        }
+    }
+
+    /// Passes a list on: to the pool the addresses, to the module the members.
+    fn learn(&mut self, list: ServerList, cached: bool) {
+        let members: Vec<Member> = list.lines.iter().map(|line| line.member).collect();
+        if list.full {
+            let listed = |id: &CacheId| members.iter().any(|member| member.id == *id);
+            let left: Vec<CacheId> = self.servers.keys().copied().filter(|id| !listed(id)).collect();
+            left.into_iter().for_each(|id| self.forget(id));
+        }
+        list.lines.iter().for_each(|line| self.place(line));
+        self.tell(Event::List(match (cached, list.full) {
+            (true, _) => ListNews::Cached(&members),
+            (false, true) => ListNews::Full(&members),
+            (false, false) => ListNews::Delta(&members),
+        }));
+    }
+
+    fn place(&mut self, line: &Line) {
+        let member = line.member;
+        if member.state == MemberState::Gone {
+            return self.forget(member.id);
+        }
+        let origin = matches!(self.mode, CacheMode::Aside { origin } if origin == member.kind);
+        let protocol = if origin { Protocol::Http } else { Protocol::Resp };
+        self.pool.set(member.id, Endpoint { address: line.address, protocol });
+        let before = self.servers.insert(member.id, member);
+        // A process that has started anew knows nothing of connections made before, and one that drains gets
+        // nothing new over them.
+        let restarted = before.is_some_and(|before| before.born != member.born);
+        if restarted || member.state == MemberState::Draining {
+            self.pool.close_idle(member.id);
+        }
+    }
+
+    fn forget(&mut self, id: CacheId) {
+        self.servers.remove(&id);
+        self.pool.forget(id);
+    }
+}
--- /dev/null
+++ b/crates/stairfront/src/http.rs
@@ -0,0 +1,226 @@
+//! The client's side of HTTP/1.1 as a tokio-util codec; httparse reads heads and chunk sizes.
+use std::io;
+
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use tokio_util::codec::{Decoder, Encoder};
+
+use crate::resp::cut_frame;
+
+const MOST_HEADERS: usize = 48;
+const LARGEST_HEAD: usize = 16 * 1024;
+
+#[derive(Debug, thiserror::Error)]
+pub enum HttpError {
+    #[error(transparent)]
+    Io(#[from] io::Error),
+    #[error("invalid HTTP response: {0}")]
+    Malformed(&'static str),
+}
+
+/// A request; names and values must hold no line breaks.
+#[derive(Clone, Debug)]
+pub struct Request {
+    pub method: &'static str,
+    pub target: String,
+    pub headers: Vec<(&'static str, Bytes)>,
+    pub body: Option<Bytes>,
+}
+
+/// A whole response with the headers that this project reads.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Response {
+    pub status: u16,
+    pub not_started: bool,
+    pub load: Option<Bytes>,
+    /// The connection takes no further request.
+    pub last: bool,
+    pub body: Bytes,
+}
+
+/// How the body's end is told.
+#[derive(Debug)]
+enum Body {
+    Sized(usize),
+    /// What has come of it so far.
+    Chunked(BytesMut),
+    /// By the end of the connection.
+    Ended,
+}
+
+/// Reads one response after the other; `largest_body` bounds each.
+#[derive(Debug)]
+pub struct HttpCodec {
+    largest_body: usize,
+    head: Option<(Response, Body)>,
+}
+
+impl HttpCodec {
+    pub fn new(largest_body: usize) -> Self {
+        HttpCodec { largest_body, head: None }
+    }
+
+    fn read_head(&self, src: &mut BytesMut) -> Result<Option<(Response, Body)>, HttpError> {
+        let mut headers = [httparse::EMPTY_HEADER; MOST_HEADERS];
+        let mut parsed = httparse::Response::new(&mut headers);
+        let end = match parsed.parse(src) {
+            Ok(httparse::Status::Complete(end)) => end,
+            Ok(httparse::Status::Partial) if src.len() > LARGEST_HEAD => {
+                return Err(HttpError::Malformed("head too large"))
+            }
+            Ok(httparse::Status::Partial) => return Ok(None),
+            Err(_) => return Err(HttpError::Malformed("head")),
+        };
+        let mut response = Response {
+            status: parsed.code.unwrap_or_default(),
+            last: parsed.version == Some(0),
+            ..Response::default()
+        };
+        let mut body = Body::Ended;
+        for header in parsed.headers.iter() {
+            let value = header.value.trim_ascii();
+            if header.name.eq_ignore_ascii_case("content-length") {
+                body = Body::Sized(self.length(value)?);
+            } else if header.name.eq_ignore_ascii_case("transfer-encoding") {
+                if !value.eq_ignore_ascii_case(b"chunked") {
+                    return Err(HttpError::Malformed("unknown transfer encoding"));
+                }
+                body = Body::Chunked(BytesMut::new());
+            } else if header.name.eq_ignore_ascii_case("connection") {
+                response.last |= value.eq_ignore_ascii_case(b"close");
+            } else if header.name.eq_ignore_ascii_case("not-started") {
+                response.not_started = value == b"1";
+            } else if header.name.eq_ignore_ascii_case("server-load") {
+                response.load = Some(Bytes::copy_from_slice(value));
+            }
+        }
+        if matches!(response.status, 100..=199 | 204 | 304) {
+            body = Body::Sized(0);
+        }
+        response.last |= matches!(body, Body::Ended);
+        src.advance(end);
+        Ok(Some((response, body)))
+    }
+
+    fn length(&self, text: &[u8]) -> Result<usize, HttpError> {
+        let length = std::str::from_utf8(text).ok().and_then(|t| t.parse::<usize>().ok());
+        match length {
+            Some(length) if length <= self.largest_body => Ok(length),
+            Some(_) => Err(HttpError::Malformed("body too large")),
+            None => Err(HttpError::Malformed("content length")),
+        }
+    }
+
+    /// Moves whole chunks over; true at the last one.
+    fn read_chunks(src: &mut BytesMut, body: &mut BytesMut, largest: usize) -> Result<bool, HttpError> {
+        loop {
+            let (start, size) = match httparse::parse_chunk_size(src) {
+                Ok(httparse::Status::Complete((start, size))) => (start, size as usize),
+                Ok(httparse::Status::Partial) if src.len() > LARGEST_HEAD => {
+                    return Err(HttpError::Malformed("chunk size"))
+                }
+                Ok(httparse::Status::Partial) => return Ok(false),
+                Err(_) => return Err(HttpError::Malformed("chunk size")),
+            };
+            if size > largest - body.len() {
+                return Err(HttpError::Malformed("body too large"));
+            }
+            if src.len() < start + size + 2 {
+                return Ok(false);
+            }
+            // Trailers are not read: nothing here sends any.
+            if &src[start + size..start + size + 2] != b"\r\n" {
+                return Err(HttpError::Malformed("chunk end"));
+            }
+            src.advance(start);
+            body.extend_from_slice(&src.split_to(size));
+            src.advance(2);
+            if size == 0 {
+                return Ok(true);
+            }
+        }
+    }
+
+    fn read_body(&mut self, src: &mut BytesMut, at_end: bool) -> Result<Option<Response>, HttpError> {
+        let Some((mut response, mut body)) = self.head.take() else { return Ok(None) };
+        let whole = match &mut body {
+            Body::Sized(length) if src.len() >= *length => Some(cut_frame(src, *length)),
+            Body::Sized(length) => {
+                src.reserve(*length - src.len());
+                None
+            }
+            Body::Chunked(done) => {
+                Self::read_chunks(src, done, self.largest_body)?.then(|| std::mem::take(done).freeze())
+            }
+            Body::Ended if src.len() > self.largest_body => {
+                return Err(HttpError::Malformed("body too large"))
+            }
+            Body::Ended => at_end.then(|| src.split().freeze()),
+        };
+        match whole {
+            // An interim answer (100 Continue) stands before the real one.
+            Some(_) if response.status < 200 => self.next(src, at_end),
+            Some(bytes) => {
+                response.body = bytes;
+                Ok(Some(response))
+            }
+            None => {
+                self.head = Some((response, body));
+                Ok(None)
+            }
+        }
+    }
+
+    fn next(&mut self, src: &mut BytesMut, at_end: bool) -> Result<Option<Response>, HttpError> {
+        if self.head.is_none() && !src.is_empty() {
+            self.head = self.read_head(src)?;
+        }
+        self.read_body(src, at_end)
+    }
+}
+
+impl Decoder for HttpCodec {
+    type Item = Response;
+    type Error = HttpError;
+
+    fn decode(&mut self, src: &mut BytesMut) -> Result<Option<Response>, HttpError> {
+        self.next(src, false)
+    }
+
+    fn decode_eof(&mut self, src: &mut BytesMut) -> Result<Option<Response>, HttpError> {
+        match self.next(src, true)? {
+            None if self.head.is_some() || !src.is_empty() => {
+                Err(io::Error::from(io::ErrorKind::UnexpectedEof).into())
+            }
+            response => Ok(response),
+        }
+    }
+}
+
+impl Encoder<Request> for HttpCodec {
+    type Error = HttpError;
+
+    fn encode(&mut self, request: Request, dst: &mut BytesMut) -> Result<(), HttpError> {
+        let body = request.body.as_ref().map_or(0, Bytes::len);
+        dst.reserve(256 + request.target.len() + body);
+        dst.put_slice(request.method.as_bytes());
+        dst.put_slice(b" ");
+        dst.put_slice(request.target.as_bytes());
+        dst.put_slice(b" HTTP/1.1\r\n");
+        for (name, value) in &request.headers {
+            if value.iter().any(|b| matches!(b, b'\r' | b'\n' | 0)) {
+                return Err(HttpError::Malformed("line break in a header"));
+            }
+            dst.put_slice(name.as_bytes());
+            dst.put_slice(b": ");
+            dst.put_slice(value);
+            dst.put_slice(b"\r\n");
+        }
+        if let Some(body) = &request.body {
+            dst.put_slice(format!("Content-Length: {}\r\n\r\n", body.len()).as_bytes());
+            dst.put_slice(body);
+        } else {
+            dst.put_slice(b"\r\n");
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/stairfront/src/lib.rs
@@ -0,0 +1,16 @@
+//! The stairfront balancer on sockets. The decision module decides; everything here carries messages, times and
+//! bytes to it and does what it says. `docs/architecture.md` follows one request through these parts.
+pub mod caches;
+pub mod clients;
+pub mod clock;
+pub mod config;
+pub mod counters;
+pub mod discovery;
+pub mod engine;
+pub mod http;
+pub mod messages;
+pub mod origin;
+pub mod resp;
+pub mod server;
+pub mod shutdown;
+pub mod stages;
--- /dev/null
+++ b/crates/stairfront/src/main.rs
@@ -0,0 +1,24 @@
+//! Reads the configuration, sets up the log and runs the balancer until it is told to stop.
+use std::process::ExitCode;
+
+use stairfront::config::Config;
+use stairfront::server;
+use tracing::error;
+
+fn main() -> ExitCode {
+    tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).with_target(false).init();
+    let config = match Config::from_environment() {
+        Ok(config) => config,
+        Err(problem) => {
+            error!("cannot start: {problem}");
+            return ExitCode::FAILURE;
+        }
+    };
+    match server::run(config) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(problem) => {
+            error!("cannot serve: {problem}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/stairfront/src/origin.rs
@@ -0,0 +1,81 @@
+//! How the origin is spoken to: HTTP/1.1, one request at a time on a connection.
+use std::fmt::Write as _;
+use std::net::SocketAddr;
+
+use bytes::{Bytes, BytesMut};
+use stairfront_policy::interface::{Load, Note, Outcome};
+use tokio_util::codec::{Decoder, Encoder};
+
+use crate::caches::Speech;
+use crate::http::{HttpCodec, HttpError, Request, Response};
+use crate::messages::{Outgoing, Verb, Verdict};
+use crate::resp::{with_time_left, LARGEST_BULK};
+use crate::stages::relay;
+
+#[derive(Debug)]
+pub struct OriginCodec {
+    http: HttpCodec,
+    host: Bytes,
+}
+
+impl Decoder for OriginCodec {
+    type Item = Response;
+    type Error = HttpError;
+
+    fn decode(&mut self, src: &mut BytesMut) -> Result<Option<Response>, HttpError> {
+        self.http.decode(src)
+    }
+    fn decode_eof(&mut self, src: &mut BytesMut) -> Result<Option<Response>, HttpError> {
+        self.http.decode_eof(src)
+    }
+}
+
+impl Encoder<Outgoing> for OriginCodec {
+    type Error = HttpError;
+
+    fn encode(&mut self, outgoing: Outgoing, dst: &mut BytesMut) -> Result<(), HttpError> {
+        let Outgoing { command, left_ms } = outgoing;
+        let (method, body) = match command.verb {
+            Verb::Get => ("GET", None),
+            Verb::Set => ("PUT", Some(command.value.unwrap_or_default())),
+        };
+        let info = Bytes::from(with_time_left(&command.info, left_ms));
+        let headers = vec![("Host", self.host.clone()), ("Request-Id", command.id), ("Request-Info", info)];
+        self.http.encode(Request { method, target: target(&command.key), headers, body }, dst)
+    }
+}
+
+/// Danger: a key with a space or a line break in it would end the request line and begin another request.
+fn target(key: &[u8]) -> String {
+    let mut target = String::with_capacity(key.len() + 1);
+    target.push('/');
+    for byte in key {
+        match byte {
+            b'A'..=b'Z' | b'a'..=b'z' | b'0'..=b'9' | b'-' | b'.' | b'_' | b'~' => {
+                target.push(char::from(*byte))
+            }
+            other => {
+                // Writing to a String cannot fail.
+                let _ = write!(target, "%{other:02X}");
+            }
+        }
+    }
+    target
+}
+
+impl Speech for OriginCodec {
+    fn new(address: SocketAddr) -> Self {
+        OriginCodec { http: HttpCodec::new(LARGEST_BULK), host: Bytes::from(address.to_string()) }
+    }
+
+    fn verdict(reply: Response, report: &[String]) -> (Verdict, bool) {
+        let outcome = match reply.status {
+            200 => Outcome::Served,
+            503 | 504 if reply.not_started => Outcome::Full,
+            _ => Outcome::Errored,
+        };
+        let load = reply.load.map_or(Load::default(), |text| relay::load_report(&text, report));
+        let value = (outcome == Outcome::Served).then_some(reply.body);
+        (Verdict { outcome, note: Note::None, load, value }, !reply.last)
+    }
+}
--- /dev/null
+++ b/crates/stairfront/src/server.rs
@@ -0,0 +1,69 @@
+//! Puts the parts together on one single-threaded runtime.
+use std::cell::Cell;
+use std::io;
+use std::rc::Rc;
+
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, watch, Notify};
+use tokio::task::{spawn_local, LocalSet};
+use tracing::info;
+
+use crate::caches::{Pool, PoolLimits};
+use crate::clients::{self, Context};
+use crate::clock::{duration, Clock};
+use crate::config::Config;
+use crate::counters::Counters;
+use crate::discovery::Watch;
+use crate::engine::Engine;
+use crate::shutdown::{watch_signals, Phase};
+
+/// Messages that may wait for the engine; senders wait beyond that. Each is handled in some microseconds.
+const INBOX: usize = 1024;
+
+/// Serves until told to stop.
+pub fn run(config: Config) -> io::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(LocalSet::new().run_until(async {
+        let listener = TcpListener::bind(config.listen).await?;
+        let (phase, phases) = watch::channel(Phase::Running);
+        let signals = spawn_local(watch_signals(phase));
+        serve(config, listener, phases).await;
+        signals.abort();
+        Ok(())
+    }))
+}
+
+/// Serves until the phase says to close and all that was taken is answered.
+pub async fn serve(config: Config, listener: TcpListener, phase: watch::Receiver<Phase>) {
+    let Config { name, discovery, seed, sockets, known, start, .. } = config;
+    let (inbox, inputs) = mpsc::channel(INBOX);
+    let (ready, is_ready) = watch::channel(false);
+    let counters = Rc::new(Counters::default());
+    let clock = Clock::start();
+    let limits = PoolLimits {
+        connections: sockets.servers,
+        connect_timeout: duration(start.settings.limits.connect_timeout),
+        servers_idle_limit: duration(start.host.idle),
+    };
+    let pool = Pool::new(limits, start.names.report.clone(), inbox.clone(), Rc::clone(&counters));
+    let watch = Watch::new(discovery, start.names.clone(), known.index, inbox.clone());
+    let context = Rc::new(Context {
+        inbox,
+        names: start.names.clone(),
+        classes: start.settings.classes.clone(),
+        clock,
+        counters: Rc::clone(&counters),
+        ready: is_ready,
+        phase,
+        crowded: Notify::new(),
+        next_id: Cell::new(0),
+    });
+    let engine = Engine::new(start, seed, clock, pool, Rc::clone(&counters), ready);
+    info!("{name} serves on {:?} with {} known servers", listener.local_addr(), known.lines.len());
+    let watching = spawn_local(watch.run());
+    let deciding = spawn_local(engine.run(known, inputs));
+    clients::serve(listener, context, sockets.clients).await;
+    watching.abort();
+    deciding.abort();
+    info!("stopped: {}", counters.to_string().trim_end().replace("\r\n", " "));
+}
--- /dev/null
+++ b/crates/stairfront/src/shutdown.rs
@@ -0,0 +1,48 @@
+//! The end of a balancer's life: SIGTERM, and the phases that follow.
+use std::io;
+use std::time::Duration;
+
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::watch;
+use tokio::time::sleep;
+use tracing::info;
+
+/// New connections go on coming for 0.2 to 0.4 s after SIGTERM; those accepted by the machine must be served.
+const STILL_COMING: Duration = Duration::from_millis(500);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    Running,
+    /// Connections are still accepted, and closed between requests.
+    Draining,
+    /// The listener is closed; what is open is answered.
+    Closing,
+}
+
+impl Phase {
+    /// Whether a client connection between requests is closed now; `used` if it has carried one before.
+    pub fn ends(self, used: bool) -> bool {
+        match self {
+            Phase::Running => false,
+            Phase::Draining => used,
+            Phase::Closing => true,
+        }
+    }
+}
+
+/// Moves the phase on at SIGTERM (or SIGINT, for a person at a terminal).
+pub async fn watch_signals(phase: watch::Sender<Phase>) -> io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    info!("told to stop: closing connections between requests");
+    phase.send_replace(Phase::Draining);
+    sleep(STILL_COMING).await;
+    phase.send_replace(Phase::Closing);
+    // The receivers' side ends the run; until then the phase must stay known.
+    phase.closed().await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/stairfront/src/stages/admit.rs
@@ -0,0 +1,62 @@
+//! Second stage: a request gets its place in the table of open requests.
+use rustc_hash::FxHashMap;
+use stairfront_policy::interface::{CacheId, Request, RequestId};
+use tokio::sync::oneshot;
+
+use crate::messages::{Answer, Arrival, Command};
+
+/// Most bytes of keys and values that open requests may hold together: a third of the smallest memory limit.
+const MOST_BYTES: usize = 64 * 1024 * 1024;
+
+/// An attempt whose end has not been heard.
+pub struct Out {
+    pub number: u8,
+    /// Used to have the attempt ended early.
+    pub cancel: Option<oneshot::Sender<()>>,
+}
+
+/// A send that waits for the end of an attempt that was just cancelled.
+#[derive(Clone, Copy)]
+pub struct Deferred {
+    pub number: u8,
+    pub cache: CacheId,
+    pub timeout: stairfront_policy::interface::Micros,
+}
+
+/// An open request, from admission until it is answered and its last attempt has ended.
+pub struct Open {
+    pub command: Command,
+    /// None once answered, or when the client has left.
+    pub answer: Option<oneshot::Sender<Answer>>,
+    pub sent: u8,
+    pub out: Vec<Out>,
+    pub deferred: Option<Deferred>,
+}
+
+/// The open requests; each is taken off in one place, `book`.
+pub struct Table {
+    pub open: FxHashMap<RequestId, Open>,
+    pub bytes: usize,
+    most: usize,
+}
+
+impl Table {
+    pub fn new(most: usize) -> Self {
+        Table { open: FxHashMap::default(), bytes: 0, most }
+    }
+
+    /// Enters a request. One too many is answered at once: memory has an end.
+    pub fn admit(&mut self, arrival: Arrival) -> Option<Request> {
+        let Arrival { request, command, answer } = arrival;
+        let bytes = command.bytes();
+        if self.open.len() >= self.most || self.bytes + bytes > MOST_BYTES {
+            // A client that has left needs no answer.
+            let _ = answer.send(Answer::Busy { after_ms: None });
+            return None;
+        }
+        self.bytes += bytes;
+        let open = Open { command, answer: Some(answer), sent: 0, out: Vec::new(), deferred: None };
+        self.open.insert(request.id, open);
+        Some(request)
+    }
+}
--- /dev/null
+++ b/crates/stairfront/src/stages/relay.rs
@@ -0,0 +1,55 @@
+//! Fifth stage: the end of an attempt is passed on, its value to the client, its outcome to the decision module.
+use stairfront_policy::interface::{Load, RequestId, Settled};
+
+use crate::clock::micros;
+use crate::messages::{Answer, AttemptEnd};
+use crate::stages::admit::Table;
+
+/// Load reports hold four values at most.
+const MOST_VALUES: usize = 4;
+
+impl Table {
+    /// Gives the client its final answer; false if it has had one or has left.
+    pub fn answer(&mut self, request: RequestId, answer: Answer) -> bool {
+        let sender = self.open.get_mut(&request).and_then(|open| open.answer.take());
+        // A client that left in this moment is told of by its connection.
+        sender.is_some_and(|sender| sender.send(answer).is_ok())
+    }
+
+    /// What the decision module hears; the first value goes to the client and ends the request.
+    pub fn relay(&mut self, end: &AttemptEnd) -> Settled {
+        let id = end.attempt.request;
+        if let Some(open) = self.open.get_mut(&id) {
+            open.out.retain(|out| out.number != end.attempt.number);
+        }
+        if let Some(value) = &end.verdict.value {
+            self.answer(id, Answer::Value(value.clone()));
+        }
+        Settled {
+            id,
+            attempt: end.attempt.number,
+            cache: end.cache,
+            outcome: end.verdict.outcome,
+            closed: self.open.get(&id).is_none_or(|open| open.answer.is_none()),
+            elapsed: micros(end.sent_at.elapsed()),
+            note: end.verdict.note,
+            load: end.verdict.load,
+        }
+    }
+}
+
+/// A report such as `inflight=7,queue=2`, in the order in which the settings name the fields.
+pub fn load_report(text: &[u8], fields: &[String]) -> Load {
+    let mut load = Load::default();
+    let read = |pair: &[u8], field: &String| {
+        let value = pair.strip_prefix(field.as_bytes())?.strip_prefix(b"=")?;
+        std::str::from_utf8(value).ok()?.parse::<f32>().ok()
+    };
+    for (i, field) in fields.iter().enumerate().take(MOST_VALUES) {
+        if let Some(value) = text.split(|b| *b == b',').find_map(|pair| read(pair, field)) {
+            load.values[i] = value;
+            load.len = fields.len().min(MOST_VALUES) as u8;
+        }
+    }
+    load
+}
--- /dev/null
+++ b/crates/stairfront/src/stages/route.rs
@@ -0,0 +1,16 @@
+//! Third stage: the decision module is told and asked.
+use std::panic::{catch_unwind, AssertUnwindSafe};
+
+use stairfront_policy::interface::{Action, Event, Micros};
+use stairfront_policy::Policy;
+use tracing::error;
+
+/// Hands one event over. Danger: a panic in a decision would end every request in flight; it is logged, what was
+/// decided before it is carried out, and false returned.
+pub fn route(policy: &mut Policy, now: Micros, event: Event<'_>, actions: &mut Vec<Action>) -> bool {
+    let decided = catch_unwind(AssertUnwindSafe(|| policy.handle(now, event, actions)));
+    if decided.is_err() {
+        error!("the decision module panicked on {event:?}");
+    }
+    decided.is_ok()
+}
--- /dev/null
+++ b/crates/stairfront/src/stages/send.rs
@@ -0,0 +1,68 @@
+//! Fourth stage: a send that was decided becomes a job for the pool of connections.
+use stairfront_policy::interface::{CacheId, Micros, Outcome, RequestId};
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+use crate::caches::Job;
+use crate::clock::duration;
+use crate::messages::{AttemptEnd, AttemptId, Verdict};
+use crate::stages::admit::{Deferred, Out, Table};
+
+pub enum Sending {
+    Job(Job),
+    /// Over before it began: the request has ended or its time is up.
+    Ended(AttemptEnd),
+    /// Sent as soon as a cancelled attempt's connection has ended.
+    Deferred,
+}
+
+impl Table {
+    pub fn send(&mut self, request: RequestId, cache: CacheId, timeout: Micros, most: u8) -> Sending {
+        let Some(open) = self.open.get_mut(&request) else {
+            let attempt = AttemptId { request, number: 0 };
+            return Sending::Ended(moot(attempt, cache));
+        };
+        let number = open.sent;
+        open.sent = open.sent.saturating_add(1);
+        if open.answer.is_none() || number >= most || timeout < 0 {
+            return Sending::Ended(moot(AttemptId { request, number }, cache));
+        }
+        // Danger: two attempts of one request must not be out at once, and a cancelled one is out until its
+        // connection is closed.
+        if open.out.iter().any(|out| out.cancel.is_none()) {
+            open.deferred = Some(Deferred { number, cache, timeout });
+            return Sending::Deferred;
+        }
+        Sending::Job(job(open, AttemptId { request, number }, cache, timeout))
+    }
+
+    /// The send that waited for the end of a cancelled attempt.
+    pub fn send_deferred(&mut self, request: RequestId) -> Option<Job> {
+        let open = self.open.get_mut(&request)?;
+        if open.out.iter().any(|out| out.cancel.is_none()) {
+            return None;
+        }
+        let Deferred { number, cache, timeout } = open.deferred.take()?;
+        Some(job(open, AttemptId { request, number }, cache, timeout))
+    }
+
+    pub fn cancel(&mut self, request: RequestId, number: u8) {
+        let outs = self.open.get_mut(&request).map(|open| &mut open.out);
+        if let Some(out) = outs.and_then(|outs| outs.iter_mut().find(|out| out.number == number)) {
+            // An attempt that has just ended needs no cancelling.
+            let _ = out.cancel.take().map(|cancel| cancel.send(()));
+        }
+    }
+}
+
+fn job(open: &mut super::admit::Open, attempt: AttemptId, cache: CacheId, timeout: Micros) -> Job {
+    let (cancel, cancelled) = oneshot::channel();
+    open.out.push(Out { number: attempt.number, cancel: Some(cancel) });
+    let sent_at = Instant::now();
+    let give_up = sent_at + duration(timeout);
+    Job { attempt, cache, command: open.command.clone(), sent_at, give_up, cancel: cancelled }
+}
+
+fn moot(attempt: AttemptId, cache: CacheId) -> AttemptEnd {
+    AttemptEnd { attempt, cache, sent_at: Instant::now(), verdict: Verdict::bare(Outcome::Moot) }
+}
--- /dev/null
+++ b/crates/stairfront/src/stages/take_in.rs
@@ -0,0 +1,106 @@
+//! First stage: a client's command becomes a request, or is answered on the spot.
+use bytes::Bytes;
+use stairfront_policy::interface::{ClassId, Key, Micros, Request, RequestId, TenantId, MS};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::clients::Context;
+use crate::messages::{Answer, Command, Verb};
+
+/// Longest key, id or list of names and values. They go on in an HTTP head, which servers bound.
+const LONGEST_WORD: usize = 1024;
+/// Longest time that a client can say it waits; more is taken for this.
+const LONGEST_WAIT_MS: u64 = 3_600_000;
+
+const BAD_COMMAND: &str = "ERR invalid arguments";
+const UNKNOWN_COMMAND: &str = "ERR unknown command";
+const UNKNOWN_CLASS: &str = "ERR unknown class";
+const NOT_READY: &str = "LOADING discovery has not been heard yet";
+
+pub enum Taken {
+    Request {
+        command: Command,
+        request: Request,
+    },
+    Answered(Answer),
+    /// The client asked for the end of the connection after this answer.
+    Last(Answer),
+}
+
+pub fn take_in(words: Vec<Bytes>, context: &Context) -> Taken {
+    let Some(name) = words.first().map(|word| word.to_ascii_uppercase()) else {
+        return reject(context, BAD_COMMAND);
+    };
+    let verb = match &name[..] {
+        b"C.GET" => Verb::Get,
+        b"C.SET" => Verb::Set,
+        b"PING" if *context.ready.borrow() => return Taken::Answered(Answer::Pong),
+        b"PING" => return Taken::Answered(Answer::Error(NOT_READY)),
+        b"INFO" => return Taken::Answered(Answer::Text(context.counters.to_string())),
+        b"CLIENT" | b"SELECT" => return Taken::Answered(Answer::Ok),
+        b"QUIT" => return Taken::Last(Answer::Ok),
+        _ => return reject(context, UNKNOWN_COMMAND),
+    };
+    let Some(command) = command(verb, words) else { return reject(context, BAD_COMMAND) };
+    match request(&command, context) {
+        Ok(request) => Taken::Request { command, request },
+        Err(problem) => reject(context, problem),
+    }
+}
+
+fn reject(context: &Context, problem: &'static str) -> Taken {
+    context.counters.rejected.add();
+    Taken::Answered(Answer::Error(problem))
+}
+
+fn command(verb: Verb, words: Vec<Bytes>) -> Option<Command> {
+    let mut words = words.into_iter().skip(1);
+    let (key, id, info) = (words.next()?, words.next()?, words.next()?);
+    let value = words.next();
+    let whole = value.is_some() == (verb == Verb::Set) && words.next().is_none();
+    let fit = [&key, &id, &info].iter().all(|word| is_word(word));
+    (whole && fit).then_some(Command { verb, key, id, info, value })
+}
+
+/// Danger: a line break or another control character would break out of the HTTP head in which it goes on.
+fn is_word(word: &[u8]) -> bool {
+    (1..=LONGEST_WORD).contains(&word.len()) && word.iter().all(u8::is_ascii_graphic)
+}
+
+fn request(command: &Command, context: &Context) -> Result<Request, &'static str> {
+    let now = context.clock.now();
+    let (mut class, mut tenant, mut wait, mut repeat) = (None, TenantId(0), None, false);
+    for pair in command.info.split(|b| *b == b',') {
+        match pair {
+            [b'c', b'=', name @ ..] => class = position(&context.names.classes, name),
+            // A tenant that the settings do not know has no share; it is not mixed up with another's.
+            [b't', b'=', name @ ..] => {
+                let known = position(&context.names.tenants, name).and_then(|i| u32::try_from(i).ok());
+                tenant = TenantId(known.unwrap_or(u32::MAX));
+            }
+            [b'd', b'=', ms @ ..] => wait = Some(milliseconds(ms).ok_or(BAD_COMMAND)?),
+            [b'r', b'=', mark @ ..] => repeat = mark == b"1",
+            _ => {}
+        }
+    }
+    let class = class.and_then(|i| u8::try_from(i).ok()).ok_or(UNKNOWN_CLASS)?;
+    let deadline = context.classes.get(usize::from(class)).map(|c| c.deadline).ok_or(UNKNOWN_CLASS)?;
+    Ok(Request {
+        id: RequestId(0),
+        class: ClassId(class),
+        tenant,
+        key: Some(Key(xxh3_64(&command.key))),
+        expires: now + wait.unwrap_or(deadline),
+        write: command.verb == Verb::Set,
+        repeat,
+    })
+}
+
+fn position(names: &[String], name: &[u8]) -> Option<usize> {
+    names.iter().position(|known| known.as_bytes() == name)
+}
+
+/// Whole or fractional milliseconds.
+fn milliseconds(text: &[u8]) -> Option<Micros> {
+    let ms = std::str::from_utf8(text).ok()?.parse::<f64>().ok()?;
+    (ms >= 0.0).then(|| (ms.min(LONGEST_WAIT_MS as f64) * MS as f64) as Micros)
+}
