--- /dev/null
+++ b/crates/stairfront/tests/caches.rs
@@ -0,0 +1,212 @@
+//! The servers' side: how attempts end, and what becomes of their connections.
+mod common;
+
+use std::net::SocketAddr;
+
+use common::{bulk, cache, command, commands, count, dead_address, hit, http, line, miss, ms, origin};
+use common::{quiet_agent, run, Balancer, Log, Seen, Step};
+use tokio::time::sleep;
+
+async fn with(log: &Log, lines: &[(&str, SocketAddr, &str)]) -> Balancer {
+    let agent = quiet_agent(log).await;
+    let lines: Vec<_> = lines.iter().map(|(name, address, kind)| line(name, *address, kind)).collect();
+    Balancer::start(agent, &lines).await
+}
+
+async fn counted(balancer: &Balancer, wanted: &str) {
+    let info = balancer.client().await.ask(&["INFO"]).await;
+    assert!(info.contains(&format!("{wanted}\r\n")), "{wanted} in {info}");
+}
+
+#[test]
+fn a_miss_is_fetched_from_the_origin_with_the_requests_own_names() {
+    run(async {
+        let log = Log::default();
+        let host = cache("cache", &log, |_, _| miss()).await;
+        let source = origin("origin", &log, |_, _| http(200, "Server-Load: throughput=3\r\n", "fresh")).await;
+        let balancer = with(&log, &[("c", host, "box"), ("o", source, "origin")]).await;
+        let mut client = balancer.client().await;
+        client.send(&command(&["C.GET", "a/b?c", "id7", "c=read,t=acme,d=900,size=12"])).await;
+        assert_eq!(client.answer().await.unwrap(), bulk("fresh"));
+        let words = &commands(&log, "origin")[0];
+        assert_eq!(words[0], "GET /a%2Fb%3Fc HTTP/1.1");
+        assert!(words.contains(&"Request-Id: id7".to_string()), "{words:?}");
+        let info = words.iter().find_map(|w| w.strip_prefix("Request-Info: ")).unwrap();
+        let (start, rest) = info.split_once(",d=").unwrap();
+        let (left, end) = rest.split_once(',').unwrap();
+        assert_eq!((start, end), ("c=read,t=acme", "size=12"));
+        assert!((1..900).contains(&left.parse::<u64>().unwrap()), "{info}");
+    });
+}
+
+#[test]
+fn a_write_goes_to_the_origin_with_its_value_as_the_body() {
+    run(async {
+        let log = Log::default();
+        let host = cache("cache", &log, |_, _| miss()).await;
+        let source = origin("origin", &log, |_, _| http(200, "", "receipt")).await;
+        let balancer = with(&log, &[("c", host, "box"), ("o", source, "origin")]).await;
+        let mut client = balancer.client().await;
+        client.send(&command(&["C.SET", "k", "1", "c=read,d=900", "the value"])).await;
+        assert_eq!(client.answer().await.unwrap(), bulk("receipt"));
+        let words = &commands(&log, "origin")[0];
+        assert_eq!((words[0].as_str(), words.last().unwrap().as_str()), ("PUT /k HTTP/1.1", "the value"));
+        assert_eq!(commands(&log, "cache").len(), 0);
+    });
+}
+
+#[test]
+fn the_origins_words_are_told_apart() {
+    run(async {
+        for (status, headers, counter) in [
+            (500, "", "attempts_errored:1"),
+            (503, "Not-Started: 1\r\n", "attempts_full:1"),
+            (504, "Not-Started: 1\r\n", "attempts_full:1"),
+            (503, "", "attempts_errored:1"),
+        ] {
+            let log = Log::default();
+            let host = cache("cache", &log, |_, _| miss()).await;
+            let source = origin("origin", &log, move |n, _| match n {
+                0 => http(status, headers, ""),
+                _ => http(200, "", "later"),
+            });
+            let source = source.await;
+            let balancer = with(&log, &[("c", host, "box"), ("o", source, "origin")]).await;
+            balancer.client().await.get("k", "1", 900).await;
+            counted(&balancer, counter).await;
+        }
+    });
+}
+
+#[test]
+fn a_refused_connection_never_ran_and_the_other_cache_serves() {
+    run(async {
+        let log = Log::default();
+        let live = cache("live", &log, |_, _| hit("v")).await;
+        let balancer = with(&log, &[("c1", dead_address().await, "box"), ("c2", live, "box")]).await;
+        let mut client = balancer.client().await;
+        for i in 0..8 {
+            assert_eq!(client.get(&format!("key{i}"), "1", 900).await, bulk("v"));
+        }
+        let info = client.ask(&["INFO"]).await;
+        assert!(!info.contains("attempts_connect_failed:0\r\n"), "{info}");
+        assert!(info.contains("attempts_reset:0\r\n"), "{info}");
+    });
+}
+
+#[test]
+fn a_connection_that_ends_after_the_request_was_written_is_a_reset() {
+    run(async {
+        let log = Log::default();
+        let script = |n: usize, _: &[String]| if n == 0 { Step::End } else { hit("v") };
+        let (one, two) = (cache("one", &log, script).await, cache("two", &log, script).await);
+        let balancer = with(&log, &[("c1", one, "box"), ("c2", two, "box")]).await;
+        balancer.client().await.get("k", "1", 900).await;
+        counted(&balancer, "attempts_reset:2").await;
+    });
+}
+
+#[test]
+fn the_words_of_a_cache_are_told_apart() {
+    run(async {
+        for (reply, counter) in [
+            ("-BUSY\r\n", "attempts_full:1"),
+            ("-BUSY throughput=4\r\n", "attempts_full:1"),
+            ("-ERR failed throughput=4\r\n", "attempts_errored:1"),
+            ("*3\r\n$-1\r\n$7\r\npending\r\n$12\r\nthroughput=4\r\n", "attempts_missed:1"),
+            ("*1\r\n$1\r\nv\r\n", "attempts_served:1"),
+            ("+OK\r\n", "attempts_errored:1"),
+            ("?\r\n", "attempts_reset:1"),
+        ] {
+            let log = Log::default();
+            let host = cache("cache", &log, |_, _| Step::Say(reply.as_bytes().to_vec())).await;
+            let balancer = with(&log, &[("c", host, "box")]).await;
+            balancer.client().await.get("k", "1", 900).await;
+            counted(&balancer, counter).await;
+        }
+    });
+}
+
+#[test]
+fn a_silent_attempt_ends_with_its_connection_and_late_bytes_reach_nobody() {
+    run(async {
+        let log = Log::default();
+        let host = cache("cache", &log, |n, words| match (n, hit(&words[2])) {
+            (0, Step::Say(late)) => Step::After(ms(250), late),
+            (_, step) => step,
+        });
+        let balancer = with(&log, &[("c", host.await, "box")]).await;
+        let mut client = balancer.client().await;
+        assert!(client.get("k", "first", 150).await.starts_with("-BUSY"));
+        // Its attempt has timed out and must be over at the cache: the next request comes on a new connection.
+        sleep(ms(50)).await;
+        assert_eq!(client.get("k", "second", 900).await, bulk("second"));
+        sleep(ms(200)).await;
+        assert_eq!(client.get("k", "third", 900).await, bulk("third"));
+        let seen = log.borrow().clone();
+        let at = |wanted: &dyn Fn(&Seen) -> bool| seen.iter().position(wanted);
+        let ended = at(&|seen| *seen == Seen::Ended("cache")).unwrap();
+        let second =
+            at(&|seen| matches!(seen, Seen::Command("cache", words) if words[2] == "second")).unwrap();
+        assert!(ended < second, "{seen:?}");
+        assert_eq!(count(&log, &Seen::Opened("cache")), 2);
+        assert_eq!(count(&log, &Seen::Ended("cache")), 1);
+        counted(&balancer, "attempts_timed_out:1").await;
+    });
+}
+
+#[test]
+fn warm_connections_are_used_again_and_closed_before_the_hosts_own_limit() {
+    run(async {
+        let log = Log::default();
+        let (agent, host) = (quiet_agent(&log).await, cache("cache", &log, |_, _| hit("v")).await);
+        let short = |text: &mut serde_json::Value| text["settings"]["caps"]["keepalive"] = 200.0.into();
+        let balancer = Balancer::start_with(agent, &[line("c", host, "box")], short).await;
+        let mut client = balancer.client().await;
+        for i in 0..5 {
+            assert_eq!(client.get("k", &i.to_string(), 900).await, bulk("v"));
+        }
+        assert_eq!(count(&log, &Seen::Opened("cache")), 1);
+        sleep(ms(190)).await;
+        assert_eq!(count(&log, &Seen::Ended("cache")), 1, "closed at four fifths of the limit");
+        assert_eq!(client.get("k", "6", 900).await, bulk("v"));
+        assert_eq!(count(&log, &Seen::Opened("cache")), 2);
+    });
+}
+
+#[test]
+fn a_connection_that_the_host_has_closed_is_not_used_again() {
+    run(async {
+        let log = Log::default();
+        let host = cache("cache", &log, |_, words| match hit(&words[1]) {
+            // Answers and then ends: the answer to a second command on it would never come.
+            Step::Say(bytes) => Step::Say([&bytes[..], b"-ERR going away\r\n"].concat()),
+            step => step,
+        });
+        let balancer = with(&log, &[("c", host.await, "box")]).await;
+        let mut client = balancer.client().await;
+        for i in 0..4 {
+            let key = format!("k{i}");
+            assert_eq!(client.get(&key, "1", 900).await, bulk(&key));
+            sleep(ms(10)).await;
+        }
+        assert_eq!(count(&log, &Seen::Opened("cache")), 4);
+        counted(&balancer, "attempts_reset:0").await;
+    });
+}
+
+#[test]
+fn values_up_to_the_protocols_limit_go_both_ways() {
+    run(async {
+        let log = Log::default();
+        let large = "x".repeat(64 * 1024);
+        let (value, body) = (large.clone(), large.clone());
+        let host = cache("cache", &log, move |_, _| hit(&value)).await;
+        let source = origin("origin", &log, move |_, words| http(200, "", words.last().unwrap())).await;
+        let balancer = with(&log, &[("c", host, "box"), ("o", source, "origin")]).await;
+        let mut client = balancer.client().await;
+        assert_eq!(client.get("k", "1", 900).await, bulk(&large));
+        client.send(&command(&["C.SET", "k", "2", "c=read,d=900", &body])).await;
+        assert_eq!(client.answer().await.unwrap(), bulk(&large));
+    });
+}
--- /dev/null
+++ b/crates/stairfront/tests/clients.rs
@@ -0,0 +1,214 @@
+//! The client's side: order of answers, broken input, clients that leave, and the limit on connections.
+mod common;
+
+use std::rc::Rc;
+use std::time::Instant;
+
+use common::{
+    bulk, cache, command, commands, config, count, get, hit, line, ms, quiet_agent, run, Balancer, Client,
+};
+use common::{Log, Seen, Step};
+use tokio::io::AsyncWriteExt;
+use tokio::time::sleep;
+
+/// A cache whose value is the key, slow for keys that begin with `slow`.
+fn echo(_: usize, words: &[String]) -> Step {
+    let value = words[1].clone();
+    match hit(&value) {
+        Step::Say(bytes) if value.starts_with("slow") => Step::After(ms(150), bytes),
+        step => step,
+    }
+}
+
+async fn echoing(log: &Log) -> Balancer {
+    let (agent, host) = (quiet_agent(log).await, cache("cache", log, echo).await);
+    Balancer::start(agent, &[line("c", host, "box")]).await
+}
+
+#[test]
+fn a_command_split_at_every_byte_is_served() {
+    run(async {
+        let log = Log::default();
+        let balancer = echoing(&log).await;
+        let mut client = balancer.client().await;
+        for byte in get("k", "1", 1000) {
+            client.send(&[byte]).await;
+            tokio::task::yield_now().await;
+        }
+        assert_eq!(client.answer().await.unwrap(), bulk("k"));
+        let sent = &commands(&log, "cache")[0];
+        assert_eq!(sent[..3], ["C.GET", "k", "1"]);
+        assert!(sent[3].starts_with("c=read,t=acme,d="), "{sent:?}");
+    });
+}
+
+#[test]
+fn pipelined_answers_come_in_the_order_of_their_commands() {
+    run(async {
+        let balancer = echoing(&Log::default()).await;
+        let mut client = balancer.client().await;
+        let mut batch = get("slow", "1", 1000);
+        batch.extend(get("quick", "2", 1000));
+        batch.extend(command(&["PING"]));
+        batch.extend(command(&["NONSENSE"]));
+        client.send(&batch).await;
+        for wanted in [bulk("slow"), bulk("quick"), "+PONG\r\n".into(), "-ERR unknown command\r\n".into()] {
+            assert_eq!(client.answer().await.unwrap(), wanted);
+        }
+    });
+}
+
+#[test]
+fn malformed_input_costs_that_connection_alone_and_nothing_that_came_before_it() {
+    run(async {
+        let balancer = echoing(&Log::default()).await;
+        let mut other = balancer.client().await;
+        let too_long = format!("*4\r\n${}\r\n", 64 * 1024 + 1);
+        let endless = vec![b'*'; 4096];
+        for broken in
+            [&b"GET / HTTP/1.1\r\n\r\n"[..], b"*1\r\n+x\r\n", b"*99\r\n", too_long.as_bytes(), &endless]
+        {
+            let mut client = balancer.client().await;
+            client.send(&get("slow", "1", 1000)).await;
+            client.send(broken).await;
+            assert_eq!(client.answer().await.unwrap(), bulk("slow"));
+            assert_eq!(client.answer().await.unwrap(), "-ERR Protocol error\r\n");
+            assert_eq!(client.answer().await, None);
+            assert_eq!(other.get("k", "2", 1000).await, bulk("k"));
+        }
+    });
+}
+
+#[test]
+fn unfit_arguments_get_an_error_and_the_connection_goes_on() {
+    run(async {
+        let log = Log::default();
+        let balancer = echoing(&log).await;
+        let mut client = balancer.client().await;
+        let unfit: [&[&str]; 6] = [
+            &["C.GET", "k"],
+            &["C.GET", "k", "1", "c=unheard,d=100"],
+            &["C.GET", "k", "1", "c=read,d=soon"],
+            &["C.GET", "k\r\nX: y", "1", "c=read,d=100"],
+            &["C.GET", "k", "1", "c=read\r\nX: y,d=100"],
+            &["C.SET", "k", "1", "c=read,d=100"],
+        ];
+        for words in unfit {
+            assert!(client.ask(words).await.starts_with("-ERR "), "{words:?}");
+        }
+        assert_eq!(commands(&log, "cache").len(), 0);
+        assert_eq!(client.get("k", "1", 1000).await, bulk("k"));
+    });
+}
+
+#[test]
+fn a_client_that_leaves_costs_no_answer_and_no_connection_to_the_cache() {
+    run(async {
+        let log = Log::default();
+        let balancer = echoing(&log).await;
+        let mut half_closed = balancer.client().await;
+        half_closed.send(&get("slow", "1", 1000)).await;
+        sleep(ms(30)).await;
+        half_closed.socket.shutdown().await.unwrap();
+        let mut closed = balancer.client().await;
+        closed.send(&get("slow2", "2", 1000)).await;
+        sleep(ms(30)).await;
+        drop(closed);
+        sleep(ms(200)).await;
+        let mut client = balancer.client().await;
+        let info = client.ask(&["INFO"]).await;
+        for wanted in ["taken_in:2\r\n", "client_gone:2\r\n", "served:0\r\n", "client_connections_open:1\r\n"]
+        {
+            assert!(info.contains(wanted), "{wanted:?} in {info}");
+        }
+        // Both attempts ended as usual, and their connections serve on.
+        assert!(info.contains("attempts_served:2\r\n"), "{info}");
+        assert_eq!(client.get("k", "3", 1000).await, bulk("k"));
+        assert_eq!(count(&log, &Seen::Opened("cache")), 2);
+    });
+}
+
+#[test]
+fn a_request_that_no_server_answers_is_answered_in_the_clients_time() {
+    run(async {
+        let log = Log::default();
+        let (agent, host) = (quiet_agent(&log).await, cache("cache", &log, |_, _| Step::Silence).await);
+        let balancer = Balancer::start(agent, &[line("c", host, "box")]).await;
+        let mut client = balancer.client().await;
+        let start = Instant::now();
+        assert_eq!(client.get("k", "1", 300).await, "-BUSY 1500\r\n");
+        assert!(start.elapsed() < ms(300), "{:?}", start.elapsed());
+    });
+}
+
+#[test]
+fn more_clients_than_places_are_all_served_as_idle_connections_make_room() {
+    run(async {
+        let log = Log::default();
+        let (agent, host) = (quiet_agent(&log).await, cache("cache", &log, echo).await);
+        let few = |text: &mut serde_json::Value| text["limits"]["sockets"] = 40.into();
+        let balancer = Balancer::start_with(agent, &[line("c", host, "box")], few).await;
+        let mut idle = Vec::new();
+        for i in 0..60 {
+            let mut client = balancer.client().await;
+            assert_eq!(client.get("k", &i.to_string(), 1000).await, bulk("k"));
+            idle.push(client);
+        }
+        let info = balancer.client().await.ask(&["INFO"]).await;
+        assert!(info.contains("client_connections_open:8\r\n"), "{info}");
+    });
+}
+
+#[test]
+fn more_requests_than_sockets_wait_for_one_and_are_served() {
+    run(async {
+        let log = Log::default();
+        let agent = quiet_agent(&log).await;
+        let (one, two) = (cache("one", &log, echo).await, cache("two", &log, echo).await);
+        let few = |text: &mut serde_json::Value| text["limits"]["sockets"] = 40.into();
+        let lines = [line("c1", one, "box"), line("c2", two, "box")];
+        let balancer = Rc::new(Balancer::start_with(agent, &lines, few).await);
+        let mut tasks = Vec::new();
+        for i in 0..6 {
+            let mut client = balancer.client().await;
+            tasks.push(tokio::task::spawn_local(async move {
+                // Two at a time to each of many keys: eight sockets serve twelve requests.
+                let keys = [format!("slow{i}a"), format!("slow{i}b")];
+                for key in &keys {
+                    client.send(&get(key, key, 1400)).await;
+                }
+                for key in &keys {
+                    assert_eq!(client.answer().await.unwrap(), bulk(key));
+                }
+            }));
+        }
+        for task in tasks {
+            task.await.unwrap();
+        }
+        let info = balancer.client().await.ask(&["INFO"]).await;
+        assert!(info.contains("served:12\r\n"), "{info}");
+        let opened = count(&log, &Seen::Opened("one")) + count(&log, &Seen::Opened("two"));
+        assert!(opened <= 8, "{opened} sockets to caches");
+    });
+}
+
+#[test]
+fn ping_is_answered_only_once_discovery_was_heard_or_waited_for() {
+    run(async {
+        let log = Log::default();
+        let agent = common::origin("agent", &log, |_, _| Step::Silence).await;
+        let host = cache("cache", &log, echo).await;
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let text = config(address, agent, &[line("c", host, "box")], 1024).to_string();
+        let config = stairfront::config::Config::from_text("test", &text).unwrap();
+        let (_phase, phases) = tokio::sync::watch::channel(stairfront::shutdown::Phase::Running);
+        tokio::task::spawn_local(stairfront::server::serve(config, listener, phases));
+        let mut client = Client::connect(address).await.unwrap();
+        assert!(client.ask(&["PING"]).await.starts_with("-LOADING"));
+        // Danger: a dead agent must not keep a balancer from serving.
+        sleep(ms(300)).await;
+        assert_eq!(client.ask(&["PING"]).await, "+PONG\r\n");
+        assert_eq!(client.get("k", "1", 1000).await, bulk("k"));
+    });
+}
--- /dev/null
+++ b/crates/stairfront/tests/common/mod.rs
@@ -0,0 +1,321 @@
+//! In-process stand-ins on loopback for cache hosts, the origin, discovery and clients.
+#![allow(dead_code)]
+use std::cell::RefCell;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use serde_json::{json, Value};
+use stairfront::config::Config;
+use stairfront::server;
+use stairfront::shutdown::Phase;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::{spawn_local, JoinHandle, LocalSet};
+use tokio::time::{sleep, timeout, timeout_at, Instant};
+
+/// No test waits longer: a hang is a failure.
+const LIMIT: Duration = Duration::from_secs(20);
+
+pub fn run<F: Future>(test: F) -> F::Output {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    runtime.block_on(LocalSet::new().run_until(async { timeout(LIMIT, test).await.expect("test hangs") }))
+}
+
+pub fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// What stand-ins saw, in the order in which they saw it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Seen {
+    Opened(&'static str),
+    Command(&'static str, Vec<String>),
+    Ended(&'static str),
+}
+
+pub type Log = Rc<RefCell<Vec<Seen>>>;
+
+pub fn commands(log: &Log, name: &str) -> Vec<Vec<String>> {
+    let of = |seen: &Seen| match seen {
+        Seen::Command(at, words) if *at == name => Some(words.clone()),
+        _ => None,
+    };
+    log.borrow().iter().filter_map(of).collect()
+}
+
+pub fn count(log: &Log, wanted: &Seen) -> usize {
+    log.borrow().iter().filter(|seen| *seen == wanted).count()
+}
+
+/// What a stand-in does with one command.
+#[derive(Clone)]
+pub enum Step {
+    Say(Vec<u8>),
+    After(Duration, Vec<u8>),
+    /// Keeps the connection and says nothing.
+    Silence,
+    /// Ends the connection without an answer.
+    End,
+}
+
+pub fn hit(value: &str) -> Step {
+    Step::Say(format!("*3\r\n${}\r\n{value}\r\n$3\r\nhit\r\n$-1\r\n", value.len()).into_bytes())
+}
+
+pub fn miss() -> Step {
+    Step::Say(b"*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n".to_vec())
+}
+
+pub fn http(status: u16, headers: &str, body: &str) -> Step {
+    Step::Say(
+        format!("HTTP/1.1 {status} X\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len()).into_bytes(),
+    )
+}
+
+pub type Script = Rc<dyn Fn(usize, &[String]) -> Step>;
+
+/// Takes one whole message off the front of a buffer.
+type Cut = fn(&mut Vec<u8>) -> Option<Vec<String>>;
+
+fn cut_resp(buffer: &mut Vec<u8>) -> Option<Vec<String>> {
+    fn line(buffer: &[u8], at: &mut usize) -> Option<String> {
+        let end = buffer[*at..].windows(2).position(|w| w == b"\r\n")? + *at;
+        let text = String::from_utf8(buffer[*at..end].to_vec()).unwrap();
+        *at = end + 2;
+        Some(text)
+    }
+    let mut at = 0;
+    let count: usize = line(buffer, &mut at)?.strip_prefix('*').unwrap().parse().unwrap();
+    let mut words = Vec::new();
+    for _ in 0..count {
+        let length: usize = line(buffer, &mut at)?.strip_prefix('$').unwrap().parse().unwrap();
+        let word = buffer.get(at..at + length)?;
+        words.push(String::from_utf8(word.to_vec()).unwrap());
+        buffer.get(at + length..at + length + 2)?;
+        at += length + 2;
+    }
+    buffer.drain(..at);
+    Some(words)
+}
+
+/// The lines of the head, then the body.
+fn cut_http(buffer: &mut Vec<u8>) -> Option<Vec<String>> {
+    let end = buffer.windows(4).position(|w| w == b"\r\n\r\n")? + 4;
+    let head = String::from_utf8(buffer[..end - 4].to_vec()).unwrap();
+    let mut words: Vec<String> = head.split("\r\n").map(str::to_string).collect();
+    let length =
+        words.iter().find_map(|l| l.strip_prefix("Content-Length: ")).map_or(0, |l| l.parse().unwrap());
+    let body = buffer.get(end..end + length)?.to_vec();
+    words.push(String::from_utf8(body).unwrap());
+    buffer.drain(..end + length);
+    Some(words)
+}
+
+async fn talk(mut socket: TcpStream, name: &'static str, cut: Cut, log: Log, script: Script) {
+    log.borrow_mut().push(Seen::Opened(name));
+    let mut buffer = Vec::new();
+    let mut chunk = [0; 4096];
+    'connection: loop {
+        while let Some(words) = cut(&mut buffer) {
+            let n = commands(&log, name).len();
+            log.borrow_mut().push(Seen::Command(name, words.clone()));
+            match script(n, &words) {
+                Step::Say(bytes) => socket.write_all(&bytes).await.unwrap_or_default(),
+                Step::After(wait, bytes) => {
+                    let due = Instant::now() + wait;
+                    // The end of the connection is noticed meanwhile, as a server would.
+                    while let Ok(read) = timeout_at(due, socket.read(&mut chunk)).await {
+                        match read {
+                            Ok(0) | Err(_) => break 'connection,
+                            Ok(n) => buffer.extend_from_slice(&chunk[..n]),
+                        }
+                    }
+                    socket.write_all(&bytes).await.unwrap_or_default();
+                }
+                Step::Silence => {}
+                Step::End => break 'connection,
+            }
+        }
+        match socket.read(&mut chunk).await {
+            Ok(0) | Err(_) => break,
+            Ok(n) => buffer.extend_from_slice(&chunk[..n]),
+        }
+    }
+    log.borrow_mut().push(Seen::Ended(name));
+}
+
+async fn stand_in(
+    name: &'static str,
+    cut: Cut,
+    log: &Log,
+    script: impl Fn(usize, &[String]) -> Step + 'static,
+) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (log, script): (Log, Script) = (Rc::clone(log), Rc::new(script));
+    spawn_local(async move {
+        while let Ok((socket, _)) = listener.accept().await {
+            spawn_local(talk(socket, name, cut, Rc::clone(&log), Rc::clone(&script)));
+        }
+    });
+    address
+}
+
+pub async fn cache(
+    name: &'static str,
+    log: &Log,
+    script: impl Fn(usize, &[String]) -> Step + 'static,
+) -> SocketAddr {
+    stand_in(name, cut_resp, log, script).await
+}
+
+pub async fn origin(
+    name: &'static str,
+    log: &Log,
+    script: impl Fn(usize, &[String]) -> Step + 'static,
+) -> SocketAddr {
+    stand_in(name, cut_http, log, script).await
+}
+
+/// An agent that has nothing to tell: the first call is answered, later ones are held.
+pub async fn quiet_agent(log: &Log) -> SocketAddr {
+    origin("agent", log, |n, _| match n {
+        0 => http(200, "", r#"{"index":1,"snapshot":false,"endpoints":[]}"#),
+        _ => Step::Silence,
+    })
+    .await
+}
+
+/// An address that refuses connections.
+pub async fn dead_address() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap()
+}
+
+pub fn line(name: &str, address: SocketAddr, kind: &str) -> Value {
+    json!({"name": name, "address": address.to_string(), "zone": "z", "type": kind, "group": 0,
+           "status": "SERVING", "weight": 1.0, "since_ms": 0})
+}
+
+pub fn settings() -> Value {
+    json!({
+        "areas": ["z"], "models": ["box", "origin"], "locality": 0, "me": 0, "replicas_of_me": 1, "tick": 5.0,
+        "caps": {"most_tries": 3, "connect_timeout": 250.0, "keepalive": 60000.0, "open_cap": 1000,
+                 "retry_after": true, "max_retry_after": 1500.0},
+        "family_info": {"mode": "aside", "origin_kind": 1},
+        "profiles": [{"name": "read", "aim": 750.0, "deadline": 1500.0, "semantics": "free"}],
+        "tenants": [{"name": "acme", "quota_rps": 1000.0, "share": 1.0}],
+        "report": {"fields": ["throughput"]},
+        "rules": {"answer_slack": 20.0, "stop_sending_within": 250.0, "cold_from": 0.2, "warm_up": 10000.0,
+                  "fall_multiple": 3.0, "fall": 3000.0},
+        "registry_mode": "push", "weights": "rough"
+    })
+}
+
+pub fn config(listen: SocketAddr, discovery: SocketAddr, lines: &[Value], sockets: usize) -> Value {
+    json!({
+        "name": "b0", "listen": listen.to_string(), "discovery": discovery.to_string(), "seed": "2a",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
+        "known": {"index": 1, "snapshot": true, "endpoints": lines},
+        "settings": settings()
+    })
+}
+
+pub struct Balancer {
+    pub address: SocketAddr,
+    pub phase: watch::Sender<Phase>,
+    pub done: JoinHandle<()>,
+}
+
+impl Balancer {
+    pub async fn start(discovery: SocketAddr, lines: &[Value]) -> Self {
+        Self::start_with(discovery, lines, |_| {}).await
+    }
+
+    pub async fn start_with(discovery: SocketAddr, lines: &[Value], change: impl FnOnce(&mut Value)) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let mut text = config(address, discovery, lines, 1024);
+        change(&mut text);
+        let config = Config::from_text("test", &text.to_string()).unwrap();
+        let (phase, phases) = watch::channel(Phase::Running);
+        let done = spawn_local(server::serve(config, listener, phases));
+        let balancer = Balancer { address, phase, done };
+        let mut client = balancer.client().await;
+        while client.ask(&["PING"]).await != "+PONG\r\n" {
+            sleep(ms(5)).await;
+        }
+        balancer
+    }
+
+    pub async fn client(&self) -> Client {
+        Client::connect(self.address).await.unwrap()
+    }
+}
+
+pub fn command(words: &[&str]) -> Vec<u8> {
+    let mut bytes = format!("*{}\r\n", words.len()).into_bytes();
+    for word in words {
+        bytes.extend_from_slice(format!("${}\r\n{word}\r\n", word.len()).as_bytes());
+    }
+    bytes
+}
+
+pub fn get(key: &str, id: &str, wait_ms: u64) -> Vec<u8> {
+    command(&["C.GET", key, id, &format!("c=read,t=acme,d={wait_ms}")])
+}
+
+pub struct Client {
+    pub socket: TcpStream,
+    buffer: Vec<u8>,
+}
+
+impl Client {
+    pub async fn connect(address: SocketAddr) -> std::io::Result<Self> {
+        Ok(Client { socket: TcpStream::connect(address).await?, buffer: Vec::new() })
+    }
+
+    pub async fn send(&mut self, bytes: &[u8]) {
+        self.socket.write_all(bytes).await.unwrap();
+    }
+
+    pub async fn ask(&mut self, words: &[&str]) -> String {
+        self.send(&command(words)).await;
+        self.answer().await.expect("connection ended")
+    }
+
+    pub async fn get(&mut self, key: &str, id: &str, wait_ms: u64) -> String {
+        self.send(&get(key, id, wait_ms)).await;
+        self.answer().await.expect("connection ended")
+    }
+
+    /// The next answer as it stands on the wire; none at the end of the connection.
+    pub async fn answer(&mut self) -> Option<String> {
+        let mut chunk = [0; 4096];
+        loop {
+            if let Some(end) = answer_end(&self.buffer) {
+                let answer: Vec<u8> = self.buffer.drain(..end).collect();
+                return Some(String::from_utf8(answer).unwrap());
+            }
+            match self.socket.read(&mut chunk).await {
+                Ok(0) | Err(_) => return None,
+                Ok(n) => self.buffer.extend_from_slice(&chunk[..n]),
+            }
+        }
+    }
+}
+
+fn answer_end(buffer: &[u8]) -> Option<usize> {
+    let line = buffer.windows(2).position(|w| w == b"\r\n")? + 2;
+    if buffer[0] != b'$' {
+        return Some(line);
+    }
+    let length: usize = std::str::from_utf8(&buffer[1..line - 2]).unwrap().parse().unwrap();
+    (buffer.len() >= line + length + 2).then_some(line + length + 2)
+}
+
+pub fn bulk(value: &str) -> String {
+    format!("${}\r\n{value}\r\n", value.len())
+}
--- /dev/null
+++ b/crates/stairfront/tests/discovery.rs
@@ -0,0 +1,142 @@
+//! Discovery: the list in hand at the start, the watch, bad lists, and an agent that is silent or gone.
+mod common;
+
+use common::{bulk, cache, commands, hit, http, line, ms, origin, run, Balancer, Log, Step};
+use serde_json::{json, Value};
+use stairfront::discovery::{cache_id, RawList};
+use stairfront_policy::interface::{Cell, Kind, MemberState, Zone};
+use stairfront_settings::Names;
+use tokio::time::sleep;
+
+fn targets(log: &Log) -> Vec<String> {
+    commands(log, "agent").iter().map(|words| words[0].clone()).collect()
+}
+
+fn list(index: u64, snapshot: bool, endpoints: &[Value]) -> Step {
+    http(200, "", &json!({"index": index, "snapshot": snapshot, "endpoints": endpoints}).to_string())
+}
+
+#[test]
+fn the_watch_goes_on_from_the_version_in_hand() {
+    run(async {
+        let log = Log::default();
+        let (old, new) =
+            (cache("old", &log, |_, _| hit("old")).await, cache("new", &log, |_, _| hit("new")).await);
+        let mut gone = line("c1", old, "box");
+        gone["status"] = "DELETED".into();
+        let agent = origin("agent", &log, move |n, _| match n {
+            0 => list(5, false, &[gone.clone(), line("c2", new, "box")]),
+            _ => Step::Silence,
+        });
+        let agent = agent.await;
+        let balancer = Balancer::start(agent, &[line("c1", old, "box")]).await;
+        assert_eq!(balancer.client().await.get("k", "1", 900).await, bulk("new"));
+        assert_eq!(commands(&log, "old").len(), 0);
+        let targets = targets(&log);
+        assert!(targets[0].starts_with("GET /api/targets?from=1&"), "{targets:?}");
+        assert!(targets[1].starts_with("GET /api/targets?from=5&hold_ms="), "{targets:?}");
+    });
+}
+
+#[test]
+fn who_is_missing_from_a_whole_list_gets_nothing_new_and_an_address_may_change() {
+    run(async {
+        let log = Log::default();
+        let (one, two) =
+            (cache("one", &log, |_, _| hit("one")).await, cache("two", &log, |_, _| hit("two")).await);
+        let agent = origin("agent", &log, move |n, _| match n {
+            0 => list(1, false, &[]),
+            1 => match list(2, true, &[line("c1", two, "box")]) {
+                Step::Say(bytes) => Step::After(ms(150), bytes),
+                step => step,
+            },
+            _ => Step::Silence,
+        });
+        let balancer = Balancer::start(agent.await, &[line("c1", one, "box"), line("c2", one, "box")]).await;
+        let mut client = balancer.client().await;
+        assert_eq!(client.get("k", "1", 900).await, bulk("one"));
+        sleep(ms(200)).await;
+        for i in 0..6 {
+            assert_eq!(client.get(&format!("k{i}"), "2", 900).await, bulk("two"));
+        }
+    });
+}
+
+#[test]
+fn a_bad_list_is_dropped_and_the_whole_list_asked_for() {
+    run(async {
+        for bad in [
+            http(200, "", r#"{"index":2,"snapshot":true,"endpoints":[{"name":"c1"}]}"#),
+            http(
+                200,
+                "",
+                r#"{"index":2,"snapshot":true,"endpoints":[{"name":"c1","address":"nowhere","status":"SERVING"}]}"#,
+            ),
+            http(
+                200,
+                "",
+                r#"{"index":2,"snapshot":true,"endpoints":[{"name":"c1","address":"127.0.0.1:1","status":"ODD"}]}"#,
+            ),
+            http(200, "", "not a list"),
+            http(500, "", ""),
+        ] {
+            let log = Log::default();
+            let host = cache("cache", &log, |_, _| hit("v")).await;
+            let agent = origin("agent", &log, move |n, _| match n {
+                0 => bad.clone(),
+                1 => list(9, true, &[line("c1", host, "box")]),
+                _ => Step::Silence,
+            });
+            let balancer = Balancer::start(agent.await, &[line("c1", host, "box")]).await;
+            assert_eq!(balancer.client().await.get("k", "1", 900).await, bulk("v"));
+            sleep(ms(700)).await;
+            let targets = targets(&log);
+            assert_eq!(targets[1], "GET /api/targets HTTP/1.1", "{targets:?}");
+            assert!(targets[2].starts_with("GET /api/targets?from=9&"), "{targets:?}");
+        }
+    });
+}
+
+#[test]
+fn an_agent_that_refuses_or_ends_calls_does_not_keep_the_balancer_from_serving() {
+    run(async {
+        let log = Log::default();
+        let host = cache("cache", &log, |_, _| hit("v")).await;
+        let ends = origin("agent", &log, |_, _| Step::End).await;
+        for agent in [common::dead_address().await, ends] {
+            let balancer = Balancer::start(agent, &[line("c1", host, "box")]).await;
+            assert_eq!(balancer.client().await.get("k", "1", 900).await, bulk("v"));
+        }
+        sleep(ms(350)).await;
+        // A watch goes on only if the next call comes within 200 ms.
+        assert!(targets(&log).len() >= 3, "{:?}", targets(&log));
+    });
+}
+
+#[test]
+fn a_line_of_the_list_is_read_as_the_protocol_says() {
+    let names = Names {
+        zones: vec!["a".into(), "b".into()],
+        kinds: vec!["m1".into(), "m2".into()],
+        ..Names::default()
+    };
+    let text = r#"{"index":41,"snapshot":true,"endpoints":[
+        {"name":"s-1","address":"10.1.0.18:6379","zone":"b","type":"m2","group":3,"status":"DRAINING",
+         "weight":2.0,"since_ms":1700000000123,"more":1},
+        {"name":"s-2","address":"10.1.0.19:6379","zone":"unheard","type":"unheard","status":"SERVING"}]}"#;
+    let list = serde_json::from_str::<RawList>(text).unwrap().read(&names).unwrap();
+    assert_eq!((list.index, list.full), (41, true));
+    let (one, two) = (list.lines[0].member, list.lines[1].member);
+    assert_eq!(one.id, cache_id("s-1"));
+    assert_eq!((one.zone, one.kind, one.cell), (Zone(1), Kind(1), Cell(3)));
+    assert_eq!((one.state, one.born, one.size), (MemberState::Draining, 1_700_000_000_123_000, 2.0));
+    assert_eq!((two.state, two.born), (MemberState::Ready, 0));
+    assert_ne!(two.id, one.id);
+    assert_eq!((two.zone, two.kind), (Zone(u8::MAX), Kind(u16::MAX)));
+}
+
+#[test]
+fn ids_are_the_same_everywhere() {
+    // Keys stay where they are over restarts and versions only while this holds.
+    assert_eq!(cache_id("s-5be2a07c").0, xxhash_rust::xxh3::xxh3_64(b"s-5be2a07c"));
+}
--- /dev/null
+++ b/crates/stairfront/tests/shutdown.rs
@@ -0,0 +1,140 @@
+//! A planned restart: what was taken is answered, new connections go on being served for a while, then the end.
+mod common;
+
+use std::cell::Cell;
+use std::process::{Command, Stdio};
+use std::rc::Rc;
+use std::time::Instant;
+
+use common::{
+    bulk, cache, config, dead_address, get, hit, line, ms, quiet_agent, run, Balancer, Client, Log, Step,
+};
+use stairfront::shutdown::Phase;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+fn slow(wait: u64) -> impl Fn(usize, &[String]) -> Step {
+    move |_, words| match hit(&words[1]) {
+        Step::Say(bytes) => Step::After(ms(wait), bytes),
+        step => step,
+    }
+}
+
+#[test]
+fn what_was_taken_is_answered_and_connections_close_between_requests() {
+    run(async {
+        let log = Log::default();
+        let (agent, host) = (quiet_agent(&log).await, cache("cache", &log, slow(200)).await);
+        let balancer = Balancer::start(agent, &[line("c", host, "box")]).await;
+        let mut idle = balancer.client().await;
+        assert_eq!(idle.ask(&["PING"]).await, "+PONG\r\n");
+        let mut busy = balancer.client().await;
+        busy.send(&get("k", "1", 1400)).await;
+        sleep(ms(50)).await;
+        balancer.phase.send_replace(Phase::Draining);
+        assert_eq!(idle.answer().await, None, "closed between requests");
+        // New connections still come, and their first request may be on its way.
+        let mut late = balancer.client().await;
+        sleep(ms(50)).await;
+        late.send(&get("l", "2", 1400)).await;
+        assert_eq!(busy.answer().await.unwrap(), bulk("k"));
+        assert_eq!(busy.answer().await, None);
+        balancer.phase.send_replace(Phase::Closing);
+        assert_eq!(late.answer().await.unwrap(), bulk("l"));
+        assert_eq!(late.answer().await, None);
+        balancer.done.await.unwrap();
+        assert!(Client::connect(balancer.address).await.is_err(), "the listener is closed");
+    });
+}
+
+#[test]
+fn a_client_that_never_stops_does_not_keep_it_from_ending() {
+    run(async {
+        let log = Log::default();
+        let (agent, host) = (quiet_agent(&log).await, cache("cache", &log, slow(20)).await);
+        let balancer = Balancer::start(agent, &[line("c", host, "box")]).await;
+        let mut client = balancer.client().await;
+        spawn_local(async move {
+            // Always one more command behind the one that is being answered.
+            loop {
+                client.send(&get("k", "1", 1400)).await;
+                client.send(&get("k", "2", 1400)).await;
+                if client.answer().await.is_none() {
+                    return;
+                }
+            }
+        });
+        sleep(ms(50)).await;
+        balancer.phase.send_replace(Phase::Draining);
+        balancer.phase.send_replace(Phase::Closing);
+        let start = Instant::now();
+        balancer.done.await.unwrap();
+        assert!(start.elapsed() < ms(2000));
+    });
+}
+
+#[test]
+fn sigterm_under_load_loses_nothing_and_prints_the_counters() {
+    run(async {
+        let log = Log::default();
+        let (agent, host) = (quiet_agent(&log).await, cache("cache", &log, slow(100)).await);
+        let address = dead_address().await;
+        let path = format!("{}/sigterm-{}.json", env!("CARGO_TARGET_TMPDIR"), std::process::id());
+        let text = config(address, agent, &[line("c", host, "box")], 1024).to_string();
+        std::fs::write(&path, text).unwrap();
+        let mut child = Command::new(env!("CARGO_BIN_EXE_stairfront"))
+            .env("ROUTER_CONFIG", &path)
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let mut probe = loop {
+            match Client::connect(address).await {
+                Ok(client) => break client,
+                Err(_) => sleep(ms(10)).await,
+            }
+        };
+        while probe.ask(&["PING"]).await != "+PONG\r\n" {
+            sleep(ms(10)).await;
+        }
+        let (taken, answered) = (Rc::new(Cell::new(0)), Rc::new(Cell::new(0)));
+        let mut clients = Vec::new();
+        for i in 0..8 {
+            let (taken, answered) = (Rc::clone(&taken), Rc::clone(&answered));
+            let mut client = Client::connect(address).await.unwrap();
+            clients.push(spawn_local(async move {
+                // One after the other until the connection is closed between two of them.
+                loop {
+                    let key = format!("k{i}");
+                    client.send(&get(&key, "1", 1400)).await;
+                    taken.set(taken.get() + 1);
+                    match client.answer().await {
+                        Some(answer) => assert_eq!(answer, bulk(&key)),
+                        None => return,
+                    }
+                    answered.set(answered.get() + 1);
+                    sleep(ms(5)).await;
+                }
+            }));
+        }
+        sleep(ms(250)).await;
+        let term = Command::new("kill").arg("-TERM").arg(child.id().to_string()).status().unwrap();
+        assert!(term.success());
+        for client in clients {
+            client.await.unwrap();
+        }
+        let start = Instant::now();
+        let status = loop {
+            match child.try_wait().unwrap() {
+                Some(status) => break status,
+                None => sleep(ms(10)).await,
+            }
+        };
+        assert!(status.success(), "{status}");
+        assert!(start.elapsed() < ms(1500), "{:?}", start.elapsed());
+        let output = child.wait_with_output().unwrap();
+        let printed = String::from_utf8(output.stderr).unwrap();
+        let served = format!("served:{}", answered.get());
+        assert!(answered.get() >= 8 && printed.contains(&served), "{served} in {printed}");
+        std::fs::remove_file(&path).unwrap();
+    });
+}
