A stop ends connections that are never idle; memory of answers is bounded

Seen: a client that always has one command out kept the balancer from ending after SIGTERM (the new test hung): clients.rs closed connections only between requests. From the Closing phase on no further command is read.

Also: values on their way to clients have a byte limit of their own, large read and write buffers are given back, the first call to discovery is not held (a start waited 250 ms for nothing), a dead engine ends the process, and a connection that is done says so with a FIN.

--- a/crates/stairfront/src/caches.rs
+++ b/crates/stairfront/src/caches.rs
@@ -19,7 +19,7 @@
 use crate::counters::Counters;
 use crate::messages::{AttemptEnd, AttemptId, Command, Input, Outgoing, Verdict};
 use crate::origin::OriginCodec;
-use crate::resp::{CacheCodec, Value};
+use crate::resp::{shrink, CacheCodec, Value};
 use crate::stages::relay;
 
 /// Part of the servers' own idle limit after which a connection is closed here. Danger: a request written to a
@@ -416,6 +416,7 @@
             return (Verdict::bare(Outcome::ConnectFailed), false);
         }
         written = true;
+        shrink(wire.write_buffer_mut());
         match wire.next().await {
             Some(Ok(reply)) => S::verdict(reply, report),
             Some(Err(problem)) => {
--- a/crates/stairfront/src/clients.rs
+++ b/crates/stairfront/src/clients.rs
@@ -20,8 +20,8 @@
 
 use crate::clock::Clock;
 use crate::counters::Counters;
-use crate::messages::{Answer, Arrival, Input};
-use crate::resp::{ClientCodec, RespError};
+use crate::messages::{Answer, Arrival, Given, Input};
+use crate::resp::{shrink, ClientCodec, RespError};
 use crate::shutdown::Phase;
 use crate::stages::take_in::{self, Taken};
 
@@ -97,7 +97,7 @@
 /// An answer owed, in the order of the commands.
 enum Owed {
     Ready(Answer),
-    Awaited(RequestId, oneshot::Receiver<Answer>),
+    Awaited(RequestId, oneshot::Receiver<Given>),
 }
 
 struct Connection {
@@ -127,8 +127,10 @@
     let wire = Framed::new(socket, ClientCodec);
     let mut connection =
         Connection { wire, context: Rc::clone(&context), owed: VecDeque::new(), last: false, used: false };
-    if let End::Gone = connection.run().await {
-        connection.abandon().await;
+    match connection.run().await {
+        // Says so to the client; one that has left in this moment need not hear it.
+        End::Done => connection.wire.close().await.unwrap_or_default(),
+        End::Gone => connection.abandon().await,
     }
     drop(connection);
     context.counters.client_connections_open.sub();
@@ -168,23 +170,27 @@
                     }
                     Some(Err(RespError::Io(_))) | None => return End::Gone,
                 },
-                answer = next_answer(&mut self.owed), if !idle => {
+                given = next_answer(&mut self.owed), if !idle => {
                     self.owed.pop_front();
-                    if self.write(answer).await.is_err() {
+                    if self.write(given.answer).await.is_err() {
                         return End::Gone;
                     }
                 }
                 () = context.crowded.notified(), if idle => return End::Done,
                 // Between requests a connection is closed when the balancer stops; what came before is read first.
-                // Danger: a new one whose request is on its way would be closed in its face, so it has a while.
-                _ = phase.wait_for(|phase| phase.ends(used)), if idle => return End::Done,
+                // Danger: a new one whose request is on its way would be closed in its face, so it has a while;
+                // and a client that always has one more command out would keep the balancer from ending.
+                _ = phase.wait_for(|phase| phase.ends(idle, used)), if !self.last => self.last = true,
             }
         }
     }
 
     async fn write(&mut self, answer: Answer) -> Result<(), RespError> {
         match timeout(WRITE_LIMIT, self.wire.send(answer)).await {
-            Ok(written) => written,
+            Ok(written) => {
+                shrink(self.wire.write_buffer_mut());
+                written
+            }
             Err(_) => Err(RespError::Malformed("client does not read")),
         }
     }
@@ -223,11 +229,11 @@
 }
 
 /// The answer to the command that is first in turn. Cancel safe: nothing is taken off the queue here.
-async fn next_answer(owed: &mut VecDeque<Owed>) -> Answer {
+async fn next_answer(owed: &mut VecDeque<Owed>) -> Given {
     match owed.front_mut() {
         // A request that the engine dropped unanswered has failed.
-        Some(Owed::Awaited(_, receiver)) => receiver.await.unwrap_or(Answer::Failed),
-        Some(Owed::Ready(answer)) => answer.clone(),
-        None => std::future::pending().await,
+        Some(Owed::Awaited(_, receiver)) => receiver.await.unwrap_or(Given::from(Answer::Failed)),
+        // Those that are ready have been written before.
+        Some(Owed::Ready(_)) | None => std::future::pending().await,
     }
 }
--- a/crates/stairfront/src/clock.rs
+++ b/crates/stairfront/src/clock.rs
@@ -31,7 +31,10 @@
     Micros::try_from(time.as_micros()).unwrap_or(Micros::MAX)
 }
 
+/// Timers and deadlines beyond this are not told apart; far longer ones would overflow a timer.
+const LONGEST: Duration = Duration::from_secs(24 * 3600);
+
 /// A length of time that the decision module names; what is below zero is none.
 pub fn duration(time: Micros) -> Duration {
-    Duration::from_micros(u64::try_from(time).unwrap_or(0))
+    Duration::from_micros(u64::try_from(time).unwrap_or(0)).min(LONGEST)
 }
--- a/crates/stairfront/src/discovery.rs
+++ b/crates/stairfront/src/discovery.rs
@@ -166,11 +166,14 @@
     wire: Option<Framed<TcpStream, HttpCodec>>,
     /// The version in hand; none asks for the whole list.
     index: Option<u64>,
+    /// How long the next call may be held: not at all until one was answered, so that a start or a return of the
+    /// agent does not wait for news to come.
+    hold: Duration,
 }
 
 impl Watch {
     pub fn new(address: SocketAddr, names: Names, known: u64, inbox: mpsc::Sender<Input>) -> Self {
-        Watch { address, names, inbox, wire: None, index: Some(known) }
+        Watch { address, names, inbox, wire: None, index: Some(known), hold: Duration::ZERO }
     }
 
     pub async fn run(mut self) {
@@ -182,6 +185,7 @@
                         info!("discovery answers again");
                     }
                     failures = 0;
+                    self.hold = HOLD;
                     self.index = Some(list.index);
                     if self.inbox.send(Input::List(list)).await.is_err() {
                         return;
@@ -193,6 +197,7 @@
                     }
                     failures += 1;
                     self.wire = None;
+                    self.hold = Duration::ZERO;
                     let bad =
                         matches!(problem, CallError::Json(_) | CallError::List(_) | CallError::Status(_));
                     if bad {
@@ -217,8 +222,8 @@
         };
         let (target, limit) = match self.index {
             Some(index) => {
-                let target = format!("/api/targets?from={index}&hold_ms={}", HOLD.as_millis());
-                (target, HOLD + ANSWER_LIMIT)
+                let target = format!("/api/targets?from={index}&hold_ms={}", self.hold.as_millis());
+                (target, self.hold + ANSWER_LIMIT)
             }
             None => ("/api/targets".to_string(), ANSWER_LIMIT),
         };
--- a/crates/stairfront/src/messages.rs
+++ b/crates/stairfront/src/messages.rs
@@ -1,7 +1,7 @@
 //! What the parts of the balancer hand to each other. Payloads are slices of the buffers they were read into.
 use bytes::Bytes;
 use stairfront_policy::interface::{CacheId, Load, Note, Outcome, Request, RequestId};
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, OwnedSemaphorePermit};
 use tokio::time::Instant;
 
 use crate::caches::PoolNews;
@@ -25,6 +25,19 @@
     Text(String),
 }
 
+/// An answer on its way to the client's connection, with the room that its value takes until it is written.
+#[derive(Debug)]
+pub struct Given {
+    pub answer: Answer,
+    pub room: Option<OwnedSemaphorePermit>,
+}
+
+impl From<Answer> for Given {
+    fn from(answer: Answer) -> Self {
+        Given { answer, room: None }
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verb {
     Get,
@@ -61,7 +74,7 @@
 pub struct Arrival {
     pub request: Request,
     pub command: Command,
-    pub answer: oneshot::Sender<Answer>,
+    pub answer: oneshot::Sender<Given>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
--- a/crates/stairfront/src/resp.rs
+++ b/crates/stairfront/src/resp.rs
@@ -168,13 +168,13 @@
     }
 }
 
-/// Takes a frame off the buffer. Danger: a small slice that is kept for as long as its request keeps the whole
-/// buffer it was cut from; where that is large, the slice is copied out.
+/// Takes a frame off the buffer. Danger: a slice that is kept for as long as its request keeps the whole buffer it
+/// was cut from. Where that is large, a small frame is copied out, and what follows moves to a new buffer.
 pub fn cut_frame(src: &mut BytesMut, end: usize) -> Bytes {
     let roomy = src.capacity() > ROOMY_BUFFER;
     let frame = src.split_to(end);
-    if roomy && src.is_empty() {
-        *src = BytesMut::new();
+    if roomy && src.len() < ROOMY_BUFFER {
+        *src = BytesMut::from(&src[..]);
     }
     if roomy && end < ROOMY_BUFFER / 4 {
         Bytes::copy_from_slice(&frame)
@@ -183,6 +183,13 @@
     }
 }
 
+/// Gives back the memory of a written buffer that one large message has made grow.
+pub fn shrink(buffer: &mut BytesMut) {
+    if buffer.is_empty() && buffer.capacity() > ROOMY_BUFFER {
+        *buffer = BytesMut::new();
+    }
+}
+
 fn put_line(dst: &mut BytesMut, kind: u8, text: &[u8]) {
     dst.reserve(text.len() + 3);
     dst.put_u8(kind);
--- a/crates/stairfront/src/server.rs
+++ b/crates/stairfront/src/server.rs
@@ -27,14 +27,14 @@
         let listener = TcpListener::bind(config.listen).await?;
         let (phase, phases) = watch::channel(Phase::Running);
         let signals = spawn_local(watch_signals(phase));
-        serve(config, listener, phases).await;
+        let served = serve(config, listener, phases).await;
         signals.abort();
-        Ok(())
+        served
     }))
 }
 
 /// Serves until the phase says to close and all that was taken is answered.
-pub async fn serve(config: Config, listener: TcpListener, phase: watch::Receiver<Phase>) {
+pub async fn serve(config: Config, listener: TcpListener, phase: watch::Receiver<Phase>) -> io::Result<()> {
     let Config { name, discovery, seed, sockets, known, start, .. } = config;
     let (inbox, inputs) = mpsc::channel(INBOX);
     let (ready, is_ready) = watch::channel(false);
@@ -61,9 +61,14 @@
     let engine = Engine::new(start, seed, clock, pool, Rc::clone(&counters), ready);
     info!("{name} serves on {:?} with {} known servers", listener.local_addr(), known.lines.len());
     let watching = spawn_local(watch.run());
-    let deciding = spawn_local(engine.run(known, inputs));
-    clients::serve(listener, context, sockets.clients).await;
+    let mut deciding = spawn_local(engine.run(known, inputs));
+    let ended = tokio::select! {
+        () = clients::serve(listener, context, sockets.clients) => Ok(()),
+        // Danger: without its engine a balancer would take requests and answer none.
+        ended = &mut deciding => Err(io::Error::other(format!("the engine ended: {ended:?}"))),
+    };
     watching.abort();
     deciding.abort();
     info!("stopped: {}", counters.to_string().trim_end().replace("\r\n", " "));
+    ended
 }
--- a/crates/stairfront/src/shutdown.rs
+++ b/crates/stairfront/src/shutdown.rs
@@ -20,11 +20,11 @@
 }
 
 impl Phase {
-    /// Whether a client connection between requests is closed now; `used` if it has carried one before.
-    pub fn ends(self, used: bool) -> bool {
+    /// Whether a client connection reads no further command; `used` if it has read one before.
+    pub fn ends(self, idle: bool, used: bool) -> bool {
         match self {
             Phase::Running => false,
-            Phase::Draining => used,
+            Phase::Draining => idle && used,
             Phase::Closing => true,
         }
     }
--- a/crates/stairfront/src/stages/admit.rs
+++ b/crates/stairfront/src/stages/admit.rs
@@ -1,12 +1,15 @@
 //! Second stage: a request gets its place in the table of open requests.
+use std::sync::Arc;
+
 use rustc_hash::FxHashMap;
-use stairfront_policy::interface::{CacheId, Request, RequestId};
-use tokio::sync::oneshot;
+use stairfront_policy::interface::{CacheId, Micros, Request, RequestId};
+use tokio::sync::{oneshot, Semaphore};
 
-use crate::messages::{Answer, Arrival, Command};
+use crate::messages::{Answer, Arrival, Command, Given};
 
-/// Most bytes of keys and values that open requests may hold together: a third of the smallest memory limit.
-const MOST_BYTES: usize = 64 * 1024 * 1024;
+/// Most bytes of keys and values that open requests may hold together, and most of values on their way to clients:
+/// each a sixth of the smallest memory limit. Read buffers of all connections may take the rest.
+const MOST_BYTES: usize = 32 * 1024 * 1024;
 
 /// An attempt whose end has not been heard.
 pub struct Out {
@@ -20,14 +23,14 @@
 pub struct Deferred {
     pub number: u8,
     pub cache: CacheId,
-    pub timeout: stairfront_policy::interface::Micros,
+    pub timeout: Micros,
 }
 
 /// An open request, from admission until it is answered and its last attempt has ended.
 pub struct Open {
     pub command: Command,
     /// None once answered, or when the client has left.
-    pub answer: Option<oneshot::Sender<Answer>>,
+    pub answer: Option<oneshot::Sender<Given>>,
     pub sent: u8,
     pub out: Vec<Out>,
     pub deferred: Option<Deferred>,
@@ -37,12 +40,14 @@
 pub struct Table {
     pub open: FxHashMap<RequestId, Open>,
     pub bytes: usize,
+    /// Bytes left for values on their way to clients.
+    pub room: Arc<Semaphore>,
     most: usize,
 }
 
 impl Table {
     pub fn new(most: usize) -> Self {
-        Table { open: FxHashMap::default(), bytes: 0, most }
+        Table { open: FxHashMap::default(), bytes: 0, room: Arc::new(Semaphore::new(MOST_BYTES)), most }
     }
 
     /// Enters a request. One too many is answered at once: memory has an end.
@@ -51,7 +56,7 @@
         let bytes = command.bytes();
         if self.open.len() >= self.most || self.bytes + bytes > MOST_BYTES {
             // A client that has left needs no answer.
-            let _ = answer.send(Answer::Busy { after_ms: None });
+            let _ = answer.send(Given::from(Answer::Busy { after_ms: None }));
             return None;
         }
         self.bytes += bytes;
--- a/crates/stairfront/src/stages/relay.rs
+++ b/crates/stairfront/src/stages/relay.rs
@@ -1,8 +1,11 @@
 //! Fifth stage: the end of an attempt is passed on, its value to the client, its outcome to the decision module.
+use std::sync::Arc;
+
+use bytes::Bytes;
 use stairfront_policy::interface::{Load, RequestId, Settled};
 
 use crate::clock::micros;
-use crate::messages::{Answer, AttemptEnd};
+use crate::messages::{Answer, AttemptEnd, Given};
 use crate::stages::admit::Table;
 
 /// Load reports hold four values at most.
@@ -10,10 +13,19 @@
 
 impl Table {
     /// Gives the client its final answer; false if it has had one or has left.
-    pub fn answer(&mut self, request: RequestId, answer: Answer) -> bool {
+    pub fn answer(&mut self, request: RequestId, answer: impl Into<Given>) -> bool {
         let sender = self.open.get_mut(&request).and_then(|open| open.answer.take());
         // A client that left in this moment is told of by its connection.
-        sender.is_some_and(|sender| sender.send(answer).is_ok())
+        sender.is_some_and(|sender| sender.send(answer.into()).is_ok())
+    }
+
+    /// Danger: clients that ask for large values and read none of them would have all memory filled with answers.
+    fn with_room(&self, value: &Bytes) -> Given {
+        let bytes = u32::try_from(value.len()).unwrap_or(u32::MAX);
+        match Arc::clone(&self.room).try_acquire_many_owned(bytes) {
+            Ok(room) => Given { answer: Answer::Value(value.clone()), room: Some(room) },
+            Err(_) => Given::from(Answer::Failed),
+        }
     }
 
     /// What the decision module hears; the first value goes to the client and ends the request.
@@ -23,7 +35,7 @@
             open.out.retain(|out| out.number != end.attempt.number);
         }
         if let Some(value) = &end.verdict.value {
-            self.answer(id, Answer::Value(value.clone()));
+            self.answer(id, self.with_room(value));
         }
         Settled {
             id,
--- a/crates/stairfront/tests/common/mod.rs
+++ b/crates/stairfront/tests/common/mod.rs
@@ -241,7 +241,8 @@
         change(&mut text);
         let config = Config::from_text("test", &text.to_string()).unwrap();
         let (phase, phases) = watch::channel(Phase::Running);
-        let done = spawn_local(server::serve(config, listener, phases));
+        let served = server::serve(config, listener, phases);
+        let done = spawn_local(async move { served.await.unwrap() });
         let balancer = Balancer { address, phase, done };
         let mut client = balancer.client().await;
         while client.ask(&["PING"]).await != "+PONG\r\n" {
--- a/crates/stairfront/tests/shutdown.rs
+++ b/crates/stairfront/tests/shutdown.rs
@@ -10,6 +10,7 @@
     bulk, cache, config, dead_address, get, hit, line, ms, quiet_agent, run, Balancer, Client, Log, Step,
 };
 use stairfront::shutdown::Phase;
+use tokio::io::AsyncWriteExt;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
@@ -55,13 +56,9 @@
         let balancer = Balancer::start(agent, &[line("c", host, "box")]).await;
         let mut client = balancer.client().await;
         spawn_local(async move {
-            // Always one more command behind the one that is being answered.
-            loop {
-                client.send(&get("k", "1", 1400)).await;
-                client.send(&get("k", "2", 1400)).await;
-                if client.answer().await.is_none() {
-                    return;
-                }
+            // The next command comes before the last one is answered, on and on.
+            while client.socket.write_all(&get("k", "1", 1400)).await.is_ok() {
+                sleep(ms(8)).await;
             }
         });
         sleep(ms(50)).await;
