--- a/crates/stairfront/src/caches.rs
+++ b/crates/stairfront/src/caches.rs
@@ -90,6 +90,11 @@
 }
 
 impl Job {
+    /// Until when the attempt may wait for a socket and a connection together: both count in its time.
+    fn connect_limit(&self, connect_timeout: Duration) -> Instant {
+        self.give_up.min(self.sent_at + connect_timeout)
+    }
+
     pub fn end(&self, verdict: Verdict) -> AttemptEnd {
         AttemptEnd { attempt: self.attempt, cache: self.cache, sent_at: self.sent_at, verdict }
     }
@@ -150,6 +155,8 @@
     /// Connections told to close that still hold their socket.
     closing: usize,
     waiting: VecDeque<Job>,
+    /// Those that began to wait since the engine last asked, and until when they may.
+    new_waits: Vec<(AttemptId, Instant)>,
     next: u64,
 }
 
@@ -176,6 +183,7 @@
             most,
             closing: 0,
             waiting: VecDeque::new(),
+            new_waits: Vec::new(),
             next: 0,
         }
     }
@@ -203,9 +211,21 @@
         self.hosts.remove(&cache);
     }
 
-    /// Attempts that wait for a socket.
-    pub fn waiting(&self) -> usize {
-        self.waiting.len()
+    /// Attempts that began to wait for a socket, and when `give_up_waiting` is due for each.
+    pub fn new_waits(&mut self) -> std::vec::Drain<'_, (AttemptId, Instant)> {
+        self.new_waits.drain(..)
+    }
+
+    /// Ends the attempts to a server that still wait for a socket. Danger: they would be sent to it long after
+    /// discovery told that it drains.
+    pub fn end_waiting(&mut self, cache: CacheId, ends: &mut impl Extend<AttemptEnd>) {
+        self.waiting.retain(|job| {
+            let stays = job.cache != cache;
+            if !stays {
+                ends.extend([job.end(Verdict::bare(Outcome::ConnectFailed))]);
+            }
+            stays
+        });
     }
 
     /// Carries an attempt out, or has it wait for a socket; an end that comes at once is returned.
@@ -227,6 +247,7 @@
         if self.connections.len() < self.most {
             self.open(job);
         } else {
+            self.new_waits.push((job.attempt, job.connect_limit(self.common.connect_timeout)));
             self.waiting.push_back(job);
             self.make_room();
         }
@@ -240,10 +261,10 @@
     }
 
     /// Books what a connection tells; ends of attempts go into `ends`.
-    pub fn hear(&mut self, news: PoolNews, ends: &mut Vec<AttemptEnd>) {
+    pub fn hear(&mut self, news: PoolNews, ends: &mut impl Extend<AttemptEnd>) {
         match news {
             PoolNews::Idle { connection, end } => {
-                ends.push(end);
+                ends.extend([end]);
                 self.keep(connection);
             }
             PoolNews::Closed { connection, end, unsent } => {
@@ -357,7 +378,7 @@
     }
 
     async fn connect<S: Speech>(&self, job: &mut Job) -> Result<Framed<TcpStream, S>, Outcome> {
-        let limit = job.give_up.min(Instant::now() + self.common.connect_timeout);
+        let limit = job.connect_limit(self.common.connect_timeout);
         tokio::select! {
             biased;
             () = cancelled(&mut job.cancel) => Err(Outcome::Cancelled),
--- a/crates/stairfront/src/engine.rs
+++ b/crates/stairfront/src/engine.rs
@@ -45,7 +45,6 @@
     ready: watch::Sender<bool>,
     mode: CacheMode,
     most_attempts: u8,
-    connect_timeout: Duration,
     /// What each server of the list was last said to be.
     servers: FxHashMap<CacheId, Member>,
     /// Ends of attempts that the module has not heard yet.
@@ -74,7 +73,6 @@
             ready,
             mode: settings.mode,
             most_attempts: settings.limits.most_attempts,
-            connect_timeout: duration(settings.limits.connect_timeout),
             servers: FxHashMap::default(),
             ends: VecDeque::new(),
             actions: Vec::new(),
@@ -116,9 +114,8 @@
             },
             Input::ClientGone(id) => self.client_gone(id),
             Input::Pool(news) => {
-                let mut ends = Vec::new();
-                self.pool.hear(news, &mut ends);
-                self.ends.extend(ends);
+                self.pool.hear(news, &mut self.ends);
+                self.time_waits();
             }
             Input::List(list) => {
                 self.counters.lists_heard.add();
@@ -221,11 +218,13 @@
 
     fn dispatch(&mut self, job: Job) {
         self.counters.attempts_sent.add();
-        let (attempt, waiting) = (job.attempt, self.pool.waiting());
-        let left = job.give_up.saturating_duration_since(job.sent_at);
         self.ends.extend(self.pool.dispatch(job));
-        if self.pool.waiting() > waiting {
-            self.timers.insert(Due::Socket(attempt), left.min(self.connect_timeout));
+        self.time_waits();
+    }
+
+    fn time_waits(&mut self) {
+        for (attempt, until) in self.pool.new_waits() {
+            self.timers.insert_at(Due::Socket(attempt), until);
         }
     }
 
@@ -260,10 +259,14 @@
         if restarted || member.state == MemberState::Draining {
             self.pool.close_idle(member.id);
         }
+        if member.state == MemberState::Draining {
+            self.pool.end_waiting(member.id, &mut self.ends);
+        }
     }
 
     fn forget(&mut self, id: CacheId) {
         self.servers.remove(&id);
+        self.pool.end_waiting(id, &mut self.ends);
         self.pool.forget(id);
     }
 }
--- a/crates/stairfront/tests/caches.rs
+++ b/crates/stairfront/tests/caches.rs
@@ -210,3 +210,58 @@
         assert_eq!(client.answer().await.unwrap(), bulk(&large));
     });
 }
+
+/// Twelve attempts at two silent caches with eight sockets.
+async fn crowd(agent: SocketAddr, log: &Log) -> (Balancer, common::Client) {
+    let (one, two) =
+        (cache("one", log, |_, _| Step::Silence).await, cache("two", log, |_, _| Step::Silence).await);
+    let few = |text: &mut serde_json::Value| text["limits"]["sockets"] = 40.into();
+    let lines = [line("c1", one, "box"), line("c2", two, "box")];
+    let balancer = Balancer::start_with(agent, &lines, few).await;
+    let mut client = balancer.client().await;
+    for i in 0..12 {
+        client.send(&common::get(&format!("k{i}"), "1", 1400)).await;
+    }
+    sleep(ms(50)).await;
+    (balancer, client)
+}
+
+#[test]
+fn an_attempt_waits_for_a_socket_no_longer_than_a_connection_may_take() {
+    run(async {
+        let log = Log::default();
+        let agent = quiet_agent(&log).await;
+        let (balancer, _client) = crowd(agent, &log).await;
+        counted(&balancer, "server_connections_open:8").await;
+        counted(&balancer, "attempts_connect_failed:0").await;
+        sleep(ms(300)).await;
+        let info = balancer.client().await.ask(&["INFO"]).await;
+        let failed = info.lines().find_map(|l| l.strip_prefix("attempts_connect_failed:")).unwrap();
+        assert!(failed.parse::<u32>().unwrap() >= 4, "{info}");
+        assert!(info.contains("server_connections_open:8\r\n"), "{info}");
+    });
+}
+
+#[test]
+fn an_attempt_that_waits_for_a_socket_is_not_sent_to_a_cache_that_drains_meanwhile() {
+    run(async {
+        let log = Log::default();
+        let agent = origin("agent", &log, |n, _| match n {
+            0 => http(200, "", r#"{"index":1,"snapshot":false,"endpoints":[]}"#),
+            1 => match http(200, "", r#"{"index":2,"snapshot":true,"endpoints":[]}"#) {
+                Step::Say(bytes) => Step::After(ms(150), bytes),
+                step => step,
+            },
+            _ => Step::Silence,
+        });
+        let agent = agent.await;
+        let (balancer, _client) = crowd(agent, &log).await;
+        sleep(ms(120)).await;
+        // Told before the 250 ms of a connection are over: those that waited are over as well.
+        let info = balancer.client().await.ask(&["INFO"]).await;
+        let failed = info.lines().find_map(|l| l.strip_prefix("attempts_connect_failed:")).unwrap();
+        assert!(failed.parse::<u32>().unwrap() >= 4, "{info}");
+        let sent = commands(&log, "one").len() + commands(&log, "two").len();
+        assert_eq!(sent, 8);
+    });
+}
--- /dev/null
+++ b/crates/stairfront/tests/codecs.rs
@@ -0,0 +1,168 @@
+//! The codecs by themselves: every split of the input, limits, and any bytes at all.
+use bytes::{Bytes, BytesMut};
+use proptest::prelude::*;
+use stairfront::http::{self, HttpCodec};
+use stairfront::messages::{Answer, Command, Outgoing, Verb};
+use stairfront::resp::{with_time_left, CacheCodec, ClientCodec, Value, LARGEST_BULK, ROOMY_BUFFER};
+use tokio_util::codec::{Decoder, Encoder};
+
+fn words(list: &[&str]) -> Vec<Bytes> {
+    list.iter().map(|word| Bytes::copy_from_slice(word.as_bytes())).collect()
+}
+
+/// Feeds the input in two parts, split at `at`, and collects what comes out.
+fn split<D: Decoder>(mut codec: D, input: &[u8], at: usize) -> Vec<D::Item>
+where
+    D::Error: std::fmt::Debug,
+{
+    let (mut buffer, mut out) = (BytesMut::new(), Vec::new());
+    for part in [&input[..at], &input[at..]] {
+        buffer.extend_from_slice(part);
+        while let Some(item) = codec.decode(&mut buffer).unwrap() {
+            out.push(item);
+        }
+    }
+    assert!(buffer.is_empty());
+    out
+}
+
+#[test]
+fn commands_come_out_whole_however_the_input_is_split() {
+    let input = b"*2\r\n$3\r\nONE\r\n$0\r\n\r\n*1\r\n$4\r\nPING\r\n";
+    for at in 0..=input.len() {
+        assert_eq!(split(ClientCodec, input, at), [words(&["ONE", ""]), words(&["PING"])], "split at {at}");
+    }
+}
+
+#[test]
+fn replies_come_out_whole_however_the_input_is_split() {
+    let input = b"*3\r\n$1\r\nv\r\n$-1\r\n*1\r\n:7\r\n-BUSY\r\n+PONG\r\n*-1\r\n";
+    let bytes = |text: &'static str| Bytes::from_static(text.as_bytes());
+    let array = Value::Array(vec![
+        Value::Bulk(bytes("v")),
+        Value::Null,
+        Value::Array(vec![Value::Integer(bytes("7"))]),
+    ]);
+    let wanted = [array, Value::Error(bytes("BUSY")), Value::Simple(bytes("PONG")), Value::Null];
+    for at in 0..=input.len() {
+        assert_eq!(split(CacheCodec, input, at), wanted, "split at {at}");
+    }
+}
+
+#[test]
+fn responses_come_out_whole_however_the_input_is_split() {
+    let input = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 X\r\nnot-started: 1\r\nSERVER-LOAD: util=0.5\r\n\
+        Content-Length: 2\r\n\r\nnoHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n\
+        3\r\nabc\r\n1;x=y\r\nd\r\n0\r\n\r\n";
+    for at in 0..=input.len() {
+        let out = split(HttpCodec::new(100), input, at);
+        assert_eq!(out.len(), 2, "split at {at}");
+        assert_eq!(
+            (out[0].status, &out[0].body[..], out[0].not_started, out[0].last),
+            (503, &b"no"[..], true, false)
+        );
+        assert_eq!(out[0].load.as_deref(), Some(&b"util=0.5"[..]));
+        assert_eq!((out[1].status, &out[1].body[..], out[1].last), (200, &b"abcd"[..], true));
+    }
+}
+
+#[test]
+fn a_body_without_a_length_ends_with_the_connection_and_a_cut_one_is_an_error() {
+    let mut codec = HttpCodec::new(100);
+    let mut buffer = BytesMut::from(&b"HTTP/1.1 200 OK\r\n\r\nall of it"[..]);
+    assert!(codec.decode(&mut buffer).unwrap().is_none());
+    let response = codec.decode_eof(&mut buffer).unwrap().unwrap();
+    assert_eq!((&response.body[..], response.last), (&b"all of it"[..], true));
+    assert!(codec.decode_eof(&mut buffer).unwrap().is_none());
+    let mut buffer = BytesMut::from(&b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"[..]);
+    assert!(codec.decode_eof(&mut buffer).is_err());
+}
+
+#[test]
+fn oversized_messages_are_errors_before_they_fill_memory() {
+    let too_long = format!("*1\r\n${}\r\n", LARGEST_BULK + 1);
+    let nested = "*1\r\n".repeat(4);
+    let many = format!("*3\r\n{}", format!("${LARGEST_BULK}\r\n{}\r\n", "x".repeat(LARGEST_BULK)).repeat(2));
+    let unending = "*".repeat(2000);
+    for input in [&too_long, &nested, &many, &unending, "*-7\r\n", "*1x\r\n", "*1\n", "*1\r\n$1\r\nabc"] {
+        assert!(ClientCodec.decode(&mut BytesMut::from(input.as_bytes())).is_err(), "{:.40}", input);
+    }
+    for input in [
+        "HTTP/1.1 200 OK\r\nContent-Length: 101\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffffffff\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nabc",
+        "nonsense\r\n\r\n",
+    ] {
+        assert!(HttpCodec::new(100).decode(&mut BytesMut::from(input)).is_err(), "{input}");
+    }
+}
+
+#[test]
+fn a_kept_slice_does_not_keep_a_large_buffer() {
+    let mut buffer = BytesMut::with_capacity(4 * ROOMY_BUFFER);
+    buffer.extend_from_slice(b"*1\r\n$4\r\nPING\r\n*1\r\n$4\r\nPING\r\n");
+    let whole = buffer.as_ptr() as usize..buffer.as_ptr() as usize + 4 * ROOMY_BUFFER;
+    for _ in 0..2 {
+        let kept = ClientCodec.decode(&mut buffer).unwrap().unwrap();
+        assert!(!whole.contains(&(kept[0].as_ptr() as usize)), "copied out of the large buffer");
+    }
+    assert!(buffer.capacity() <= ROOMY_BUFFER);
+}
+
+#[test]
+fn what_goes_out_is_what_the_protocol_says() {
+    let answer = |answer: Answer| {
+        let mut out = BytesMut::new();
+        ClientCodec.encode(answer, &mut out).unwrap();
+        String::from_utf8(out.to_vec()).unwrap()
+    };
+    assert_eq!(answer(Answer::Value(Bytes::from_static(b"ab\r\n"))), "$4\r\nab\r\n\r\n");
+    assert_eq!(answer(Answer::Busy { after_ms: Some(30) }), "-BUSY 30\r\n");
+    assert_eq!(answer(Answer::Busy { after_ms: None }), "-BUSY\r\n");
+    assert_eq!(answer(Answer::Failed), "-ERR failed\r\n");
+    assert_eq!(answer(Answer::Pong), "+PONG\r\n");
+
+    let word = |text: &'static str| Bytes::from_static(text.as_bytes());
+    let (key, id, info) = (word("k"), word("i"), word("c=read,d=480,r=1"));
+    let command = Command { verb: Verb::Set, key, id, info, value: Some(word("v")) };
+    let mut out = BytesMut::new();
+    CacheCodec.encode(Outgoing { command, left_ms: 7 }, &mut out).unwrap();
+    let wanted = "*5\r\n$5\r\nC.SET\r\n$1\r\nk\r\n$1\r\ni\r\n$14\r\nc=read,d=7,r=1\r\n$1\r\nv\r\n";
+    assert_eq!(out, wanted);
+    assert_eq!(with_time_left(b"c=x,,dd=5,d=", 1), b"c=x,dd=5,d=1");
+}
+
+#[test]
+fn a_line_break_in_a_header_never_goes_out() {
+    let headers = vec![("Request-Id", Bytes::from_static(b"1\r\nX: y"))];
+    let request = http::Request { method: "GET", target: "/k".into(), headers, body: None };
+    assert!(HttpCodec::new(1).encode(request, &mut BytesMut::new()).is_err());
+}
+
+proptest! {
+    /// Broken input may be an error, never a panic, and a codec never gives more than it was given.
+    #[test]
+    fn any_bytes_at_all(input in prop::collection::vec(prop_oneof![any::<u8>(), prop::sample::select(&b"*$+-:\r\n0123"[..])], 0..200)) {
+        let mut buffer = BytesMut::from(&input[..]);
+        while let Ok(Some(command)) = ClientCodec.decode(&mut buffer) {
+            prop_assert!(command.iter().map(Bytes::len).sum::<usize>() <= input.len());
+        }
+        let mut buffer = BytesMut::from(&input[..]);
+        while let Ok(Some(_)) = CacheCodec.decode(&mut buffer) {}
+        let mut buffer = BytesMut::from([&b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"[..], &input].concat().as_slice());
+        let mut codec = HttpCodec::new(100);
+        while let Ok(Some(_)) = codec.decode(&mut buffer) {}
+        let _ = HttpCodec::new(100).decode_eof(&mut BytesMut::from(&input[..]));
+    }
+
+    /// A value goes through both codecs unchanged, at any length up to the limit and any split.
+    #[test]
+    fn values_pass_unchanged(value in prop::collection::vec(any::<u8>(), 0..3000), at in 0.0..1.0f64) {
+        let mut out = BytesMut::new();
+        ClientCodec.encode(Answer::Value(Bytes::from(value.clone())), &mut out).unwrap();
+        let at = (out.len() as f64 * at) as usize;
+        prop_assert_eq!(split(CacheCodec, &out, at), [Value::Bulk(Bytes::from(value))]);
+    }
+}
--- /dev/null
+++ b/crates/stairfront/tests/config.rs
@@ -0,0 +1,73 @@
+//! The configuration: what a good one gives, and errors that name the key at fault.
+mod common;
+
+use common::{config, line};
+use serde_json::{json, Value};
+use stairfront::config::{Config, ConfigError};
+
+fn good() -> Value {
+    let address = "127.0.0.1:6379".parse().unwrap();
+    config(address, address, &[line("c", address, "box")], 100)
+}
+
+fn read(text: &Value) -> Result<Config, ConfigError> {
+    Config::from_text("config.json", &text.to_string())
+}
+
+#[test]
+fn sockets_are_split_between_clients_and_servers_with_a_reserve() {
+    let config = read(&good()).unwrap();
+    assert_eq!((config.sockets.clients, config.sockets.servers), (38, 38));
+    assert_eq!(config.seed, 0x2a);
+    assert_eq!(config.known.lines.len(), 1);
+    let mut text = good();
+    text["limits"]["sockets"] = 100_000.into();
+    let config = read(&text).unwrap();
+    assert!(config.sockets.clients + config.sockets.servers < 1024);
+}
+
+#[test]
+fn what_is_optional_may_be_missing_and_what_is_unknown_is_ignored() {
+    let mut text = good();
+    for key in ["name", "seed", "limits", "known"] {
+        text.as_object_mut().unwrap().remove(key);
+    }
+    text["more"] = json!({"x": 1});
+    let config = read(&text).unwrap();
+    assert!(config.known.lines.is_empty());
+}
+
+#[test]
+fn an_error_names_the_file_and_the_key() {
+    let cases: [(&[&str], Value, &str); 8] = [
+        (&["listen"], "nowhere".into(), "config.json: listen: "),
+        (&["limits", "sockets"], "many".into(), "config.json: limits.sockets: "),
+        (&["limits", "sockets"], 8.into(), "config.json: limits.sockets: 8 is too few"),
+        (
+            &["known", "endpoints"],
+            json!([{"name": "c"}]),
+            "config.json: known.endpoints[0]: missing field `address`",
+        ),
+        (
+            &["known", "endpoints"],
+            json!([{"name": "c", "address": "x", "status": "SERVING"}]),
+            "known.endpoints: server \"c\"",
+        ),
+        (&["settings", "tick"], "5".into(), "config.json: settings.tick: "),
+        (
+            &["settings", "rules", "cold_from"],
+            1.5.into(),
+            "settings.rules.cold_from: must be between 0 and 1",
+        ),
+        (&["settings", "profiles"], json!([]), "settings.profiles: at least one class is needed"),
+    ];
+    for (path, value, wanted) in cases {
+        let mut text = good();
+        let place = path.iter().fold(&mut text, |at, key| &mut at[*key]);
+        *place = value;
+        let problem = read(&text).unwrap_err().to_string();
+        assert!(problem.contains(wanted), "{problem:?} should hold {wanted:?}");
+    }
+    let problem = Config::from_text("config.json", "{").unwrap_err().to_string();
+    assert!(problem.starts_with("config.json: "), "{problem}");
+}
