With every client place in use a new connection is turned away in its time

Checked: no connection was closed across a request (0 sent again, 0 written after close) and no attempt was late; `take_place` in clients.rs waited for a place with the request unread in the kernel. The new test shows it: a ninth client waited until one of eight was answered. Such a connection now gets one of 8 spare descriptors, where its request is answered -BUSY at once.

Discovery's watch is held 50 s, not 20: what changes while the agent is silent counts as told 2 s after the hold is over.

--- a/crates/stairfront/src/clients.rs
+++ b/crates/stairfront/src/clients.rs
@@ -11,9 +11,9 @@
 use stairfront_policy::interface::{Class, RequestId};
 use stairfront_settings::Names;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{mpsc, oneshot, watch, Notify, OwnedSemaphorePermit, Semaphore};
+use tokio::sync::{mpsc, oneshot, watch, AcquireError, Notify, OwnedSemaphorePermit, Semaphore};
 use tokio::task::spawn_local;
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, sleep_until, timeout, Instant};
 use tokio_util::codec::Framed;
 use tokio_util::task::TaskTracker;
 use tracing::{debug, warn};
@@ -55,9 +55,22 @@
     }
 }
 
+/// Connections beyond the limit, which are turned away; they take descriptors of the configuration's reserve.
+pub const MOST_SPARE: usize = 8;
+/// An idle connection makes room in far less; after this all places are in use.
+const PLACE_WAIT: Duration = Duration::from_millis(5);
+/// How long a spare connection may go without a command.
+const SPARE_LIMIT: Duration = Duration::from_millis(250);
+
+/// What a connection holds of the limit on sockets, given back as it ends.
+struct Place {
+    spare: bool,
+    _permit: OwnedSemaphorePermit,
+}
+
 /// Accepts until shutdown says that no more come, then waits for all connections to end.
 pub async fn serve(listener: TcpListener, context: Rc<Context>, most: usize) {
-    let places = Arc::new(Semaphore::new(most));
+    let (places, spares) = (Arc::new(Semaphore::new(most)), Arc::new(Semaphore::new(MOST_SPARE)));
     let tasks = TaskTracker::new();
     let mut phase = context.phase.clone();
     loop {
@@ -69,7 +82,7 @@
         match accepted {
             Ok((socket, _)) => {
                 context.counters.client_connections_accepted.add();
-                let place = take_place(&places, &context.crowded).await;
+                let Ok(place) = take_place(&places, &spares, &context.crowded).await else { break };
                 let connection = run_connection(socket, Rc::clone(&context), place);
                 spawn_local(tasks.track_future(connection));
             }
@@ -85,13 +98,26 @@
 }
 
 /// Danger: with all places taken a new client would wait for ever behind connections that nobody uses. The one
-/// idle longest makes room: waiters are woken in the order in which they fell idle.
-async fn take_place(places: &Arc<Semaphore>, crowded: &Notify) -> Option<OwnedSemaphorePermit> {
-    if let Ok(place) = Arc::clone(places).try_acquire_owned() {
-        return Some(place);
+/// idle longest makes room: waiters are woken in the order in which they fell idle. With all of them in use the new
+/// one gets a spare place, where its request is turned away: unread it would wait past its time and be lost.
+async fn take_place(
+    places: &Arc<Semaphore>,
+    spares: &Arc<Semaphore>,
+    crowded: &Notify,
+) -> Result<Place, AcquireError> {
+    let own = |permit| Place { spare: false, _permit: permit };
+    if let Ok(permit) = Arc::clone(places).try_acquire_owned() {
+        return Ok(own(permit));
     }
     crowded.notify_one();
-    Arc::clone(places).acquire_owned().await.ok()
+    if let Ok(permit) = timeout(PLACE_WAIT, Arc::clone(places).acquire_owned()).await {
+        return permit.map(own);
+    }
+    tokio::select! {
+        biased;
+        permit = Arc::clone(places).acquire_owned() => permit.map(own),
+        permit = Arc::clone(spares).acquire_owned() => permit.map(|permit| Place { spare: true, _permit: permit }),
+    }
 }
 
 /// An answer owed, in the order of the commands.
@@ -108,6 +134,8 @@
     last: bool,
     /// A command has been read.
     used: bool,
+    /// Until when a spare connection may wait for its command, which is turned away.
+    spare_until: Option<Instant>,
 }
 
 /// Why a connection ends.
@@ -118,15 +146,17 @@
     Gone,
 }
 
-async fn run_connection(socket: TcpStream, context: Rc<Context>, place: Option<OwnedSemaphorePermit>) {
+async fn run_connection(socket: TcpStream, context: Rc<Context>, place: Place) {
     context.counters.client_connections_open.add();
     // Answers are small and each is waited for; without it they only come later.
     if let Err(problem) = socket.set_nodelay(true) {
         debug!("no TCP_NODELAY: {problem}");
     }
     let wire = Framed::new(socket, ClientCodec);
+    let spare_until = place.spare.then(|| Instant::now() + SPARE_LIMIT);
+    let owed = VecDeque::new();
     let mut connection =
-        Connection { wire, context: Rc::clone(&context), owed: VecDeque::new(), last: false, used: false };
+        Connection { wire, context: Rc::clone(&context), owed, last: false, used: false, spare_until };
     match connection.run().await {
         // Says so to the client; one that has left in this moment need not hear it.
         End::Done => connection.wire.close().await.unwrap_or_default(),
@@ -152,7 +182,7 @@
                 return End::Done;
             }
             let idle = self.owed.is_empty();
-            let used = self.used;
+            let (used, spare_until, now) = (self.used, self.spare_until, Instant::now());
             let reading = !self.last && self.owed.len() < MOST_OPEN;
             tokio::select! {
                 biased;
@@ -177,6 +207,7 @@
                     }
                 }
                 () = context.crowded.notified(), if idle => return End::Done,
+                () = sleep_until(spare_until.unwrap_or(now)), if idle && spare_until.is_some() => return End::Done,
                 // Between requests a connection is closed when the balancer stops; what came before is read first.
                 // Danger: a new one whose request is on its way would be closed in its face, so it has a while;
                 // and a client that always has one more command out would keep the balancer from ending.
@@ -200,6 +231,11 @@
         self.used = true;
         let context = &self.context;
         let owed = match take_in::take_in(words, context) {
+            Taken::Request { .. } if self.spare_until.is_some() => {
+                context.counters.over_cap.add();
+                self.last = true;
+                Owed::Ready(Answer::Busy { after_ms: None })
+            }
             Taken::Request { command, mut request } => {
                 context.counters.taken_in.add();
                 request.id = context.new_id();
--- a/crates/stairfront/src/config.rs
+++ b/crates/stairfront/src/config.rs
@@ -7,12 +7,13 @@
 use stairfront_settings::Start;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::clients::MOST_SPARE;
 use crate::discovery::{RawList, ServerList};
 
 const CONFIG: &str = "ROUTER_CONFIG";
-/// Descriptors that are not connections: standard streams, event queue, signals, listener, discovery, a connection
-/// just accepted that has no place yet, and some for the libraries.
-const RESERVE: usize = 24;
+/// Descriptors that are not connections with a place: standard streams, event queue, signals, listener, discovery, a
+/// connection just accepted and some for the libraries (14 were seen), and the spare connections.
+const RESERVE: usize = 16 + MOST_SPARE;
 /// Fewer would leave no room for a client and a server connection at once.
 const FEWEST_SOCKETS: usize = RESERVE + 8;
 /// The most sockets that the deployment ever grants; a larger limit is not used.
--- a/crates/stairfront/src/discovery.rs
+++ b/crates/stairfront/src/discovery.rs
@@ -18,8 +18,9 @@
 use crate::http::{HttpCodec, HttpError, Request};
 use crate::messages::Input;
 
-/// How long the agent may hold a watch for news.
-const HOLD: Duration = Duration::from_secs(20);
+/// How long the agent may hold a watch for news; 60 s is the most. Danger: while discovery is down its changes count
+/// as told 2 s after the hold is over, heard or not, so a short hold has this balancer send to caches that drain.
+const HOLD: Duration = Duration::from_secs(50);
 /// What an answer may take beyond the hold before the agent counts as dead: it is on this machine.
 const ANSWER_LIMIT: Duration = Duration::from_secs(1);
 /// Pause after a failed call. A watch goes on only if the next call comes within 200 ms.
--- a/crates/stairfront/tests/clients.rs
+++ b/crates/stairfront/tests/clients.rs
@@ -213,3 +213,28 @@
         assert_eq!(client.get("k", "1", 1000).await, bulk("k"));
     });
 }
+
+#[test]
+fn with_every_place_in_use_a_new_client_is_turned_away_in_its_time() {
+    run(async {
+        let log = Log::default();
+        let agent = quiet_agent(&log).await;
+        let host = cache("cache", &log, |_, _| Step::Silence).await;
+        let few = |text: &mut serde_json::Value| text["limits"]["sockets"] = 40.into();
+        let balancer = Balancer::start_with(agent, &[line("c", host, "box")], few).await;
+        let mut busy = Vec::new();
+        for i in 0..8 {
+            let mut client = balancer.client().await;
+            client.send(&get(&format!("k{i}"), "1", 1400)).await;
+            busy.push(client);
+        }
+        sleep(ms(50)).await;
+        for _ in 0..20 {
+            let mut client = balancer.client().await;
+            let start = Instant::now();
+            assert_eq!(client.get("k", "2", 300).await, "-BUSY\r\n");
+            assert!(start.elapsed() < ms(200), "{:?}", start.elapsed());
+            assert_eq!(client.answer().await, None);
+        }
+    });
+}
