A connection is closed only after a last look, and without a FIN before it

At fault: clients.rs closed on the bell though a request could stand in the kernel that the event loop had not reported yet, and said FIN first, which reads as the end of an answer. Now the task lets the loop look at the sockets once more and reads first; a plain close then resets a connection whose request was not read, so that the client sends it again. The test puts request and stop in one turn; without the look it fails.

After SIGTERM idle connections close at 0.5 s, busy ones are read until 0.7 s. A connection that ends with an answer of its own lingers until that is read.

--- a/crates/stairfront/src/clients.rs
+++ b/crates/stairfront/src/clients.rs
@@ -12,7 +12,7 @@
 use stairfront_settings::Names;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot, watch, AcquireError, Notify, OwnedSemaphorePermit, Semaphore};
-use tokio::task::spawn_local;
+use tokio::task::{spawn_local, yield_now};
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 use tokio_util::codec::Framed;
 use tokio_util::task::TaskTracker;
@@ -29,6 +29,8 @@
 const MOST_OPEN: usize = 64;
 /// A client that reads nothing for so long is gone: longer than any deadline.
 const WRITE_LIMIT: Duration = Duration::from_secs(5);
+/// How long the end of a connection waits for the client to have read the last answer.
+const LINGER: Duration = Duration::from_millis(500);
 /// Pause after an accept that failed for want of descriptors or memory.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
@@ -77,7 +79,7 @@
         let accepted = tokio::select! {
             biased;
             accepted = listener.accept() => accepted,
-            _ = phase.wait_for(|phase| *phase == Phase::Closing) => break,
+            _ = phase.wait_for(|phase| phase.listener_closed()) => break,
         };
         match accepted {
             Ok((socket, _)) => {
@@ -130,18 +132,23 @@
     wire: Framed<TcpStream, ClientCodec>,
     context: Rc<Context>,
     owed: VecDeque<Owed>,
-    /// No command is read any more: what is owed goes out, then the connection ends.
-    last: bool,
+    /// No command is read any more: what is owed goes out, then the connection ends so.
+    last: Option<End>,
+    /// Closes as soon as it is sure that no command has come.
+    leaving: bool,
     /// A command has been read.
     used: bool,
     /// Until when a spare connection may wait for its command, which is turned away.
     spare_until: Option<Instant>,
 }
 
-/// Why a connection ends.
+/// How a connection ends.
+#[derive(Clone, Copy)]
 enum End {
-    /// All that was owed has been written.
-    Done,
+    /// Between requests, of the balancer's own accord.
+    Closed,
+    /// With an answer that says so.
+    Said,
     /// The client has left, or cannot be written to.
     Gone,
 }
@@ -155,11 +162,20 @@
     let wire = Framed::new(socket, ClientCodec);
     let spare_until = place.spare.then(|| Instant::now() + SPARE_LIMIT);
     let owed = VecDeque::new();
-    let mut connection =
-        Connection { wire, context: Rc::clone(&context), owed, last: false, used: false, spare_until };
+    let mut connection = Connection {
+        wire,
+        context: Rc::clone(&context),
+        owed,
+        last: None,
+        leaving: false,
+        used: false,
+        spare_until,
+    };
     match connection.run().await {
-        // Says so to the client; one that has left in this moment need not hear it.
-        End::Done => connection.wire.close().await.unwrap_or_default(),
+        // Danger: where a request crosses the close, a FIN before it would read as the end of an answer. A plain
+        // close resets the connection then, which tells the client that its request was not read.
+        End::Closed => {}
+        End::Said => connection.linger().await,
         End::Gone => connection.abandon().await,
     }
     drop(connection);
@@ -178,12 +194,13 @@
                     return End::Gone;
                 }
             }
-            if self.owed.is_empty() && self.last {
-                return End::Done;
-            }
             let idle = self.owed.is_empty();
+            if let (true, Some(end)) = (idle, self.last) {
+                return end;
+            }
             let (used, spare_until, now) = (self.used, self.spare_until, Instant::now());
-            let reading = !self.last && self.owed.len() < MOST_OPEN;
+            let reading = self.last.is_none() && self.owed.len() < MOST_OPEN;
+            let leaving = idle && self.leaving;
             tokio::select! {
                 biased;
                 command = self.wire.next(), if reading => match command {
@@ -196,7 +213,7 @@
                         debug!("malformed input: {problem}");
                         context.counters.malformed.add();
                         self.owed.push_back(Owed::Ready(Answer::Error("ERR Protocol error")));
-                        self.last = true;
+                        self.last = Some(End::Said);
                     }
                     Some(Err(RespError::Io(_))) | None => return End::Gone,
                 },
@@ -206,12 +223,23 @@
                         return End::Gone;
                     }
                 }
-                () = context.crowded.notified(), if idle => return End::Done,
-                () = sleep_until(spare_until.unwrap_or(now)), if idle && spare_until.is_some() => return End::Done,
+                // Danger: a request may be in the kernel unseen, and closing would lose it. By the time this is
+                // polled again the sockets have been looked at, and the read above comes first.
+                () = yield_now(), if leaving => return End::Closed,
+                () = context.crowded.notified(), if idle && !leaving => self.leaving = true,
+                () = sleep_until(spare_until.unwrap_or(now)), if idle && !leaving && spare_until.is_some() => {
+                    self.leaving = true;
+                }
                 // Between requests a connection is closed when the balancer stops; what came before is read first.
                 // Danger: a new one whose request is on its way would be closed in its face, so it has a while;
                 // and a client that always has one more command out would keep the balancer from ending.
-                _ = phase.wait_for(|phase| phase.ends(idle, used)), if !self.last => self.last = true,
+                _ = phase.wait_for(|phase| phase.ends(idle, used)), if !leaving && self.last.is_none() => {
+                    if idle {
+                        self.leaving = true;
+                    } else {
+                        self.last = Some(End::Closed);
+                    }
+                }
             }
         }
     }
@@ -228,12 +256,16 @@
 
     /// Takes a command in; fails only when the balancer itself ends.
     async fn take(&mut self, words: Vec<Bytes>) -> Result<(), mpsc::error::SendError<Input>> {
-        self.used = true;
         let context = &self.context;
+        self.used = true;
+        if std::mem::take(&mut self.leaving) {
+            // Another one may make room instead.
+            context.crowded.notify_one();
+        }
         let owed = match take_in::take_in(words, context) {
             Taken::Request { .. } if self.spare_until.is_some() => {
                 context.counters.over_cap.add();
-                self.last = true;
+                self.spare_until = Some(Instant::now());
                 Owed::Ready(Answer::Busy { after_ms: None })
             }
             Taken::Request { command, mut request } => {
@@ -245,7 +277,7 @@
             }
             Taken::Answered(answer) => Owed::Ready(answer),
             Taken::Last(answer) => {
-                self.last = true;
+                self.last = Some(End::Said);
                 Owed::Ready(answer)
             }
         };
@@ -253,6 +285,18 @@
         Ok(())
     }
 
+    /// Sees to it that the last answer arrives. Danger: closing with input unread resets the connection, and what
+    /// the client has not read yet is gone.
+    async fn linger(&mut self) {
+        let drained = async {
+            self.wire.close().await?;
+            tokio::io::copy(self.wire.get_mut(), &mut tokio::io::sink()).await?;
+            Ok::<(), RespError>(())
+        };
+        // Over the limit or broken: the client does not want it.
+        let _ = timeout(LINGER, drained).await;
+    }
+
     /// Tells the engine of the requests whose client has left.
     async fn abandon(&mut self) {
         for owed in self.owed.drain(..) {
--- a/crates/stairfront/src/shutdown.rs
+++ b/crates/stairfront/src/shutdown.rs
@@ -9,23 +9,32 @@
 
 /// New connections go on coming for 0.2 to 0.4 s after SIGTERM; those accepted by the machine must be served.
 const STILL_COMING: Duration = Duration::from_millis(500);
+/// What comes later than 0.7 s after SIGTERM is lost if SIGKILL finds it unanswered: better it is not read.
+const STILL_READ: Duration = Duration::from_millis(200);
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
     Running,
     /// Connections are still accepted, and closed between requests.
     Draining,
-    /// The listener is closed; what is open is answered.
+    /// The listener is closed, and idle connections with it; busy ones are still read from.
     Closing,
+    /// Nothing is read any more; what is open is answered.
+    Last,
 }
 
 impl Phase {
+    pub fn listener_closed(self) -> bool {
+        matches!(self, Phase::Closing | Phase::Last)
+    }
+
     /// Whether a client connection reads no further command; `used` if it has read one before.
     pub fn ends(self, idle: bool, used: bool) -> bool {
         match self {
             Phase::Running => false,
             Phase::Draining => idle && used,
-            Phase::Closing => true,
+            Phase::Closing => idle,
+            Phase::Last => true,
         }
     }
 }
@@ -42,6 +51,8 @@
     phase.send_replace(Phase::Draining);
     sleep(STILL_COMING).await;
     phase.send_replace(Phase::Closing);
+    sleep(STILL_READ).await;
+    phase.send_replace(Phase::Last);
     // The receivers' side ends the run; until then the phase must stay known.
     phase.closed().await;
     Ok(())
--- a/crates/stairfront/tests/shutdown.rs
+++ b/crates/stairfront/tests/shutdown.rs
@@ -62,8 +62,10 @@
             }
         });
         sleep(ms(50)).await;
-        balancer.phase.send_replace(Phase::Draining);
-        balancer.phase.send_replace(Phase::Closing);
+        for phase in [Phase::Draining, Phase::Closing, Phase::Last] {
+            balancer.phase.send_replace(phase);
+            sleep(ms(20)).await;
+        }
         let start = Instant::now();
         balancer.done.await.unwrap();
         assert!(start.elapsed() < ms(2000));
@@ -135,3 +137,20 @@
         std::fs::remove_file(&path).unwrap();
     });
 }
+
+#[test]
+fn a_request_that_has_just_come_is_read_before_its_connection_closes() {
+    run(async {
+        let log = Log::default();
+        let (agent, host) = (quiet_agent(&log).await, cache("cache", &log, slow(1)).await);
+        let balancer = Balancer::start(agent, &[line("c", host, "box")]).await;
+        let mut client = balancer.client().await;
+        assert_eq!(client.ask(&["PING"]).await, "+PONG\r\n");
+        // Both in one turn of the loop: the request is in the kernel, and nobody has looked at the socket since.
+        let request = get("k", "1", 1000);
+        assert_eq!(client.socket.try_write(&request).unwrap(), request.len());
+        balancer.phase.send_replace(Phase::Draining);
+        assert_eq!(client.answer().await.unwrap(), bulk("k"));
+        assert_eq!(client.answer().await, None);
+    });
+}
