--- a/crates/stairfront/src/caches.rs
+++ b/crates/stairfront/src/caches.rs
@@ -1,115 +1,26 @@
-//! Connections to cache hosts and the origin. The pool owns how many there are and which stand idle; each
-//! connection is owned by one task, which carries one attempt at a time and gives the socket back by ending.
+//! The pool of connections to cache hosts and the origin: how many there are, which stand idle, and which attempts
+//! wait for one. Each connection is owned by its task (`connection.rs`).
 use std::collections::VecDeque;
-use std::fmt::Debug;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use futures_util::{SinkExt, StreamExt};
 use rustc_hash::FxHashMap;
-use stairfront_policy::interface::{CacheId, Load, Note, Outcome};
-use tokio::net::TcpStream;
-use tokio::sync::{mpsc, oneshot};
+use stairfront_policy::interface::{CacheId, Outcome};
+use tokio::sync::mpsc;
 use tokio::task::spawn_local;
-use tokio::time::{sleep_until, timeout, timeout_at, Instant};
-use tokio_util::codec::{Decoder, Encoder, Framed};
-use tracing::debug;
+use tokio::time::Instant;
 
+use crate::connection::{Common, ConnectionId, Job, PoolNews, Task};
 use crate::counters::Counters;
-use crate::messages::{AttemptEnd, AttemptId, Command, Input, Outgoing, Verdict};
+use crate::messages::{AttemptEnd, AttemptId, Input, Verdict};
 use crate::origin::OriginCodec;
-use crate::resp::{shrink, CacheCodec, Value};
-use crate::stages::relay;
+use crate::resp::CacheCodec;
 
 /// Part of the servers' own idle limit after which a connection is closed here. Danger: a request written to a
 /// connection that the server is just closing ends as a reset, and may have run.
 const IDLE_PART: f64 = 0.8;
 
-/// How one kind of server is spoken to.
-pub trait Speech: Decoder<Item: Debug> + Encoder<Outgoing, Error = <Self as Decoder>::Error> + Sized {
-    fn new(address: SocketAddr) -> Self;
-    /// What a reply means, and whether the connection can carry another request.
-    fn verdict(reply: Self::Item, report: &[String]) -> (Verdict, bool);
-}
-
-impl Speech for CacheCodec {
-    fn new(_: SocketAddr) -> Self {
-        CacheCodec
-    }
-
-    fn verdict(reply: Value, report: &[String]) -> (Verdict, bool) {
-        match reply {
-            Value::Array(items) => (cache_reply(items, report), true),
-            Value::Error(line) => {
-                let full = line.split(|b| *b == b' ').next() == Some(b"BUSY");
-                let outcome = if full { Outcome::Full } else { Outcome::Errored };
-                let tail = line.rsplit(|b| *b == b' ').next().unwrap_or_default();
-                (Verdict { load: relay::load_report(tail, report), ..Verdict::bare(outcome) }, true)
-            }
-            // Not a form that a cache host answers in: what it meant is not known.
-            _ => (Verdict::bare(Outcome::Errored), false),
-        }
-    }
-}
-
-fn cache_reply(items: Vec<Value>, report: &[String]) -> Verdict {
-    let mut items = items.into_iter();
-    let first = items.next();
-    let note = match items.next() {
-        Some(Value::Bulk(word)) => match &word[..] {
-            b"hit" => Note::Hit,
-            b"miss" => Note::Fetched,
-            b"pending" => Note::FetchPending,
-            _ => Note::None,
-        },
-        _ => Note::None,
-    };
-    let load = match items.next() {
-        Some(Value::Bulk(text)) => relay::load_report(&text, report),
-        _ => Load::default(),
-    };
-    let (outcome, value) = match first {
-        Some(Value::Bulk(value)) => (Outcome::Served, Some(value)),
-        Some(Value::Null) => (Outcome::Miss, None),
-        _ => (Outcome::Errored, None),
-    };
-    Verdict { outcome, note, load, value }
-}
-
-/// One attempt on its way to one server.
-#[derive(Debug)]
-pub struct Job {
-    pub attempt: AttemptId,
-    pub cache: CacheId,
-    pub command: Command,
-    pub sent_at: Instant,
-    pub give_up: Instant,
-    /// Told when the attempt is given up before its time; a sender that is dropped means nothing.
-    pub cancel: oneshot::Receiver<()>,
-}
-
-impl Job {
-    /// Until when the attempt may wait for a socket and a connection together: both count in its time.
-    fn connect_limit(&self, connect_timeout: Duration) -> Instant {
-        self.give_up.min(self.sent_at + connect_timeout)
-    }
-
-    pub fn end(&self, verdict: Verdict) -> AttemptEnd {
-        AttemptEnd { attempt: self.attempt, cache: self.cache, sent_at: self.sent_at, verdict }
-    }
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct ConnectionId(u64);
-
-/// What a connection's task tells the pool. The socket is closed before `Closed` is told.
-#[derive(Debug)]
-pub enum PoolNews {
-    Idle { connection: ConnectionId, end: AttemptEnd },
-    Closed { connection: ConnectionId, end: Option<AttemptEnd>, unsent: Option<Job> },
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Protocol {
     Resp,
@@ -138,15 +49,6 @@
     jobs: Option<mpsc::Sender<Job>>,
 }
 
-/// What every connection's task needs to know.
-struct Common {
-    inbox: mpsc::Sender<Input>,
-    counters: Rc<Counters>,
-    report: Vec<String>,
-    connect_timeout: Duration,
-    idle_limit: Duration,
-}
-
 pub struct Pool {
     common: Rc<Common>,
     hosts: FxHashMap<CacheId, Host>,
@@ -336,124 +238,3 @@
         }
     }
 }
-
-/// The owner of one socket.
-struct Task {
-    id: ConnectionId,
-    address: SocketAddr,
-    common: Rc<Common>,
-    jobs: mpsc::Receiver<Job>,
-}
-
-impl Task {
-    async fn run<S: Speech>(mut self, first: Job)
-    where
-        <S as Decoder>::Error: std::fmt::Display + 'static,
-    {
-        let mut job = first;
-        let mut wire = match self.connect::<S>(&mut job).await {
-            Ok(wire) => wire,
-            Err(outcome) => return self.closed(Some(job.end(Verdict::bare(outcome))), None).await,
-        };
-        loop {
-            let (verdict, reusable) = exchange(&mut wire, &mut job, &self.common.report).await;
-            let end = job.end(verdict);
-            if !reusable {
-                // Danger: late bytes must never reach another request, and the attempt must be over for the
-                // server before another one is sent. So the socket is closed before the end is told.
-                drop(wire);
-                return self.closed(Some(end), None).await;
-            }
-            self.tell(PoolNews::Idle { connection: self.id, end }).await;
-            match self.next_job(&mut wire).await {
-                Some(next) => job = next,
-                None => {
-                    drop(wire);
-                    self.jobs.close();
-                    let unsent = self.jobs.try_recv().ok();
-                    return self.closed(None, unsent).await;
-                }
-            }
-        }
-    }
-
-    async fn connect<S: Speech>(&self, job: &mut Job) -> Result<Framed<TcpStream, S>, Outcome> {
-        let limit = job.connect_limit(self.common.connect_timeout);
-        tokio::select! {
-            biased;
-            () = cancelled(&mut job.cancel) => Err(Outcome::Cancelled),
-            connected = timeout_at(limit, TcpStream::connect(self.address)) => match connected {
-                Ok(Ok(socket)) => {
-                    // Requests are small and each is waited for.
-                    socket.set_nodelay(true).map_err(|_| Outcome::ConnectFailed)?;
-                    Ok(Framed::new(socket, S::new(self.address)))
-                }
-                Ok(Err(_)) | Err(_) => Err(Outcome::ConnectFailed),
-            },
-        }
-    }
-
-    /// The next attempt for this connection; none if it has ended, stood idle too long or is to close.
-    async fn next_job<S: Speech>(&mut self, wire: &mut Framed<TcpStream, S>) -> Option<Job> {
-        tokio::select! {
-            biased;
-            // The end of the connection, or bytes that nobody asked for: either way it is of no more use.
-            _ = wire.next() => None,
-            job = timeout(self.common.idle_limit, self.jobs.recv()) => job.ok().flatten(),
-        }
-    }
-
-    async fn closed(self, end: Option<AttemptEnd>, unsent: Option<Job>) {
-        self.tell(PoolNews::Closed { connection: self.id, end, unsent }).await;
-    }
-
-    async fn tell(&self, news: PoolNews) {
-        // The engine is gone only when the whole balancer ends.
-        let _ = self.common.inbox.send(Input::Pool(news)).await;
-    }
-}
-
-async fn cancelled(cancel: &mut oneshot::Receiver<()>) {
-    if cancel.await.is_err() {
-        std::future::pending().await
-    }
-}
-
-/// One command and its reply; whether the connection can be used again.
-async fn exchange<S: Speech>(
-    wire: &mut Framed<TcpStream, S>,
-    job: &mut Job,
-    report: &[String],
-) -> (Verdict, bool)
-where
-    <S as Decoder>::Error: std::fmt::Display + 'static,
-{
-    let left = job.give_up.saturating_duration_since(Instant::now());
-    let outgoing = Outgoing { command: job.command.clone(), left_ms: left.as_millis() as u64 };
-    let mut written = false;
-    let talk = async {
-        if let Err(problem) = wire.send(outgoing).await {
-            debug!("request not written: {problem}");
-            return (Verdict::bare(Outcome::ConnectFailed), false);
-        }
-        written = true;
-        shrink(wire.write_buffer_mut());
-        match wire.next().await {
-            Some(Ok(reply)) => S::verdict(reply, report),
-            Some(Err(problem)) => {
-                debug!("reply not read: {problem}");
-                (Verdict::bare(Outcome::Reset), false)
-            }
-            None => (Verdict::bare(Outcome::Reset), false),
-        }
-    };
-    let outcome = tokio::select! {
-        biased;
-        done = talk => return done,
-        () = cancelled(&mut job.cancel) => Outcome::Cancelled,
-        () = sleep_until(job.give_up) => Outcome::TimedOut,
-    };
-    // What was never written whole never ran.
-    let outcome = if !written && outcome == Outcome::TimedOut { Outcome::ConnectFailed } else { outcome };
-    (Verdict::bare(outcome), false)
-}
--- /dev/null
+++ b/crates/stairfront/src/connection.rs
@@ -0,0 +1,188 @@
+//! One connection to a server: a task that owns the socket, carries one attempt at a time and gives the socket back
+//! by ending.
+use std::fmt::Debug;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_util::{SinkExt, StreamExt};
+use stairfront_policy::interface::{CacheId, Outcome};
+use tokio::net::TcpStream;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{sleep_until, timeout, timeout_at, Instant};
+use tokio_util::codec::{Decoder, Encoder, Framed};
+use tracing::debug;
+
+use crate::counters::Counters;
+use crate::messages::{AttemptEnd, AttemptId, Command, Input, Outgoing, Verdict};
+use crate::resp::shrink;
+
+/// How one kind of server is spoken to.
+pub trait Speech: Decoder<Item: Debug> + Encoder<Outgoing, Error = <Self as Decoder>::Error> + Sized {
+    fn new(address: SocketAddr) -> Self;
+    /// What a reply means, and whether the connection can carry another request.
+    fn verdict(reply: Self::Item, report: &[String]) -> (Verdict, bool);
+}
+
+/// One attempt on its way to one server.
+#[derive(Debug)]
+pub struct Job {
+    pub attempt: AttemptId,
+    pub cache: CacheId,
+    pub command: Command,
+    pub sent_at: Instant,
+    pub give_up: Instant,
+    /// Told when the attempt is given up before its time; a sender that is dropped means nothing.
+    pub cancel: oneshot::Receiver<()>,
+}
+
+impl Job {
+    /// Until when the attempt may wait for a socket and a connection together: both count in its time.
+    pub fn connect_limit(&self, connect_timeout: Duration) -> Instant {
+        self.give_up.min(self.sent_at + connect_timeout)
+    }
+
+    pub fn end(&self, verdict: Verdict) -> AttemptEnd {
+        AttemptEnd { attempt: self.attempt, cache: self.cache, sent_at: self.sent_at, verdict }
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct ConnectionId(pub u64);
+
+/// What a connection's task tells the pool. The socket is closed before `Closed` is told.
+#[derive(Debug)]
+pub enum PoolNews {
+    Idle { connection: ConnectionId, end: AttemptEnd },
+    Closed { connection: ConnectionId, end: Option<AttemptEnd>, unsent: Option<Job> },
+}
+
+/// What every connection's task needs to know.
+pub struct Common {
+    pub inbox: mpsc::Sender<Input>,
+    pub counters: Rc<Counters>,
+    pub report: Vec<String>,
+    pub connect_timeout: Duration,
+    pub idle_limit: Duration,
+}
+
+/// The owner of one socket.
+pub struct Task {
+    pub id: ConnectionId,
+    pub address: SocketAddr,
+    pub common: Rc<Common>,
+    pub jobs: mpsc::Receiver<Job>,
+}
+
+impl Task {
+    pub async fn run<S: Speech>(mut self, first: Job)
+    where
+        <S as Decoder>::Error: std::fmt::Display + 'static,
+    {
+        let mut job = first;
+        let mut wire = match self.connect::<S>(&mut job).await {
+            Ok(wire) => wire,
+            Err(outcome) => return self.closed(Some(job.end(Verdict::bare(outcome))), None).await,
+        };
+        loop {
+            let (verdict, reusable) = exchange(&mut wire, &mut job, &self.common.report).await;
+            let end = job.end(verdict);
+            if !reusable {
+                // Danger: late bytes must never reach another request, and the attempt must be over for the
+                // server before another one is sent. So the socket is closed before the end is told.
+                drop(wire);
+                return self.closed(Some(end), None).await;
+            }
+            self.tell(PoolNews::Idle { connection: self.id, end }).await;
+            match self.next_job(&mut wire).await {
+                Some(next) => job = next,
+                None => {
+                    drop(wire);
+                    self.jobs.close();
+                    let unsent = self.jobs.try_recv().ok();
+                    return self.closed(None, unsent).await;
+                }
+            }
+        }
+    }
+
+    async fn connect<S: Speech>(&self, job: &mut Job) -> Result<Framed<TcpStream, S>, Outcome> {
+        let limit = job.connect_limit(self.common.connect_timeout);
+        tokio::select! {
+            biased;
+            () = cancelled(&mut job.cancel) => Err(Outcome::Cancelled),
+            connected = timeout_at(limit, TcpStream::connect(self.address)) => match connected {
+                Ok(Ok(socket)) => {
+                    // Requests are small and each is waited for.
+                    socket.set_nodelay(true).map_err(|_| Outcome::ConnectFailed)?;
+                    Ok(Framed::new(socket, S::new(self.address)))
+                }
+                Ok(Err(_)) | Err(_) => Err(Outcome::ConnectFailed),
+            },
+        }
+    }
+
+    /// The next attempt for this connection; none if it has ended, stood idle too long or is to close.
+    async fn next_job<S: Speech>(&mut self, wire: &mut Framed<TcpStream, S>) -> Option<Job> {
+        tokio::select! {
+            biased;
+            // The end of the connection, or bytes that nobody asked for: either way it is of no more use.
+            _ = wire.next() => None,
+            job = timeout(self.common.idle_limit, self.jobs.recv()) => job.ok().flatten(),
+        }
+    }
+
+    async fn closed(self, end: Option<AttemptEnd>, unsent: Option<Job>) {
+        self.tell(PoolNews::Closed { connection: self.id, end, unsent }).await;
+    }
+
+    async fn tell(&self, news: PoolNews) {
+        // The engine is gone only when the whole balancer ends.
+        let _ = self.common.inbox.send(Input::Pool(news)).await;
+    }
+}
+
+async fn cancelled(cancel: &mut oneshot::Receiver<()>) {
+    if cancel.await.is_err() {
+        std::future::pending().await
+    }
+}
+
+/// One command and its reply; whether the connection can be used again.
+async fn exchange<S: Speech>(
+    wire: &mut Framed<TcpStream, S>,
+    job: &mut Job,
+    report: &[String],
+) -> (Verdict, bool)
+where
+    <S as Decoder>::Error: std::fmt::Display + 'static,
+{
+    let left = job.give_up.saturating_duration_since(Instant::now());
+    let outgoing = Outgoing { command: job.command.clone(), left_ms: left.as_millis() as u64 };
+    let mut written = false;
+    let talk = async {
+        if let Err(problem) = wire.send(outgoing).await {
+            debug!("request not written: {problem}");
+            return (Verdict::bare(Outcome::ConnectFailed), false);
+        }
+        written = true;
+        shrink(wire.write_buffer_mut());
+        match wire.next().await {
+            Some(Ok(reply)) => S::verdict(reply, report),
+            Some(Err(problem)) => {
+                debug!("reply not read: {problem}");
+                (Verdict::bare(Outcome::Reset), false)
+            }
+            None => (Verdict::bare(Outcome::Reset), false),
+        }
+    };
+    let outcome = tokio::select! {
+        biased;
+        done = talk => return done,
+        () = cancelled(&mut job.cancel) => Outcome::Cancelled,
+        () = sleep_until(job.give_up) => Outcome::TimedOut,
+    };
+    // What was never written whole never ran.
+    let outcome = if !written && outcome == Outcome::TimedOut { Outcome::ConnectFailed } else { outcome };
+    (Verdict::bare(outcome), false)
+}
--- a/crates/stairfront/src/engine.rs
+++ b/crates/stairfront/src/engine.rs
@@ -16,8 +16,9 @@
 use tokio_util::time::DelayQueue;
 use tracing::info;
 
-use crate::caches::{Endpoint, Job, Pool, Protocol};
+use crate::caches::{Endpoint, Pool, Protocol};
 use crate::clock::{duration, Clock};
+use crate::connection::Job;
 use crate::counters::Counters;
 use crate::discovery::{Line, ServerList};
 use crate::messages::{Answer, AttemptEnd, AttemptId, Input};
@@ -153,8 +154,8 @@
             if open && settled.closed {
                 self.counters.served.add();
             }
-            if let Some(job) = self.table.send_deferred(id) {
-                self.dispatch(job);
+            if let Some(sending) = self.table.send_deferred(id) {
+                self.carry(sending);
             }
             self.tell(Event::Settled(settled));
             self.table.book(id);
@@ -209,7 +210,12 @@
     }
 
     fn send(&mut self, id: RequestId, cache: CacheId, timeout: Micros) {
-        match self.table.send(id, cache, timeout, self.most_attempts) {
+        let sending = self.table.send(id, cache, timeout, self.most_attempts);
+        self.carry(sending);
+    }
+
+    fn carry(&mut self, sending: Sending) {
+        match sending {
             Sending::Job(job) => self.dispatch(job),
             Sending::Ended(end) => self.ends.push_back(end),
             Sending::Deferred => {}
--- a/crates/stairfront/src/messages.rs
+++ b/crates/stairfront/src/messages.rs
@@ -4,7 +4,7 @@
 use tokio::sync::{oneshot, OwnedSemaphorePermit};
 use tokio::time::Instant;
 
-use crate::caches::PoolNews;
+use crate::connection::PoolNews;
 use crate::discovery::ServerList;
 
 /// The final answer to one request, or an immediate one to a command that needs no decision.
--- a/crates/stairfront/src/origin.rs
+++ b/crates/stairfront/src/origin.rs
@@ -6,7 +6,7 @@
 use stairfront_policy::interface::{Load, Note, Outcome};
 use tokio_util::codec::{Decoder, Encoder};
 
-use crate::caches::Speech;
+use crate::connection::Speech;
 use crate::http::{HttpCodec, HttpError, Request, Response};
 use crate::messages::{Outgoing, Verb, Verdict};
 use crate::resp::{with_time_left, LARGEST_BULK};
--- a/crates/stairfront/src/stages/send.rs
+++ b/crates/stairfront/src/stages/send.rs
@@ -3,8 +3,8 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
-use crate::caches::Job;
 use crate::clock::duration;
+use crate::connection::Job;
 use crate::messages::{AttemptEnd, AttemptId, Verdict};
 use crate::stages::admit::{Deferred, Out, Table};
 
@@ -37,13 +37,19 @@
     }
 
     /// The send that waited for the end of a cancelled attempt.
-    pub fn send_deferred(&mut self, request: RequestId) -> Option<Job> {
+    pub fn send_deferred(&mut self, request: RequestId) -> Option<Sending> {
         let open = self.open.get_mut(&request)?;
         if open.out.iter().any(|out| out.cancel.is_none()) {
             return None;
         }
         let Deferred { number, cache, timeout } = open.deferred.take()?;
-        Some(job(open, AttemptId { request, number }, cache, timeout))
+        let attempt = AttemptId { request, number };
+        // Danger: nothing more may go out for a request that has had its answer meanwhile.
+        Some(if open.answer.is_none() {
+            Sending::Ended(moot(attempt, cache))
+        } else {
+            Sending::Job(job(open, attempt, cache, timeout))
+        })
     }
 
     pub fn cancel(&mut self, request: RequestId, number: u8) {
--- /dev/null
+++ b/crates/stairfront/tests/stages.rs
@@ -0,0 +1,194 @@
+//! The stages on the table of open requests, without sockets.
+use bytes::Bytes;
+use stairfront::messages::{Answer, Arrival, AttemptEnd, AttemptId, Command, Given, Verb, Verdict};
+use stairfront::stages::admit::Table;
+use stairfront::stages::relay::load_report;
+use stairfront::stages::send::Sending;
+use stairfront_policy::interface::{CacheId, ClassId, Outcome, Request, RequestId, TenantId, MS};
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+const CACHE: CacheId = CacheId(1);
+const MOST: u8 = 3;
+
+fn arrive(id: u32, value: usize) -> (Arrival, oneshot::Receiver<Given>) {
+    let (answer, receiver) = oneshot::channel();
+    let word = Bytes::from_static(b"w");
+    let value = Some(Bytes::from(vec![0; value]));
+    let command = Command { verb: Verb::Set, key: word.clone(), id: word.clone(), info: word, value };
+    let request = Request {
+        id: RequestId(id),
+        class: ClassId(0),
+        tenant: TenantId(0),
+        key: None,
+        expires: 0,
+        write: false,
+        repeat: false,
+    };
+    (Arrival { request, command, answer }, receiver)
+}
+
+fn end(request: u32, number: u8, outcome: Outcome) -> AttemptEnd {
+    let value = (outcome == Outcome::Served).then(|| Bytes::from_static(b"v"));
+    let attempt = AttemptId { request: RequestId(request), number };
+    let verdict = Verdict { value, ..Verdict::bare(outcome) };
+    AttemptEnd { attempt, cache: CACHE, sent_at: Instant::now(), verdict }
+}
+
+fn admitted(table: &mut Table, id: u32) -> oneshot::Receiver<Given> {
+    let (arrival, receiver) = arrive(id, 1);
+    assert!(table.admit(arrival).is_some());
+    receiver
+}
+
+fn sent(table: &mut Table, id: u32) -> stairfront::connection::Job {
+    match table.send(RequestId(id), CACHE, 500 * MS, MOST) {
+        Sending::Job(job) => job,
+        _ => panic!("not sent"),
+    }
+}
+
+#[test]
+fn one_request_too_many_is_answered_at_once() {
+    let mut table = Table::new(1);
+    let _first = admitted(&mut table, 1);
+    let (arrival, mut receiver) = arrive(2, 1);
+    assert!(table.admit(arrival).is_none());
+    assert_eq!(receiver.try_recv().unwrap().answer, Answer::Busy { after_ms: None });
+}
+
+#[test]
+fn open_requests_hold_no_more_bytes_than_memory_allows_and_give_them_back() {
+    let mut table = Table::new(usize::MAX);
+    let mut admitted = 0;
+    while table.admit(arrive(admitted, 64 * 1024).0).is_some() {
+        admitted += 1;
+    }
+    assert!((400..600).contains(&admitted), "{admitted} values of 64 KiB");
+    for id in 0..admitted {
+        table.answer(RequestId(id), Answer::Failed);
+        table.book(RequestId(id));
+    }
+    assert_eq!((table.bytes, table.open.len()), (0, 0));
+}
+
+#[test]
+fn values_on_their_way_to_clients_are_bounded_and_their_room_comes_back() {
+    let mut table = Table::new(usize::MAX);
+    let large = |id| {
+        let mut end = end(id, 0, Outcome::Served);
+        end.verdict.value = Some(Bytes::from(vec![0; 64 * 1024]));
+        end
+    };
+    let (mut unread, mut id) = (Vec::new(), 0);
+    let refused = loop {
+        let mut receiver = admitted(&mut table, id);
+        let _job = sent(&mut table, id);
+        assert!(table.relay(&large(id)).closed);
+        let given = receiver.try_recv().unwrap();
+        if given.answer == Answer::Failed {
+            break id;
+        }
+        unread.push(given);
+        id += 1;
+    };
+    assert!((400..600).contains(&refused), "{refused} values of 64 KiB");
+    drop(unread);
+    let mut receiver = admitted(&mut table, id + 1);
+    let _job = sent(&mut table, id + 1);
+    table.relay(&large(id + 1));
+    assert!(matches!(receiver.try_recv().unwrap().answer, Answer::Value(_)));
+}
+
+#[test]
+fn the_first_value_is_the_final_answer_and_later_ends_are_closed() {
+    let mut table = Table::new(10);
+    let mut receiver = admitted(&mut table, 1);
+    let _job = sent(&mut table, 1);
+    assert!(!table.relay(&end(1, 0, Outcome::Miss)).closed);
+    let _job = sent(&mut table, 1);
+    let settled = table.relay(&end(1, 1, Outcome::Served));
+    assert_eq!((settled.closed, settled.attempt), (true, 1));
+    assert_eq!(receiver.try_recv().unwrap().answer, Answer::Value(Bytes::from_static(b"v")));
+    assert!(!table.answer(RequestId(1), Answer::Failed), "one final answer");
+    table.book(RequestId(1));
+    assert!(table.open.is_empty());
+    assert!(table.relay(&end(1, 2, Outcome::Served)).closed);
+}
+
+#[test]
+fn an_answered_request_stays_until_its_last_attempt_has_ended_and_is_not_sent_again() {
+    let mut table = Table::new(10);
+    let _receiver = admitted(&mut table, 1);
+    let _job = sent(&mut table, 1);
+    assert!(table.answer(RequestId(1), Answer::Busy { after_ms: Some(5) }));
+    table.book(RequestId(1));
+    assert_eq!(table.open.len(), 1);
+    match table.send(RequestId(1), CACHE, 500 * MS, MOST) {
+        Sending::Ended(end) => assert_eq!(end.verdict.outcome, Outcome::Moot),
+        _ => panic!("sent after the answer"),
+    }
+    assert!(table.relay(&end(1, 0, Outcome::TimedOut)).closed);
+    table.book(RequestId(1));
+    assert!(table.open.is_empty());
+}
+
+#[test]
+fn attempts_beyond_the_most_allowed_and_for_unknown_requests_are_moot() {
+    let mut table = Table::new(10);
+    let _receiver = admitted(&mut table, 1);
+    for number in 0..MOST {
+        let _job = sent(&mut table, 1);
+        table.relay(&end(1, number, Outcome::Full));
+    }
+    for id in [1, 7] {
+        let sending = table.send(RequestId(id), CACHE, 500 * MS, MOST);
+        assert!(matches!(sending, Sending::Ended(end) if end.verdict.outcome == Outcome::Moot));
+    }
+}
+
+#[test]
+fn a_send_after_a_cancel_waits_for_the_end_of_the_cancelled_attempt() {
+    let mut table = Table::new(10);
+    let _receiver = admitted(&mut table, 1);
+    let mut first = sent(&mut table, 1);
+    assert!(first.cancel.try_recv().is_err());
+    table.cancel(RequestId(1), 0);
+    assert!(first.cancel.try_recv().is_ok(), "its connection is told to end");
+    assert!(matches!(table.send(RequestId(1), CACHE, 500 * MS, MOST), Sending::Deferred));
+    assert!(table.send_deferred(RequestId(1)).is_none(), "it is still out");
+    assert!(!table.relay(&end(1, 0, Outcome::Cancelled)).closed);
+    match table.send_deferred(RequestId(1)) {
+        Some(Sending::Job(job)) => assert_eq!(job.attempt.number, 1),
+        _ => panic!("not sent"),
+    }
+}
+
+#[test]
+fn a_send_that_waited_does_not_go_out_after_the_answer() {
+    let mut table = Table::new(10);
+    let _receiver = admitted(&mut table, 1);
+    let _job = sent(&mut table, 1);
+    table.cancel(RequestId(1), 0);
+    assert!(matches!(table.send(RequestId(1), CACHE, 500 * MS, MOST), Sending::Deferred));
+    assert!(table.answer(RequestId(1), Answer::Failed));
+    table.relay(&end(1, 0, Outcome::Cancelled));
+    match table.send_deferred(RequestId(1)) {
+        Some(Sending::Ended(end)) => {
+            assert_eq!((end.attempt.number, end.verdict.outcome), (1, Outcome::Moot))
+        }
+        _ => panic!("sent after the answer"),
+    }
+    table.book(RequestId(1));
+    assert!(table.open.is_empty());
+}
+
+#[test]
+fn load_reports_are_read_in_the_order_of_the_settings() {
+    let fields: Vec<String> = ["throughput", "utilization", "x1"].map(String::from).to_vec();
+    let load = load_report(b"utilization=0.5,other=9,x1=3", &fields);
+    assert_eq!((load.len, load.values), (3, [0.0, 0.5, 3.0, 0.0]));
+    for text in [&b""[..], b"=", b"throughput", b"throughput=high", b"failed", b"\xff=1"] {
+        assert_eq!(load_report(text, &fields).len, 0, "{text:?}");
+    }
+}
