--- a/crates/stairfront/src/discovery.rs
+++ b/crates/stairfront/src/discovery.rs
@@ -1,6 +1,7 @@
 //! Discovery's lists and the watch on its agent.
 use std::io;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -15,6 +16,7 @@
 use tracing::{info, warn};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::counters::Counters;
 use crate::http::{HttpCodec, HttpError, Request};
 use crate::messages::Input;
 
@@ -74,8 +76,9 @@
     Since { name: String, since_ms: f64 },
 }
 
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Line {
+    pub name: String,
     pub member: Member,
     pub address: SocketAddr,
 }
@@ -132,7 +135,7 @@
             kind: Kind(kind.unwrap_or(u16::MAX)),
             size: self.weight,
         };
-        Ok(Line { member, address })
+        Ok(Line { name, member, address })
     }
 }
 
@@ -170,11 +173,18 @@
     /// How long the next call may be held: not at all until one was answered, so that a start or a return of the
     /// agent does not wait for news to come.
     hold: Duration,
+    counters: Rc<Counters>,
 }
 
 impl Watch {
-    pub fn new(address: SocketAddr, names: Names, known: u64, inbox: mpsc::Sender<Input>) -> Self {
-        Watch { address, names, inbox, wire: None, index: Some(known), hold: Duration::ZERO }
+    pub fn new(
+        address: SocketAddr,
+        names: Names,
+        known: u64,
+        inbox: mpsc::Sender<Input>,
+        counters: Rc<Counters>,
+    ) -> Self {
+        Watch { address, names, inbox, wire: None, index: Some(known), hold: Duration::ZERO, counters }
     }
 
     pub async fn run(mut self) {
@@ -197,6 +207,7 @@
                         warn!("discovery at {}: {problem}", self.address);
                     }
                     failures += 1;
+                    self.counters.lists_failed.add();
                     self.wire = None;
                     self.hold = Duration::ZERO;
                     let bad =
--- a/crates/stairfront/src/engine.rs
+++ b/crates/stairfront/src/engine.rs
@@ -259,6 +259,10 @@
         let protocol = if origin { Protocol::Http } else { Protocol::Resp };
         self.pool.set(member.id, Endpoint { address: line.address, protocol });
         let before = self.servers.insert(member.id, member);
+        if before.is_none() {
+            // The module knows servers by number alone, and so do its log lines.
+            info!("server {:012x} is {} at {}", member.id.0, line.name, line.address);
+        }
         // A process that has started anew knows nothing of connections made before, and one that drains gets
         // nothing new over them.
         let restarted = before.is_some_and(|before| before.born != member.born);
--- a/crates/stairfront/src/server.rs
+++ b/crates/stairfront/src/server.rs
@@ -46,7 +46,7 @@
         servers_idle_limit: duration(start.host.idle),
     };
     let pool = Pool::new(limits, start.names.report.clone(), inbox.clone(), Rc::clone(&counters));
-    let watch = Watch::new(discovery, start.names.clone(), known.index, inbox.clone());
+    let watch = Watch::new(discovery, start.names.clone(), known.index, inbox.clone(), Rc::clone(&counters));
     let context = Rc::new(Context {
         inbox,
         names: start.names.clone(),
@@ -59,7 +59,7 @@
         next_id: Cell::new(0),
     });
     let engine = Engine::new(start, seed, clock, pool, Rc::clone(&counters), ready);
-    info!("{name} serves on {:?} with {} known servers", listener.local_addr(), known.lines.len());
+    info!("{name} serves on {} with {} known servers", listener.local_addr()?, known.lines.len());
     let watching = spawn_local(watch.run());
     let mut deciding = spawn_local(engine.run(known, inputs));
     let ended = tokio::select! {
