--- a/crates/stairfront/src/main.rs
+++ b/crates/stairfront/src/main.rs
@@ -6,7 +6,9 @@
 use tracing::error;
 
 fn main() -> ExitCode {
-    tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).with_target(false).init();
+    // Danger: the log's own complaint about a standard error that nobody reads any more would panic.
+    let log = tracing_subscriber::fmt().log_internal_errors(false);
+    log.with_writer(std::io::stderr).with_ansi(false).with_target(false).init();
     let config = match Config::from_environment() {
         Ok(config) => config,
         Err(problem) => {
--- a/crates/stairfront/tests/shutdown.rs
+++ b/crates/stairfront/tests/shutdown.rs
@@ -2,12 +2,15 @@
 mod common;
 
 use std::cell::Cell;
-use std::process::{Command, Stdio};
+use std::io::Read;
+use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
 use std::rc::Rc;
 use std::time::Instant;
 
 use common::{
-    bulk, cache, config, dead_address, get, hit, line, ms, quiet_agent, run, Balancer, Client, Log, Step,
+    bulk, cache, config, dead_address, get, hit, http, line, ms, origin, quiet_agent, run, Balancer, Client,
+    Log, Step,
 };
 use stairfront::shutdown::Phase;
 use tokio::io::AsyncWriteExt;
@@ -72,20 +75,22 @@
     });
 }
 
-#[test]
-fn sigterm_under_load_loses_nothing_and_prints_the_counters() {
-    run(async {
-        let log = Log::default();
-        let (agent, host) = (quiet_agent(&log).await, cache("cache", &log, slow(100)).await);
+/// The program itself, with its log on a pipe.
+struct Process {
+    child: Child,
+    address: SocketAddr,
+    config: String,
+}
+
+impl Process {
+    async fn start(test: &str, agent: SocketAddr, host: SocketAddr) -> Self {
         let address = dead_address().await;
-        let path = format!("{}/sigterm-{}.json", env!("CARGO_TARGET_TMPDIR"), std::process::id());
+        let path = format!("{}/{test}-{}.json", env!("CARGO_TARGET_TMPDIR"), std::process::id());
         let text = config(address, agent, &[line("c", host, "box")], 1024).to_string();
         std::fs::write(&path, text).unwrap();
-        let mut child = Command::new(env!("CARGO_BIN_EXE_stairfront"))
-            .env("ROUTER_CONFIG", &path)
-            .stderr(Stdio::piped())
-            .spawn()
-            .unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_stairfront"));
+        let child = command.env("ROUTER_CONFIG", &path).stderr(Stdio::piped()).spawn().unwrap();
+        let process = Process { child, address, config: path };
         let mut probe = loop {
             match Client::connect(address).await {
                 Ok(client) => break client,
@@ -95,17 +100,52 @@
         while probe.ask(&["PING"]).await != "+PONG\r\n" {
             sleep(ms(10)).await;
         }
-        let (taken, answered) = (Rc::new(Cell::new(0)), Rc::new(Cell::new(0)));
+        process
+    }
+
+    fn terminate(&self) {
+        let pid = self.child.id().to_string();
+        assert!(Command::new("kill").arg("-TERM").arg(pid).status().unwrap().success());
+    }
+
+    /// Waits for a good end.
+    async fn ended(&mut self) {
+        let status = loop {
+            match self.child.try_wait().unwrap() {
+                Some(status) => break status,
+                None => sleep(ms(10)).await,
+            }
+        };
+        assert!(status.success(), "{status}");
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // Already over unless the test has failed.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.config);
+    }
+}
+
+#[test]
+fn sigterm_under_load_loses_nothing_and_prints_the_counters() {
+    run(async {
+        let log = Log::default();
+        let (agent, host) = (quiet_agent(&log).await, cache("cache", &log, slow(100)).await);
+        let mut process = Process::start("sigterm", agent, host).await;
+        let address = process.address;
+        let answered = Rc::new(Cell::new(0));
         let mut clients = Vec::new();
         for i in 0..8 {
-            let (taken, answered) = (Rc::clone(&taken), Rc::clone(&answered));
+            let answered = Rc::clone(&answered);
             let mut client = Client::connect(address).await.unwrap();
             clients.push(spawn_local(async move {
                 // One after the other until the connection is closed between two of them.
                 loop {
                     let key = format!("k{i}");
                     client.send(&get(&key, "1", 1400)).await;
-                    taken.set(taken.get() + 1);
                     match client.answer().await {
                         Some(answer) => assert_eq!(answer, bulk(&key)),
                         None => return,
@@ -116,25 +156,37 @@
             }));
         }
         sleep(ms(250)).await;
-        let term = Command::new("kill").arg("-TERM").arg(child.id().to_string()).status().unwrap();
-        assert!(term.success());
+        process.terminate();
         for client in clients {
             client.await.unwrap();
         }
         let start = Instant::now();
-        let status = loop {
-            match child.try_wait().unwrap() {
-                Some(status) => break status,
-                None => sleep(ms(10)).await,
-            }
-        };
-        assert!(status.success(), "{status}");
+        process.ended().await;
         assert!(start.elapsed() < ms(1500), "{:?}", start.elapsed());
-        let output = child.wait_with_output().unwrap();
-        let printed = String::from_utf8(output.stderr).unwrap();
+        let mut printed = String::new();
+        process.child.stderr.take().unwrap().read_to_string(&mut printed).unwrap();
         let served = format!("served:{}", answered.get());
         assert!(answered.get() >= 8 && printed.contains(&served), "{served} in {printed}");
-        std::fs::remove_file(&path).unwrap();
+    });
+}
+
+#[test]
+fn a_log_that_nobody_reads_any_more_does_not_end_the_balancer() {
+    run(async {
+        let log = Log::default();
+        let agent = origin("agent", &log, |n, _| match n {
+            0 => http(200, "", r#"{"index":1,"snapshot":false,"endpoints":[]}"#),
+            // Each is a line in the log, or would be.
+            _ => Step::After(ms(20), b"nonsense\r\n\r\n".to_vec()),
+        });
+        let host = cache("cache", &log, slow(1)).await;
+        let mut process = Process::start("unread", agent.await, host).await;
+        drop(process.child.stderr.take());
+        sleep(ms(200)).await;
+        let mut client = Client::connect(process.address).await.unwrap();
+        assert_eq!(client.get("k", "1", 1000).await, bulk("k"));
+        process.terminate();
+        process.ended().await;
     });
 }
 
