A balancer is ready with any list of servers, also before discovery's word

Checked the logs: the restarted process serves with its known list, no call to discovery fails, and PONG waits for the 250 ms of READY_AFTER (engine.rs), since a new agent is silent at first where discovery must be asked. Now a non-empty list is enough; without one PING is answered -LOADING until discovery tells one.

--- a/crates/stairfront/src/clients.rs
+++ b/crates/stairfront/src/clients.rs
@@ -41,7 +41,7 @@
     pub classes: Vec<Class>,
     pub clock: Clock,
     pub counters: Rc<Counters>,
-    /// Discovery has been heard, or waited for long enough.
+    /// There is a list of servers to serve from.
     pub ready: watch::Receiver<bool>,
     pub phase: watch::Receiver<Phase>,
     /// Rung to have the connection that has been idle longest close.
--- a/crates/stairfront/src/engine.rs
+++ b/crates/stairfront/src/engine.rs
@@ -3,7 +3,6 @@
 use std::collections::VecDeque;
 use std::future::poll_fn;
 use std::rc::Rc;
-use std::time::Duration;
 
 use rustc_hash::FxHashMap;
 use stairfront_policy::interface::{
@@ -12,7 +11,6 @@
 use stairfront_policy::Policy;
 use stairfront_settings::Start;
 use tokio::sync::{mpsc, watch};
-use tokio::time::sleep;
 use tokio_util::time::DelayQueue;
 use tracing::info;
 
@@ -26,9 +24,6 @@
 use crate::stages::route;
 use crate::stages::send::Sending;
 
-/// How long a start waits for discovery's word before it serves with the list it was given.
-const READY_AFTER: Duration = Duration::from_millis(250);
-
 enum Due {
     /// A timer of the decision module.
     Token(u64),
@@ -83,10 +78,7 @@
 
     pub async fn run(mut self, known: ServerList, mut inputs: mpsc::Receiver<Input>) {
         self.learn(known, true);
-        let soon_ready = sleep(READY_AFTER);
-        tokio::pin!(soon_ready);
         loop {
-            let waits = !*self.ready.borrow();
             tokio::select! {
                 biased;
                 due = poll_fn(|cx| self.timers.poll_expired(cx)), if !self.timers.is_empty() => {
@@ -98,15 +90,10 @@
                     Some(input) => self.hear(input),
                     None => return,
                 },
-                () = &mut soon_ready, if waits => self.set_ready(),
             }
         }
     }
 
-    fn set_ready(&mut self) {
-        self.ready.send_replace(true);
-    }
-
     fn hear(&mut self, input: Input) {
         match input {
             Input::Arrived(arrival) => match self.table.admit(arrival) {
@@ -121,7 +108,6 @@
             Input::List(list) => {
                 self.counters.lists_heard.add();
                 self.learn(list, false);
-                self.set_ready();
             }
         }
         self.settle();
@@ -243,6 +229,10 @@
             left.into_iter().for_each(|id| self.forget(id));
         }
         list.lines.iter().for_each(|line| self.place(line));
+        // With any list it can serve, an old one too: a restart that waited for discovery would serve nobody.
+        if !self.servers.is_empty() {
+            self.ready.send_replace(true);
+        }
         self.tell(Event::List(match (cached, list.full) {
             (true, _) => ListNews::Cached(&members),
             (false, true) => ListNews::Full(&members),
--- a/crates/stairfront/src/stages/take_in.rs
+++ b/crates/stairfront/src/stages/take_in.rs
@@ -14,7 +14,7 @@
 const BAD_COMMAND: &str = "ERR invalid arguments";
 const UNKNOWN_COMMAND: &str = "ERR unknown command";
 const UNKNOWN_CLASS: &str = "ERR unknown class";
-const NOT_READY: &str = "LOADING discovery has not been heard yet";
+const NOT_READY: &str = "LOADING no list of servers yet";
 
 pub enum Taken {
     Request {
--- a/crates/stairfront/tests/discovery.rs
+++ b/crates/stairfront/tests/discovery.rs
@@ -30,6 +30,7 @@
         });
         let agent = agent.await;
         let balancer = Balancer::start(agent, &[line("c1", old, "box")]).await;
+        sleep(ms(50)).await;
         assert_eq!(balancer.client().await.get("k", "1", 900).await, bulk("new"));
         assert_eq!(commands(&log, "old").len(), 0);
         let targets = targets(&log);
@@ -103,9 +104,11 @@
         let log = Log::default();
         let host = cache("cache", &log, |_, _| hit("v")).await;
         let ends = origin("agent", &log, |_, _| Step::End).await;
+        let mut balancers = Vec::new();
         for agent in [common::dead_address().await, ends] {
             let balancer = Balancer::start(agent, &[line("c1", host, "box")]).await;
             assert_eq!(balancer.client().await.get("k", "1", 900).await, bulk("v"));
+            balancers.push(balancer);
         }
         sleep(ms(350)).await;
         // A watch goes on only if the next call comes within 200 ms.
