--- a/crates/stairfront/src/clients.rs
+++ b/crates/stairfront/src/clients.rs
@@ -59,8 +59,11 @@
 
 /// Connections beyond the limit, which are turned away; they take descriptors of the configuration's reserve.
 pub const MOST_SPARE: usize = 8;
-/// An idle connection makes room in far less; after this all places are in use.
-const PLACE_WAIT: Duration = Duration::from_millis(5);
+/// How long a new connection waits for a place: with some places in use for a tenth of a second each, one is free soon.
+/// Each wait in vain halves the next, down to what an idle connection takes to close, so that a row of new
+/// connections before places that are stuck does not wait past its time.
+const PLACE_WAIT: Duration = Duration::from_millis(32);
+const LEAST_PLACE_WAIT: Duration = Duration::from_millis(2);
 /// How long a spare connection may go without a command.
 const SPARE_LIMIT: Duration = Duration::from_millis(250);
 
@@ -75,6 +78,7 @@
     let (places, spares) = (Arc::new(Semaphore::new(most)), Arc::new(Semaphore::new(MOST_SPARE)));
     let tasks = TaskTracker::new();
     let mut phase = context.phase.clone();
+    let mut patience = PLACE_WAIT;
     loop {
         let accepted = tokio::select! {
             biased;
@@ -84,7 +88,9 @@
         match accepted {
             Ok((socket, _)) => {
                 context.counters.client_connections_accepted.add();
-                let Ok(place) = take_place(&places, &spares, &context.crowded).await else { break };
+                let place = take_place(&places, &spares, &context.crowded, patience).await;
+                let Ok(place) = place else { break };
+                patience = if place.spare { (patience / 2).max(LEAST_PLACE_WAIT) } else { PLACE_WAIT };
                 let connection = run_connection(socket, Rc::clone(&context), place);
                 spawn_local(tasks.track_future(connection));
             }
@@ -106,13 +112,14 @@
     places: &Arc<Semaphore>,
     spares: &Arc<Semaphore>,
     crowded: &Notify,
+    patience: Duration,
 ) -> Result<Place, AcquireError> {
     let own = |permit| Place { spare: false, _permit: permit };
     if let Ok(permit) = Arc::clone(places).try_acquire_owned() {
         return Ok(own(permit));
     }
     crowded.notify_one();
-    if let Ok(permit) = timeout(PLACE_WAIT, Arc::clone(places).acquire_owned()).await {
+    if let Ok(permit) = timeout(patience, Arc::clone(places).acquire_owned()).await {
         return permit.map(own);
     }
     tokio::select! {
