Spare connections are not closed in their clients' face, stale bells are taken back

A test of two requests on a spare connection found two causes in clients.rs: a spare one was closed right after its answer, and it heard the bell that asks for a place it does not have; and a bell that no idle connection heard stayed stored and closed the next one to fall idle, just as its client had its answer. Spare ones now stay 250 ms, take a place of their own when one is free, and do not listen; an unheard bell is taken back.

--- a/crates/stairfront/src/clients.rs
+++ b/crates/stairfront/src/clients.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures_util::{SinkExt, StreamExt};
+use futures_util::{FutureExt, SinkExt, StreamExt};
 use socket2::SockRef;
 use stairfront_policy::interface::{Class, RequestId};
 use stairfront_settings::Names;
@@ -93,7 +93,7 @@
                 let place = take_place(&places, &spares, &context.crowded, patience).await;
                 let Ok(place) = place else { break };
                 patience = if place.spare { (patience / 2).max(LEAST_PLACE_WAIT) } else { PLACE_WAIT };
-                let connection = run_connection(socket, Rc::clone(&context), place);
+                let connection = run_connection(socket, Rc::clone(&context), place, Arc::clone(&places));
                 spawn_local(tasks.track_future(connection));
             }
             Err(problem) => {
@@ -121,7 +121,11 @@
         return Ok(own(permit));
     }
     crowded.notify_one();
-    if let Ok(permit) = timeout(patience, Arc::clone(places).acquire_owned()).await {
+    let waited = timeout(patience, Arc::clone(places).acquire_owned()).await;
+    // Danger: a bell that no idle connection has heard would close the next one to fall idle, in the face of its
+    // client. It is taken back.
+    let _ = crowded.notified().now_or_never();
+    if let Ok(permit) = waited {
         return permit.map(own);
     }
     tokio::select! {
@@ -147,7 +151,9 @@
     leaving: bool,
     /// A command has been read.
     used: bool,
-    /// Until when a spare connection may wait for its command, which is turned away.
+    place: Place,
+    places: Arc<Semaphore>,
+    /// Until when a spare connection may wait for its next command.
     spare_until: Option<Instant>,
 }
 
@@ -162,7 +168,7 @@
     Gone,
 }
 
-async fn run_connection(socket: TcpStream, context: Rc<Context>, place: Place) {
+async fn run_connection(socket: TcpStream, context: Rc<Context>, place: Place, places: Arc<Semaphore>) {
     context.counters.client_connections_open.add();
     // Answers are small and each is waited for; without it they only come later.
     if let Err(problem) = socket.set_nodelay(true) {
@@ -170,14 +176,15 @@
     }
     let wire = Framed::new(socket, ClientCodec);
     let spare_until = place.spare.then(|| Instant::now() + SPARE_LIMIT);
-    let owed = VecDeque::new();
     let mut connection = Connection {
         wire,
         context: Rc::clone(&context),
-        owed,
+        owed: VecDeque::new(),
         last: None,
         leaving: false,
         used: false,
+        place,
+        places,
         spare_until,
     };
     match connection.run().await {
@@ -187,7 +194,9 @@
         End::Said => connection.linger().await,
         End::Gone => connection.abandon().await,
     }
-    drop(connection);
+    // The socket goes first, then its place.
+    let Connection { wire, place, .. } = connection;
+    drop(wire);
     context.counters.client_connections_open.sub();
     drop(place);
 }
@@ -240,7 +249,10 @@
                         return End::Closed;
                     }
                 }
-                () = context.crowded.notified(), if idle && !self.leaving => self.leaving = true,
+                // A spare one has no place to give.
+                () = context.crowded.notified(), if idle && !self.leaving && spare_until.is_none() => {
+                    self.leaving = true;
+                }
                 () = sleep_until(spare_until.unwrap_or(now)), if idle && !self.leaving && spare_until.is_some() => {
                     self.leaving = true;
                 }
@@ -256,6 +268,17 @@
         }
     }
 
+    /// A spare connection takes a place of its own as soon as one is free.
+    fn is_spare(&mut self) -> bool {
+        if self.place.spare {
+            if let Ok(permit) = Arc::clone(&self.places).try_acquire_owned() {
+                self.place = Place { spare: false, _permit: permit };
+                self.spare_until = None;
+            }
+        }
+        self.place.spare
+    }
+
     /// Asks the kernel itself, as the last thing before a close. Danger: on a small part of a core much time can pass
     /// after the event loop has looked, and what came meanwhile counts as taken.
     fn input_waits(&self) -> bool {
@@ -275,16 +298,15 @@
 
     /// Takes a command in; fails only when the balancer itself ends.
     async fn take(&mut self, words: Vec<Bytes>) -> Result<(), mpsc::error::SendError<Input>> {
+        let spare = self.is_spare();
         let context = &self.context;
         self.used = true;
-        if std::mem::take(&mut self.leaving) {
-            // Another one may make room instead.
-            context.crowded.notify_one();
-        }
+        self.leaving = false;
         let owed = match take_in::take_in(words, context) {
-            Taken::Request { .. } if self.spare_until.is_some() => {
+            // Danger: closed right after its answer, it would be closed in the face of the client's next request.
+            Taken::Request { .. } if spare => {
                 context.counters.over_cap.add();
-                self.spare_until = Some(Instant::now());
+                self.spare_until = Some(Instant::now() + SPARE_LIMIT);
                 Owed::Ready(Answer::Busy { after_ms: None })
             }
             Taken::Request { command, mut request } => {
--- a/crates/stairfront/tests/clients.rs
+++ b/crates/stairfront/tests/clients.rs
@@ -259,12 +259,27 @@
             busy.push(client);
         }
         sleep(ms(50)).await;
-        for _ in 0..20 {
+        let mut spare = Vec::new();
+        for _ in 0..8 {
             let mut client = balancer.client().await;
             let start = Instant::now();
             assert_eq!(client.get("k", "2", 300).await, "-BUSY\r\n");
             assert!(start.elapsed() < ms(200), "{:?}", start.elapsed());
+            // It is not closed in the face of the client's next request, and not kept for ever.
+            assert_eq!(client.get("k", "3", 300).await, "-BUSY\r\n");
+            spare.push(client);
+        }
+        let mut late = spare.pop().unwrap();
+        drop(busy);
+        sleep(ms(20)).await;
+        assert!(
+            late.get("k", "4", 200).await.starts_with("-BUSY 1500"),
+            "with a place of its own it is served"
+        );
+        sleep(ms(300)).await;
+        for mut client in spare {
             assert_eq!(client.answer().await, None);
         }
+        assert_eq!(late.ask(&["PING"]).await, "+PONG\r\n");
     });
 }
