--- a/crates/stairfront/src/config.rs
+++ b/crates/stairfront/src/config.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use serde::Deserialize;
+use serde_json::Value;
 use stairfront_settings::Start;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -18,6 +19,9 @@
 const FEWEST_SOCKETS: usize = RESERVE + 8;
 /// The most sockets that the deployment ever grants; a larger limit is not used.
 const MOST_SOCKETS: usize = 1024;
+/// Keys that a running balancer does not compare with a new file: the address of discovery takes effect at once, the
+/// list and the seed are for a start alone.
+const NOT_COMPARED: [&str; 3] = ["discovery", "known", "seed"];
 
 #[derive(Debug, thiserror::Error)]
 pub enum ConfigError {
@@ -41,7 +45,7 @@
     limits: RawLimits,
     #[serde(default)]
     known: RawList,
-    settings: serde_json::Value,
+    settings: Value,
 }
 
 #[derive(Deserialize, Default)]
@@ -65,6 +69,10 @@
 
 #[derive(Debug)]
 pub struct Config {
+    /// Where it was read from, and is read again on SIGHUP.
+    pub path: String,
+    /// The file as it stands, for comparison, without what is not compared.
+    text: Value,
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
@@ -76,10 +84,13 @@
 
 impl Config {
     pub fn from_environment() -> Result<Self, ConfigError> {
-        let path = env::var(CONFIG).map_err(|_| ConfigError::NoPath)?;
-        match fs::read_to_string(&path) {
-            Ok(text) => Self::from_text(&path, &text),
-            Err(problem) => Err(ConfigError::File { path, problem }),
+        Self::from_file(&env::var(CONFIG).map_err(|_| ConfigError::NoPath)?)
+    }
+
+    pub fn from_file(path: &str) -> Result<Self, ConfigError> {
+        match fs::read_to_string(path) {
+            Ok(text) => Self::from_text(path, &text),
+            Err(problem) => Err(ConfigError::File { path: path.to_string(), problem }),
         }
     }
 
@@ -88,6 +99,10 @@
         let fault = |key: String, problem: String| ConfigError::Key { path: path.to_string(), key, problem };
         let raw: Raw = serde_path_to_error::deserialize(&mut serde_json::Deserializer::from_str(text))
             .map_err(|e| fault(e.path().to_string(), e.inner().to_string()))?;
+        let mut whole: Value = serde_json::from_str(text).map_err(|e| fault(".".into(), e.to_string()))?;
+        if let Some(keys) = whole.as_object_mut() {
+            NOT_COMPARED.iter().for_each(|key| drop(keys.remove(*key)));
+        }
         let start =
             Start::from_value(raw.settings).map_err(|e| fault(format!("settings.{}", e.key), e.problem))?;
         let sockets = raw.limits.sockets.unwrap_or(MOST_SOCKETS);
@@ -98,6 +113,8 @@
         let known =
             raw.known.read(&start.names).map_err(|e| fault("known.endpoints".to_string(), e.to_string()))?;
         Ok(Config {
+            path: path.to_string(),
+            text: whole,
             name: raw.name,
             listen: raw.listen,
             discovery: raw.discovery,
@@ -109,6 +126,31 @@
     }
 }
 
+impl Config {
+    /// Keys in which `new` differs and that take effect at a start only, as paths.
+    pub fn needs_restart(&self, new: &Config) -> Vec<String> {
+        let mut paths = Vec::new();
+        differing(String::new(), &self.text, &new.text, &mut paths);
+        paths
+    }
+}
+
+/// Paths of the keys in which two values differ, down to those that hold no further keys.
+fn differing(path: String, old: &Value, new: &Value, paths: &mut Vec<String>) {
+    let (Value::Object(olds), Value::Object(news)) = (old, new) else {
+        if old != new {
+            paths.push(path);
+        }
+        return;
+    };
+    let added = news.keys().filter(|key| !olds.contains_key(*key));
+    for key in olds.keys().chain(added) {
+        let path = if path.is_empty() { key.clone() } else { format!("{path}.{key}") };
+        let of = |keys: &serde_json::Map<String, Value>| keys.get(key).cloned().unwrap_or(Value::Null);
+        differing(path, &of(olds), &of(news), paths);
+    }
+}
+
 /// Any text is a seed; the usual one is 16 hexadecimal digits.
 fn seed(text: &str) -> u64 {
     u64::from_str_radix(text, 16).unwrap_or_else(|_| xxh3_64(text.as_bytes()))
--- a/crates/stairfront/src/counters.rs
+++ b/crates/stairfront/src/counters.rs
@@ -45,6 +45,9 @@
     attempts_moot,
     lists_heard,
     lists_failed,
+    /// New configurations taken over, and those with a fault, which changed nothing.
+    reloads,
+    reloads_faulty,
     decision_panics,
     client_connections_accepted,
     client_connections_open,
--- a/crates/stairfront/src/discovery.rs
+++ b/crates/stairfront/src/discovery.rs
@@ -10,7 +10,7 @@
 use stairfront_policy::interface::{CacheId, Cell, Kind, Member, MemberState, Micros, Zone, MS};
 use stairfront_settings::Names;
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep, timeout};
 use tokio_util::codec::Framed;
 use tracing::{info, warn};
@@ -164,7 +164,8 @@
 /// Keeps a watch on the agent for as long as the balancer runs and passes on all that changes. A dead agent costs
 /// nothing but these calls: serving goes on with the list in hand.
 pub struct Watch {
-    address: SocketAddr,
+    /// Where the agent is; a new configuration may name another.
+    agents: watch::Receiver<SocketAddr>,
     names: Names,
     inbox: mpsc::Sender<Input>,
     wire: Option<Framed<TcpStream, HttpCodec>>,
@@ -178,16 +179,34 @@
 
 impl Watch {
     pub fn new(
-        address: SocketAddr,
+        agents: watch::Receiver<SocketAddr>,
         names: Names,
         known: u64,
         inbox: mpsc::Sender<Input>,
         counters: Rc<Counters>,
     ) -> Self {
-        Watch { address, names, inbox, wire: None, index: Some(known), hold: Duration::ZERO, counters }
+        Watch { agents, names, inbox, wire: None, index: Some(known), hold: Duration::ZERO, counters }
     }
 
+    /// Danger: a call to the agent of an old configuration may be held for most of a minute, and its versions mean
+    /// nothing to another agent. The call is dropped, and the new agent asked at once for the whole list.
     pub async fn run(mut self) {
+        let mut agents = self.agents.clone();
+        loop {
+            tokio::select! {
+                biased;
+                changed = agents.changed() => {
+                    if changed.is_err() {
+                        return;
+                    }
+                    (self.wire, self.index, self.hold) = (None, None, Duration::ZERO);
+                }
+                () = self.keep() => return,
+            }
+        }
+    }
+
+    async fn keep(&mut self) {
         let mut failures = 0;
         loop {
             match self.call().await {
@@ -204,7 +223,7 @@
                 }
                 Err(problem) => {
                     if failures % LOG_EVERY == 0 {
-                        warn!("discovery at {}: {problem}", self.address);
+                        warn!("discovery at {}: {problem}", *self.agents.borrow());
                     }
                     failures += 1;
                     self.counters.lists_failed.add();
@@ -223,10 +242,11 @@
     }
 
     async fn call(&mut self) -> Result<ServerList, CallError> {
+        let address = *self.agents.borrow();
         let wire = match &mut self.wire {
             Some(wire) => wire,
             none => {
-                let connected = timeout(ANSWER_LIMIT, TcpStream::connect(self.address));
+                let connected = timeout(ANSWER_LIMIT, TcpStream::connect(address));
                 let socket = connected.await.map_err(|_| CallError::Late)??;
                 socket.set_nodelay(true)?;
                 none.insert(Framed::new(socket, HttpCodec::new(LARGEST_LIST)))
@@ -239,7 +259,7 @@
             }
             None => ("/api/targets".to_string(), ANSWER_LIMIT),
         };
-        let host = Bytes::from(self.address.to_string());
+        let host = Bytes::from(address.to_string());
         wire.send(Request { method: "GET", target, headers: vec![("Host", host)], body: None }).await?;
         let answer = timeout(limit, wire.next()).await.map_err(|_| CallError::Late)?;
         let response = answer.ok_or(CallError::Ended)??;
--- a/crates/stairfront/src/lib.rs
+++ b/crates/stairfront/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod http;
 pub mod messages;
 pub mod origin;
+pub mod reload;
 pub mod resp;
 pub mod server;
 pub mod shutdown;
--- /dev/null
+++ b/crates/stairfront/src/reload.rs
@@ -0,0 +1,63 @@
+//! A new configuration while the balancer runs: on SIGHUP the file is read again, by the same way as at the start.
+//! The address of discovery takes effect at once; what takes a restart is named in the log.
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use tokio::signal::unix::{signal, Signal, SignalKind};
+use tokio::sync::{mpsc, watch};
+use tracing::{info, warn};
+
+use crate::config::Config;
+use crate::counters::Counters;
+
+/// Catches SIGHUP from now on. Danger: uncaught it ends the process, and once caught it never does again, also while
+/// the balancer stops.
+pub fn catch_hangups() -> io::Result<Signal> {
+    signal(SignalKind::hangup())
+}
+
+/// Passes hangups on. One that waits stands for all that come meanwhile: the file is read after the last of them.
+pub async fn pass_on(mut hangups: Signal, to: mpsc::Sender<()>) {
+    while hangups.recv().await.is_some() {
+        let _ = to.try_send(());
+    }
+}
+
+/// What of the configuration can change under way.
+pub struct Reloads {
+    pub current: Config,
+    /// Tells the watch on discovery where the agent is.
+    pub agent: watch::Sender<SocketAddr>,
+    pub counters: Rc<Counters>,
+}
+
+impl Reloads {
+    pub async fn run(mut self, mut hangups: mpsc::Receiver<()>) {
+        while hangups.recv().await.is_some() {
+            self.reload();
+        }
+        // The agent's address must stay known to the watch.
+        self.agent.closed().await;
+    }
+
+    /// Danger: half a file, or one with a slip in it, would take a serving balancer down. It keeps what it has.
+    fn reload(&mut self) {
+        let new = match Config::from_file(&self.current.path) {
+            Ok(new) => new,
+            Err(problem) => {
+                warn!("told to read the configuration again, the old one stays: {problem}");
+                return self.counters.reloads_faulty.add();
+            }
+        };
+        self.counters.reloads.add();
+        info!("configuration read again from {}, discovery at {}", new.path, new.discovery);
+        let waiting = self.current.needs_restart(&new);
+        if !waiting.is_empty() {
+            warn!("changed, but taken over only at a restart: {}", waiting.join(", "));
+        }
+        self.agent.send_if_modified(|agent| std::mem::replace(agent, new.discovery) != new.discovery);
+        // Compared with what this process was started with, so that a key changed back is not named.
+        self.current.discovery = new.discovery;
+    }
+}
--- a/crates/stairfront/src/server.rs
+++ b/crates/stairfront/src/server.rs
@@ -5,7 +5,7 @@
 
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch, Notify};
-use tokio::task::{spawn_local, LocalSet};
+use tokio::task::{spawn_local, JoinHandle, LocalSet};
 use tracing::info;
 
 use crate::caches::{Pool, PoolLimits};
@@ -15,6 +15,7 @@
 use crate::counters::Counters;
 use crate::discovery::Watch;
 use crate::engine::Engine;
+use crate::reload::{self, Reloads};
 use crate::shutdown::{watch_signals, Phase};
 
 /// Messages that may wait for the engine; senders wait beyond that. Each is handled in some microseconds.
@@ -24,18 +25,31 @@
 pub fn run(config: Config) -> io::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     runtime.block_on(LocalSet::new().run_until(async {
+        // Caught before the first connection can come, and so before the first +PONG.
+        let hangups = reload::catch_hangups()?;
         let listener = TcpListener::bind(config.listen).await?;
         let (phase, phases) = watch::channel(Phase::Running);
-        let signals = spawn_local(watch_signals(phase));
-        let served = serve(config, listener, phases).await;
-        signals.abort();
+        let (rung, rings) = mpsc::channel(1);
+        let (stopping, reloading) =
+            (spawn_local(watch_signals(phase)), spawn_local(reload::pass_on(hangups, rung)));
+        let served = serve(config, listener, phases, rings).await;
+        stopping.abort();
+        reloading.abort();
         served
     }))
 }
 
-/// Serves until the phase says to close and all that was taken is answered.
-pub async fn serve(config: Config, listener: TcpListener, phase: watch::Receiver<Phase>) -> io::Result<()> {
-    let Config { name, discovery, seed, sockets, known, start, .. } = config;
+/// Serves until the phase says to close and all that was taken is answered; on a hangup the configuration is read
+/// again.
+pub async fn serve(
+    mut config: Config,
+    listener: TcpListener,
+    phase: watch::Receiver<Phase>,
+    hangups: mpsc::Receiver<()>,
+) -> io::Result<()> {
+    let (known, start) = (std::mem::take(&mut config.known), config.start.clone());
+    let (name, seed, sockets) = (config.name.clone(), config.seed, config.sockets);
+    let (agent, agents) = watch::channel(config.discovery);
     let (inbox, inputs) = mpsc::channel(INBOX);
     let (ready, is_ready) = watch::channel(false);
     let counters = Rc::new(Counters::default());
@@ -46,7 +60,7 @@
         servers_idle_limit: duration(start.host.idle),
     };
     let pool = Pool::new(limits, start.names.report.clone(), inbox.clone(), Rc::clone(&counters));
-    let watch = Watch::new(discovery, start.names.clone(), known.index, inbox.clone(), Rc::clone(&counters));
+    let watch = Watch::new(agents, start.names.clone(), known.index, inbox.clone(), Rc::clone(&counters));
     let context = Rc::new(Context {
         inbox,
         names: start.names.clone(),
@@ -60,14 +74,15 @@
     });
     let engine = Engine::new(start, seed, clock, pool, Rc::clone(&counters), ready);
     info!("{name} serves on {} with {} known servers", listener.local_addr()?, known.lines.len());
-    let watching = spawn_local(watch.run());
+    let reloads = Reloads { current: config, agent, counters: Rc::clone(&counters) };
+    let watching = [spawn_local(watch.run()), spawn_local(reloads.run(hangups))];
     let mut deciding = spawn_local(engine.run(known, inputs));
     let ended = tokio::select! {
         () = clients::serve(listener, context, sockets.clients) => Ok(()),
         // Danger: without its engine a balancer would take requests and answer none.
         ended = &mut deciding => Err(io::Error::other(format!("the engine ended: {ended:?}"))),
     };
-    watching.abort();
+    watching.iter().for_each(JoinHandle::abort);
     deciding.abort();
     info!("stopped: {}", counters.to_string().trim_end().replace("\r\n", " "));
     ended
--- a/crates/stairfront/tests/clients.rs
+++ b/crates/stairfront/tests/clients.rs
@@ -201,9 +201,10 @@
     let text = config(address, agent, lines, 1024).to_string();
     let config = stairfront::config::Config::from_text("test", &text).unwrap();
     let (phase, phases) = tokio::sync::watch::channel(stairfront::shutdown::Phase::Running);
+    let (hangups, rings) = tokio::sync::mpsc::channel(1);
     tokio::task::spawn_local(async move {
-        stairfront::server::serve(config, listener, phases).await.unwrap();
-        drop(phase);
+        stairfront::server::serve(config, listener, phases, rings).await.unwrap();
+        drop((phase, hangups));
     });
     Client::connect(address).await.unwrap()
 }
--- a/crates/stairfront/tests/common/mod.rs
+++ b/crates/stairfront/tests/common/mod.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::future::Future;
 use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -12,7 +13,7 @@
 use stairfront::shutdown::Phase;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use tokio::task::{spawn_local, JoinHandle, LocalSet};
 use tokio::time::{sleep, timeout, timeout_at, Instant};
 
@@ -226,6 +227,7 @@
 pub struct Balancer {
     pub address: SocketAddr,
     pub phase: watch::Sender<Phase>,
+    pub hangups: mpsc::Sender<()>,
     pub done: JoinHandle<()>,
 }
 
@@ -239,11 +241,16 @@
         let address = listener.local_addr().unwrap();
         let mut text = config(address, discovery, lines, 1024);
         change(&mut text);
-        let config = Config::from_text("test", &text.to_string()).unwrap();
+        Self::serve(listener, Config::from_text("test", &text.to_string()).unwrap()).await
+    }
+
+    pub async fn serve(listener: TcpListener, config: Config) -> Self {
+        let address = listener.local_addr().unwrap();
         let (phase, phases) = watch::channel(Phase::Running);
-        let served = server::serve(config, listener, phases);
+        let (hangups, rings) = mpsc::channel(1);
+        let served = server::serve(config, listener, phases, rings);
         let done = spawn_local(async move { served.await.unwrap() });
-        let balancer = Balancer { address, phase, done };
+        let balancer = Balancer { address, phase, hangups, done };
         let mut client = balancer.client().await;
         while client.ask(&["PING"]).await != "+PONG\r\n" {
             sleep(ms(5)).await;
@@ -256,6 +263,61 @@
     }
 }
 
+/// The program itself, with its log on a pipe.
+pub struct Process {
+    pub child: Child,
+    pub address: SocketAddr,
+    pub config: String,
+}
+
+impl Process {
+    pub async fn start(test: &str, agent: SocketAddr, host: SocketAddr) -> Self {
+        let address = dead_address().await;
+        let path = format!("{}/{test}-{}.json", env!("CARGO_TARGET_TMPDIR"), std::process::id());
+        let text = config(address, agent, &[line("c", host, "box")], 1024).to_string();
+        std::fs::write(&path, text).unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_stairfront"));
+        let child = command.env("ROUTER_CONFIG", &path).stderr(Stdio::piped()).spawn().unwrap();
+        let process = Process { child, address, config: path };
+        let mut probe = loop {
+            match Client::connect(address).await {
+                Ok(client) => break client,
+                Err(_) => sleep(ms(10)).await,
+            }
+        };
+        while probe.ask(&["PING"]).await != "+PONG\r\n" {
+            sleep(ms(10)).await;
+        }
+        process
+    }
+
+    /// Sends a signal such as `-TERM`.
+    pub fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        assert!(Command::new("kill").arg(name).arg(pid).status().unwrap().success());
+    }
+
+    /// Waits for a good end.
+    pub async fn ended(&mut self) {
+        let status = loop {
+            match self.child.try_wait().unwrap() {
+                Some(status) => break status,
+                None => sleep(ms(10)).await,
+            }
+        };
+        assert!(status.success(), "{status}");
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // Already over unless the test has failed.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.config);
+    }
+}
+
 pub fn command(words: &[&str]) -> Vec<u8> {
     let mut bytes = format!("*{}\r\n", words.len()).into_bytes();
     for word in words {
--- a/crates/stairfront/tests/shutdown.rs
+++ b/crates/stairfront/tests/shutdown.rs
@@ -3,14 +3,11 @@
 
 use std::cell::Cell;
 use std::io::Read;
-use std::net::SocketAddr;
-use std::process::{Child, Command, Stdio};
 use std::rc::Rc;
 use std::time::Instant;
 
 use common::{
-    bulk, cache, config, dead_address, get, hit, http, line, ms, origin, quiet_agent, run, Balancer, Client,
-    Log, Step,
+    bulk, cache, get, hit, http, line, ms, origin, quiet_agent, run, Balancer, Client, Log, Process, Step,
 };
 use stairfront::shutdown::Phase;
 use tokio::io::AsyncWriteExt;
@@ -75,60 +72,6 @@
     });
 }
 
-/// The program itself, with its log on a pipe.
-struct Process {
-    child: Child,
-    address: SocketAddr,
-    config: String,
-}
-
-impl Process {
-    async fn start(test: &str, agent: SocketAddr, host: SocketAddr) -> Self {
-        let address = dead_address().await;
-        let path = format!("{}/{test}-{}.json", env!("CARGO_TARGET_TMPDIR"), std::process::id());
-        let text = config(address, agent, &[line("c", host, "box")], 1024).to_string();
-        std::fs::write(&path, text).unwrap();
-        let mut command = Command::new(env!("CARGO_BIN_EXE_stairfront"));
-        let child = command.env("ROUTER_CONFIG", &path).stderr(Stdio::piped()).spawn().unwrap();
-        let process = Process { child, address, config: path };
-        let mut probe = loop {
-            match Client::connect(address).await {
-                Ok(client) => break client,
-                Err(_) => sleep(ms(10)).await,
-            }
-        };
-        while probe.ask(&["PING"]).await != "+PONG\r\n" {
-            sleep(ms(10)).await;
-        }
-        process
-    }
-
-    fn terminate(&self) {
-        let pid = self.child.id().to_string();
-        assert!(Command::new("kill").arg("-TERM").arg(pid).status().unwrap().success());
-    }
-
-    /// Waits for a good end.
-    async fn ended(&mut self) {
-        let status = loop {
-            match self.child.try_wait().unwrap() {
-                Some(status) => break status,
-                None => sleep(ms(10)).await,
-            }
-        };
-        assert!(status.success(), "{status}");
-    }
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        // Already over unless the test has failed.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        let _ = std::fs::remove_file(&self.config);
-    }
-}
-
 #[test]
 fn sigterm_under_load_loses_nothing_and_prints_the_counters() {
     run(async {
@@ -156,7 +99,7 @@
             }));
         }
         sleep(ms(250)).await;
-        process.terminate();
+        process.signal("-TERM");
         for client in clients {
             client.await.unwrap();
         }
@@ -185,7 +128,7 @@
         sleep(ms(200)).await;
         let mut client = Client::connect(process.address).await.unwrap();
         assert_eq!(client.get("k", "1", 1000).await, bulk("k"));
-        process.terminate();
+        process.signal("-TERM");
         process.ended().await;
     });
 }
