--- a/crates/stairfront-policy/src/policy.rs
+++ b/crates/stairfront-policy/src/policy.rs
@@ -650,7 +650,7 @@
         let class = self.pending.get(&s.id).and_then(|p| self.class(&p.request));
         let (goal, aside) = (GOAL * class.map_or(shortest, |c| c.aim) as f64, self.aside());
         let Some(server) = self.servers.get_mut(&s.cache) else { return };
-        let (before, error) = (server.window, s.outcome == Outcome::Errored);
+        let (before, error, again) = (server.window, s.outcome == Outcome::Errored, s.attempt > 0);
         self.errors += ERROR_WEIGHT * (f64::from(u8::from(error)) - self.errors);
         // Several errors in a few answers come from behind caches that fetch. Else they are the cache's own:
         // Danger: one that errs at once looks idle and draws requests.
@@ -674,8 +674,8 @@
                     server.timed(now, s.elapsed as f64, goal);
                 }
             }
-            // Danger: now and then any server's answer is spoilt, which says nothing of how it does.
-            Outcome::Spoilt if server.spoilt < SPOILT_ROW => server.spoilt += 1,
+            // Danger: any server's answer may be spoilt once, and a bad request is spoilt at each repeat.
+            Outcome::Spoilt if again || server.spoilt < SPOILT_ROW => server.spoilt += u32::from(!again),
             Outcome::ConnectFailed | Outcome::Reset | Outcome::Spoilt => server.fail(now),
             Outcome::TimedOut => server.timed(now, s.elapsed as f64, goal),
             Outcome::Full | Outcome::Errored => server.cut(now, goal),
--- a/crates/stairfront/src/clients.rs
+++ b/crates/stairfront/src/clients.rs
@@ -6,10 +6,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures_util::{FutureExt, SinkExt, StreamExt};
 use stairfront_policy::interface::{Class, RequestId};
 use stairfront_settings::Names;
+use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot, watch, AcquireError, Notify, OwnedSemaphorePermit, Semaphore};
 use tokio::task::{spawn_local, yield_now};
@@ -26,12 +27,28 @@
 use crate::socket::{unread, Unread};
 use crate::stages::take_in::{self, Taken};
 
-/// Commands of one connection that may be open at once; reading waits beyond that.
-const MOST_OPEN: usize = 64;
+/// Commands of one connection that may be open at once; reading waits beyond that. Few, so that one client that sends
+/// hundreds at once does not fill the servers.
+const MOST_OPEN: usize = 16;
+/// A connection on which nothing is open may be closed after 2 s, and one that has brought no whole command must be
+/// within 3 s.
+const SILENT_LIMIT: Duration = Duration::from_millis(2200);
+/// The same for one that has carried commands: its client likely has more, and a new connection costs both sides.
+const IDLE_LIMIT: Duration = Duration::from_secs(10);
+/// A new connection does not have to make room for so long: its first command is on its way.
+const NEW_LIMIT: Duration = Duration::from_millis(200);
 /// A client that reads nothing for so long is gone: longer than any deadline.
 const WRITE_LIMIT: Duration = Duration::from_secs(5);
 /// How long the end of a connection waits for the client to have read the last answer.
-const LINGER: Duration = Duration::from_millis(500);
+const LINGER: Duration = Duration::from_secs(1);
+/// What is read meanwhile at full speed, and the pause after each further piece. Danger: a client that goes on sending
+/// megabytes that nobody wants would take the usual clients' part of the processor.
+const LINGER_BYTES: usize = 64 * 1024;
+const LINGER_PAUSE: Duration = Duration::from_millis(20);
+/// First read buffer of a connection: a usual command has some hundred bytes, and each open one keeps its buffer.
+const READ_BUFFER: usize = 1024;
+/// Below this part of free places a new connection has one that stands idle close ahead of need.
+const FEW_PLACES: usize = 16;
 /// Pause after an accept that failed for want of descriptors or memory.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
@@ -45,8 +62,8 @@
     /// There is a list of servers to serve from.
     pub ready: watch::Receiver<bool>,
     pub phase: watch::Receiver<Phase>,
-    /// Rung to have the connection that has been idle longest close.
-    pub crowded: Notify,
+    /// Rung to have a connection that nobody uses close.
+    pub crowd: Crowd,
     pub next_id: Cell<u32>,
 }
 
@@ -58,6 +75,46 @@
     }
 }
 
+/// The connections that can make room. Those that have brought no command go first, then the one idle longest: waiters
+/// are woken in the order in which they came.
+#[derive(Default)]
+pub struct Crowd {
+    silent: Notify,
+    idle: Notify,
+    /// How many wait for the first bell.
+    silents: Rc<Cell<usize>>,
+}
+
+impl Crowd {
+    fn ring(&self) {
+        let bell = if self.silents.get() > 0 { &self.silent } else { &self.idle };
+        bell.notify_one();
+    }
+
+    /// Danger: a bell that no connection has heard would close the next one to fall idle, in the face of its client.
+    fn take_back(&self) {
+        for bell in [&self.silent, &self.idle] {
+            let _ = bell.notified().now_or_never();
+        }
+    }
+}
+
+/// A connection that has brought no command for a while, counted for as long as this lives.
+struct Silent(Rc<Cell<usize>>);
+
+impl Silent {
+    fn new(crowd: &Crowd) -> Self {
+        crowd.silents.set(crowd.silents.get() + 1);
+        Silent(Rc::clone(&crowd.silents))
+    }
+}
+
+impl Drop for Silent {
+    fn drop(&mut self) {
+        self.0.set(self.0.get().saturating_sub(1));
+    }
+}
+
 /// Connections beyond the limit, which are turned away; they take descriptors of the configuration's reserve.
 pub const MOST_SPARE: usize = 8;
 /// How long a new connection waits for a place: with some places in use for a tenth of a second each, one is free soon.
@@ -89,7 +146,11 @@
         match accepted {
             Ok((socket, _)) => {
                 context.counters.client_connections_accepted.add();
-                let place = take_place(&places, &spares, &context.crowded, patience).await;
+                if places.available_permits() < most / FEW_PLACES {
+                    context.crowd.ring();
+                    context.crowd.take_back();
+                }
+                let place = take_place(&places, &spares, &context.crowd, patience).await;
                 let Ok(place) = place else { break };
                 patience = if place.spare { (patience / 2).max(LEAST_PLACE_WAIT) } else { PLACE_WAIT };
                 let connection = run_connection(socket, Rc::clone(&context), place, Arc::clone(&places));
@@ -106,24 +167,21 @@
     tasks.wait().await;
 }
 
-/// Danger: with all places taken a new client would wait for ever behind connections that nobody uses. The one
-/// idle longest makes room: waiters are woken in the order in which they fell idle. With all of them in use the new
-/// one gets a spare place, where its request is turned away: unread it would wait past its time and be lost.
+/// Danger: with all places taken a new client would wait for ever behind connections that nobody uses. One of those
+/// makes room. With all of them in use the new one gets a spare place, where its request is turned away: unread it would wait past its time and be lost.
 async fn take_place(
     places: &Arc<Semaphore>,
     spares: &Arc<Semaphore>,
-    crowded: &Notify,
+    crowd: &Crowd,
     patience: Duration,
 ) -> Result<Place, AcquireError> {
     let own = |permit| Place { spare: false, _permit: permit };
     if let Ok(permit) = Arc::clone(places).try_acquire_owned() {
         return Ok(own(permit));
     }
-    crowded.notify_one();
+    crowd.ring();
     let waited = timeout(patience, Arc::clone(places).acquire_owned()).await;
-    // Danger: a bell that no idle connection has heard would close the next one to fall idle, in the face of its
-    // client. It is taken back.
-    let _ = crowded.notified().now_or_never();
+    crowd.take_back();
     if let Ok(permit) = waited {
         return permit.map(own);
     }
@@ -147,15 +205,34 @@
     /// No command is read any more: what is owed goes out, then the connection ends so.
     last: Option<End>,
     /// Closes as soon as it is sure that no command has come.
-    leaving: bool,
-    /// A command has been read.
-    used: bool,
+    leaving: Option<Leaving>,
+    standing: Standing,
+    /// When it came, or had its last command or answer.
+    quiet_since: Instant,
+    /// Since when a command has been known to be incomplete.
+    half_since: Option<Instant>,
     place: Place,
     places: Arc<Semaphore>,
     /// Until when a spare connection may wait for its next command.
     spare_until: Option<Instant>,
 }
 
+/// What a connection has brought so far.
+enum Standing {
+    New,
+    Silent(#[allow(dead_code)] Silent),
+    Used,
+}
+
+/// What a connection that is to close still waits for.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Leaving {
+    /// For the rest of a command that has begun to come.
+    Whole,
+    /// For nothing that is not there yet.
+    Cut,
+}
+
 /// How a connection ends.
 #[derive(Clone, Copy)]
 enum End {
@@ -173,15 +250,18 @@
     if let Err(problem) = socket.set_nodelay(true) {
         debug!("no TCP_NODELAY: {problem}");
     }
-    let wire = Framed::new(socket, ClientCodec);
+    let mut wire = Framed::with_capacity(socket, ClientCodec, READ_BUFFER);
+    *wire.write_buffer_mut() = BytesMut::new();
     let spare_until = place.spare.then(|| Instant::now() + SPARE_LIMIT);
     let mut connection = Connection {
         wire,
         context: Rc::clone(&context),
         owed: VecDeque::new(),
         last: None,
-        leaving: false,
-        used: false,
+        leaving: None,
+        standing: Standing::New,
+        quiet_since: Instant::now(),
+        half_since: None,
         place,
         places,
         spare_until,
@@ -215,10 +295,13 @@
             if let (true, Some(end)) = (idle, self.last) {
                 return end;
             }
-            let (used, spare_until, now) = (self.used, self.spare_until, Instant::now());
+            let (used, spare) = (matches!(self.standing, Standing::Used), self.spare_until.is_some());
             let reading = self.last.is_none() && self.owed.len() < MOST_OPEN;
-            // A command that has begun to come is not cut off, up to the end.
-            let leaving = idle && self.leaving && self.wire.read_buffer().is_empty();
+            // A command that has begun to come is not cut off, up to the end of its time.
+            let whole = self.wire.read_buffer().is_empty();
+            let leaving = idle && (self.leaving == Some(Leaving::Cut) || self.leaving.is_some() && whole);
+            let staying = idle && self.leaving.is_none();
+            let quiet_until = self.quiet_until();
             tokio::select! {
                 biased;
                 command = self.wire.next(), if reading => match command {
@@ -249,15 +332,17 @@
                     }
                 }
                 // A spare one has no place to give.
-                () = context.crowded.notified(), if idle && !self.leaving && spare_until.is_none() => {
-                    self.leaving = true;
+                () = context.crowd.idle.notified(), if staying && used && !spare => {
+                    self.leaving = Some(Leaving::Whole);
                 }
-                () = sleep_until(spare_until.unwrap_or(now)), if idle && !self.leaving && spare_until.is_some() => {
-                    self.leaving = true;
+                () = context.crowd.silent.notified(), if staying && !spare
+                    && matches!(self.standing, Standing::Silent(_)) => {
+                    self.leaving = Some(Leaving::Cut);
                 }
+                () = sleep_until(quiet_until), if staying => self.out_of_time(),
                 // Between requests a connection is closed when the balancer stops; what came before is read first.
                 // Danger: a new one whose request is on its way would be closed in its face, so it has a while.
-                _ = phase.wait_for(|phase| phase.closes_idle(used)), if idle && !self.leaving => self.leaving = true,
+                _ = phase.wait_for(|phase| phase.closes_idle(used)), if staying => self.leaving = Some(Leaving::Whole),
                 // Danger: a client that always has one more command out, or half of one, would keep the balancer
                 // from ending.
                 _ = last.wait_for(|phase| *phase == Phase::Last), if self.last.is_none() => {
@@ -267,6 +352,35 @@
         }
     }
 
+    /// Until when it may stand without a whole command or an open request.
+    fn quiet_until(&self) -> Instant {
+        if let Some(until) = self.spare_until {
+            return until;
+        }
+        match (&self.standing, self.half_since) {
+            (Standing::New, _) => self.quiet_since + NEW_LIMIT,
+            (Standing::Silent(_), _) => self.quiet_since + SILENT_LIMIT,
+            (Standing::Used, Some(since)) => since + SILENT_LIMIT,
+            (Standing::Used, None) => self.quiet_since + IDLE_LIMIT,
+        }
+    }
+
+    /// Danger: connections that bring nothing, half a command or one request in a day are never closed by their
+    /// clients, and fill the places.
+    fn out_of_time(&mut self) {
+        let half = !self.wire.read_buffer().is_empty();
+        match (&self.standing, self.half_since) {
+            _ if self.spare_until.is_some() => self.leaving = Some(Leaving::Whole),
+            (Standing::New, _) => self.standing = Standing::Silent(Silent::new(&self.context.crowd)),
+            // It may have begun just now, and has its time from here.
+            (Standing::Used, None) if half => self.half_since = Some(Instant::now()),
+            _ => {
+                self.context.counters.client_connections_idled.add();
+                self.leaving = Some(Leaving::Cut);
+            }
+        }
+    }
+
     /// A spare connection takes a place of its own as soon as one is free.
     fn is_spare(&mut self) -> bool {
         if self.place.spare {
@@ -287,6 +401,7 @@
     async fn write(&mut self, answer: Answer) -> Result<(), RespError> {
         match timeout(WRITE_LIMIT, self.wire.send(answer)).await {
             Ok(written) => {
+                self.quiet_since = Instant::now();
                 shrink(self.wire.write_buffer_mut());
                 written
             }
@@ -298,8 +413,8 @@
     async fn take(&mut self, words: Vec<Bytes>) -> Result<(), mpsc::error::SendError<Input>> {
         let spare = self.is_spare();
         let context = &self.context;
-        self.used = true;
-        self.leaving = false;
+        self.standing = Standing::Used;
+        (self.leaving, self.half_since, self.quiet_since) = (None, None, Instant::now());
         let owed = match take_in::take_in(words, context) {
             // Danger: closed right after its answer, it would be closed in the face of the client's next request.
             Taken::Request { .. } if spare => {
@@ -308,7 +423,6 @@
                 Owed::Ready(Answer::Busy { after_ms: None })
             }
             Taken::Request { command, mut request } => {
-                context.counters.taken_in.add();
                 request.id = context.new_id();
                 let (answer, receiver) = oneshot::channel();
                 context.inbox.send(Input::Arrived(Arrival { request, command, answer })).await?;
@@ -329,8 +443,16 @@
     async fn linger(&mut self) {
         let drained = async {
             self.wire.close().await?;
-            tokio::io::copy(self.wire.get_mut(), &mut tokio::io::sink()).await?;
-            Ok::<(), RespError>(())
+            let (mut piece, mut read) = ([0; 4096], 0);
+            loop {
+                match self.wire.get_mut().read(&mut piece).await? {
+                    0 => return Ok::<(), RespError>(()),
+                    n => read += n,
+                }
+                if read > LINGER_BYTES {
+                    sleep(LINGER_PAUSE).await;
+                }
+            }
         };
         // Over the limit or broken: the client does not want it.
         let _ = timeout(LINGER, drained).await;
--- a/crates/stairfront/src/counters.rs
+++ b/crates/stairfront/src/counters.rs
@@ -52,6 +52,8 @@
     decision_panics,
     client_connections_accepted,
     client_connections_open,
+    /// Closed since they brought no whole command, or none for long.
+    client_connections_idled,
     server_connections_opened,
     server_connections_open,
     /// Connections to servers ended since more came than an answer.
--- a/crates/stairfront/src/engine.rs
+++ b/crates/stairfront/src/engine.rs
@@ -20,7 +20,7 @@
 use crate::counters::Counters;
 use crate::discovery::{Line, ServerList};
 use crate::messages::{Answer, AttemptEnd, AttemptId, Input};
-use crate::stages::admit::Table;
+use crate::stages::admit::{NotAdmitted, Table};
 use crate::stages::route;
 use crate::stages::send::Sending;
 
@@ -97,8 +97,12 @@
     fn hear(&mut self, input: Input) {
         match input {
             Input::Arrived(arrival) => match self.table.admit(arrival) {
-                Some(request) => self.tell(Event::Request(request)),
-                None => self.counters.over_cap.add(),
+                Ok(request) => {
+                    self.counters.taken_in.add();
+                    self.tell(Event::Request(request));
+                }
+                Err(NotAdmitted::IdOpen) => self.counters.rejected.add(),
+                Err(NotAdmitted::NoRoom) => self.counters.over_cap.add(),
             },
             Input::ClientGone(id) => self.client_gone(id),
             Input::Pool(news) => {
--- a/crates/stairfront/src/server.rs
+++ b/crates/stairfront/src/server.rs
@@ -4,12 +4,12 @@
 use std::rc::Rc;
 
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, watch, Notify};
+use tokio::sync::{mpsc, watch};
 use tokio::task::{spawn_local, JoinHandle, LocalSet};
 use tracing::info;
 
 use crate::caches::{Pool, PoolLimits};
-use crate::clients::{self, Context};
+use crate::clients::{self, Context, Crowd};
 use crate::clock::{duration, Clock};
 use crate::config::Config;
 use crate::counters::Counters;
@@ -69,7 +69,7 @@
         counters: Rc::clone(&counters),
         ready: is_ready,
         phase,
-        crowded: Notify::new(),
+        crowd: Crowd::default(),
         next_id: Cell::new(0),
     });
     let engine = Engine::new(start, seed, clock, pool, Rc::clone(&counters), ready);
--- a/crates/stairfront/src/stages/admit.rs
+++ b/crates/stairfront/src/stages/admit.rs
@@ -1,7 +1,8 @@
 //! Second stage: a request gets its place in the table of open requests.
 use std::sync::Arc;
 
-use rustc_hash::FxHashMap;
+use bytes::Bytes;
+use rustc_hash::{FxHashMap, FxHashSet};
 use stairfront_policy::interface::{CacheId, Micros, Request, RequestId};
 use tokio::sync::{oneshot, Semaphore};
 
@@ -36,9 +37,19 @@
     pub deferred: Option<Deferred>,
 }
 
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NotAdmitted {
+    /// Another open request has its id.
+    IdOpen,
+    /// One too many: memory has an end.
+    NoRoom,
+}
+
 /// The open requests; each is taken off in one place, `book`.
 pub struct Table {
     pub open: FxHashMap<RequestId, Open>,
+    /// The clients' own ids of the open requests.
+    pub ids: FxHashSet<Bytes>,
     pub bytes: usize,
     /// Bytes left for values on their way to clients.
     pub room: Arc<Semaphore>,
@@ -47,21 +58,37 @@
 
 impl Table {
     pub fn new(most: usize) -> Self {
-        Table { open: FxHashMap::default(), bytes: 0, room: Arc::new(Semaphore::new(MOST_BYTES)), most }
+        Table {
+            open: FxHashMap::default(),
+            ids: FxHashSet::default(),
+            bytes: 0,
+            room: Arc::new(Semaphore::new(MOST_BYTES)),
+            most,
+        }
     }
 
-    /// Enters a request. One too many is answered at once: memory has an end.
-    pub fn admit(&mut self, arrival: Arrival) -> Option<Request> {
+    /// Enters a request, or answers it at once.
+    pub fn admit(&mut self, arrival: Arrival) -> Result<Request, NotAdmitted> {
         let Arrival { request, command, answer } = arrival;
         let bytes = command.bytes();
-        if self.open.len() >= self.most || self.bytes + bytes > MOST_BYTES {
+        let problem = if self.ids.contains(&command.id) {
+            // Danger: servers know a request by its id alone. A second one under it would count as a second copy, and
+            // be answered with what was made for the first.
+            Some((NotAdmitted::IdOpen, Answer::Error("ERR id is open already")))
+        } else if self.open.len() >= self.most || self.bytes + bytes > MOST_BYTES {
+            Some((NotAdmitted::NoRoom, Answer::Busy { after_ms: None }))
+        } else {
+            None
+        };
+        if let Some((problem, told)) = problem {
             // A client that has left needs no answer.
-            let _ = answer.send(Given::from(Answer::Busy { after_ms: None }));
-            return None;
+            let _ = answer.send(Given::from(told));
+            return Err(problem);
         }
+        self.ids.insert(command.id.clone());
         self.bytes += bytes;
         let open = Open { command, answer: Some(answer), sent: 0, out: Vec::new(), deferred: None };
         self.open.insert(request.id, open);
-        Some(request)
+        Ok(request)
     }
 }
--- a/crates/stairfront/src/stages/book.rs
+++ b/crates/stairfront/src/stages/book.rs
@@ -12,6 +12,7 @@
         if self.open.get(&request).is_some_and(over) {
             if let Some(open) = self.open.remove(&request) {
                 self.bytes -= open.command.bytes();
+                self.ids.remove(&open.command.id);
             }
         }
     }
--- a/crates/stairfront/src/stages/take_in.rs
+++ b/crates/stairfront/src/stages/take_in.rs
@@ -68,8 +68,12 @@
 
 fn request(command: &Command, context: &Context) -> Result<Request, &'static str> {
     let now = context.clock.now();
-    let (mut class, mut tenant, mut wait, mut repeat) = (None, TenantId(0), None, false);
+    let (mut class, mut tenant, mut wait, mut repeat) = (None, TenantId(u32::MAX), None, false);
+    let mut told = [0; 2];
     for pair in command.info.split(|b| *b == b',') {
+        // Danger: of two classes or two times one would be believed here and the other at the server.
+        told[0] += usize::from(pair.starts_with(b"c="));
+        told[1] += usize::from(pair.starts_with(b"d="));
         match pair {
             [b'c', b'=', name @ ..] => class = position(&context.names.classes, name),
             // A tenant that the settings do not know has no share; it is not mixed up with another's.
@@ -82,6 +86,9 @@
             _ => {}
         }
     }
+    if told.iter().any(|times| *times > 1) {
+        return Err(BAD_COMMAND);
+    }
     let class = class.and_then(|i| u8::try_from(i).ok()).ok_or(UNKNOWN_CLASS)?;
     let deadline = context.classes.get(usize::from(class)).map(|c| c.deadline).ok_or(UNKNOWN_CLASS)?;
     Ok(Request {
@@ -89,7 +96,8 @@
         class: ClassId(class),
         tenant,
         key: Some(Key(xxh3_64(&command.key))),
-        expires: now + wait.unwrap_or(deadline),
+        // No client waits longer than its class allows, whatever it says.
+        expires: now + wait.unwrap_or(deadline).min(deadline),
         write: command.verb == Verb::Set,
         repeat,
     })
@@ -101,6 +109,8 @@
 
 /// Whole or fractional milliseconds.
 fn milliseconds(text: &[u8]) -> Option<Micros> {
-    let ms = std::str::from_utf8(text).ok()?.parse::<f64>().ok()?;
-    (ms >= 0.0).then(|| (ms.min(LONGEST_WAIT_MS as f64) * MS as f64) as Micros)
+    // Danger: infinity parses as a number, and so does a sign.
+    let digits = text.first().is_some_and(u8::is_ascii_digit);
+    let ms = std::str::from_utf8(text).ok().filter(|_| digits)?.parse::<f64>().ok()?;
+    ms.is_finite().then(|| (ms.min(LONGEST_WAIT_MS as f64) * MS as f64) as Micros)
 }
