--- a/crates/stairfront-policy/src/policy.rs
+++ b/crates/stairfront-policy/src/policy.rs
@@ -58,7 +58,7 @@
 /// Stress up to which a cache is idle enough to take a key.
 const IDLE: f64 = 0.7;
 /// Repeats earned by each first try, and the most that may be saved up: a retry budget.
-const RETRY_SHARE: f64 = 0.1;
+const RETRY_SHARE: f64 = 0.3;
 const RETRY_BURST: f64 = 10.0;
 /// Requests a second that a cold cache always gets from all balancers together, so that it warms.
 const COLD_TRICKLE: f64 = 1.5;
--- a/crates/stairfront-policy/tests/protection.rs
+++ b/crates/stairfront-policy/tests/protection.rs
@@ -407,3 +407,25 @@
     }
     assert!((3..=10).contains(&sent), "{sent} of 30 went there");
 }
+
+#[test]
+fn a_fifth_of_attempts_turned_away_at_random_costs_repeats_and_no_request() {
+    let mut rig = Rig::new(aside(), &with_origin(ready(1..=6)));
+    for key in 0..200 {
+        rig.now += 20 * MS;
+        rig.serve(key % 20);
+    }
+    let mut refusals = 0;
+    for round in 0..500u64 {
+        rig.now += 20 * MS;
+        let id = rig.ask(round % 20);
+        if round % 5 == 0 && rig.finals(id) == 0 {
+            rig.settle(id, Outcome::Full);
+        }
+        match rig.finals(id) {
+            0 => drop(rig.settle(id, Outcome::Served)),
+            n => refusals += n,
+        }
+    }
+    assert!(refusals < 5, "{refusals} of 500 refused");
+}
