--- a/crates/stairfront-policy/src/interface.rs
+++ b/crates/stairfront-policy/src/interface.rs
@@ -50,6 +50,17 @@
     Cell,
 }
 
+impl Group {
+    /// Whether two caches, by zone and cell, discard each other's repeats.
+    pub fn holds_both(self, a: (Zone, Cell), b: (Zone, Cell)) -> bool {
+        match self {
+            Group::All => true,
+            Group::Zone => a.0 == b.0,
+            Group::Cell => a == b,
+        }
+    }
+}
+
 #[derive(Clone, Debug, PartialEq)]
 pub struct Class {
     pub semantics: Semantics,
@@ -217,6 +228,14 @@
     pub values: [f32; 4],
 }
 
+impl Load {
+    /// What is reported under a name, in the order that the settings tell.
+    pub fn value(&self, report: &[ReportField], field: ReportField) -> Option<f32> {
+        let i = report.iter().position(|name| *name == field)?;
+        self.values.get(i).copied().filter(|_| i < usize::from(self.len))
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Request {
     pub id: RequestId,
--- a/crates/stairfront-policy/src/state.rs
+++ b/crates/stairfront-policy/src/state.rs
@@ -21,8 +21,12 @@
     /// Keys that this balancer has placed here, on this process.
     pub keys: i64,
     pub inflight: u32,
-    /// Lost connections and spoilt answers since the last good one.
+    /// Lost connections, spoilt answers and silent attempts since the last good one.
     pub faults: u32,
+    /// Part of the attempts lately that ended without a word.
+    pub silent: Average,
+    /// Part of its cores in use, as last reported.
+    pub busy: f32,
     pub window: f64,
     pub step: f64,
     pub cut_at: Micros,
@@ -59,8 +63,6 @@
     Fetch,
     /// Waits for another request's fetch of the same key.
     Follow,
-    /// A streamed answer has begun: the client's from here.
-    Streaming,
 }
 
 pub type Tried = [Option<CacheId>; 2];
--- a/crates/stairfront-policy/tests/protection.rs
+++ b/crates/stairfront-policy/tests/protection.rs
@@ -429,3 +429,92 @@
     }
     assert!(refusals < 5, "{refusals} of 500 refused");
 }
+
+/// Reports of a cache whose cores are a third busy.
+fn idle(mut settings: Settings) -> Settings {
+    settings.report = vec![ReportField::Utilization];
+    settings
+}
+
+/// Each cache has been asked often for some seconds; tells where key 77 is.
+fn often(rig: &mut Rig) -> CacheId {
+    for key in 0..1_000 {
+        rig.now += 10 * MS;
+        rig.serve(key % 50 + 100);
+    }
+    rig.serve(77)
+}
+
+fn answer(rig: &mut Rig, id: RequestId, outcome: Outcome, elapsed: Micros) -> Vec<Action> {
+    let (attempt, cache) = (rig.sent[&id.0].len() as u8 - 1, rig.last_cache(id).unwrap());
+    let load = Load { len: 1, values: [0.3, 0.0, 0.0, 0.0] };
+    let (closed, note) = (outcome == Outcome::Served, Note::Hit);
+    rig.event(Event::Settled(Settled { id, attempt, cache, outcome, closed, elapsed, note, load }))
+}
+
+#[test]
+fn where_answers_get_lost_an_attempt_is_given_up_half_way_and_asked_for_again() {
+    let mut rig = Rig::new(idle(aside()), &with_origin(ready(1..=6)));
+    let cache = often(&mut rig);
+    let (mut cut, mut served) = (0, 0);
+    for round in 0..200 {
+        rig.now += 20 * MS;
+        let id = rig.ask(77);
+        assert_eq!(rig.last_cache(id), Some(cache), "round {round}: it rests, or another was chosen");
+        if round % 3 > 0 {
+            answer(&mut rig, id, Outcome::Served, 40 * MS);
+            served += 1;
+            continue;
+        }
+        // Nothing comes. The first few times nobody knows that it never will.
+        let early = rig.out.iter().rev().find_map(|action| match action {
+            Action::Timer { delay, token } if *token > u64::from(u32::MAX) => Some((*delay, *token)),
+            _ => None,
+        });
+        let Some((delay, token)) = early.filter(|(_, token)| *token as u32 == id.0) else {
+            answer(&mut rig, id, Outcome::TimedOut, 990 * MS);
+            continue;
+        };
+        assert_eq!(delay, 250 * MS, "half of the time to its aim");
+        rig.now += delay;
+        assert_eq!(rig.event(Event::Timer { token }), [Action::Cancel { id, attempt: 0 }]);
+        answer(&mut rig, id, Outcome::Cancelled, delay);
+        assert_eq!(rig.last_cache(id), Some(cache), "which has the value");
+        assert_eq!(rig.sent[&id.0].len(), 2);
+        answer(&mut rig, id, Outcome::Served, 40 * MS);
+        // An attempt that has ended is not cancelled.
+        assert_eq!(rig.event(Event::Timer { token }), []);
+        cut += 1;
+    }
+    assert!(cut > 50 && served > 120, "{cut} given up, {served} served at once");
+}
+
+#[test]
+fn a_busy_cache_is_waited_for_and_one_that_says_nothing_at_all_rests() {
+    let mut rig = Rig::new(idle(aside()), &with_origin(ready(1..=6)));
+    let cache = often(&mut rig);
+    let mut silent = 0;
+    for _ in 0..40 {
+        rig.now += 20 * MS;
+        let id = rig.ask(77);
+        while rig.finals(id) == 0 && rig.last_cache(id) == Some(cache) {
+            rig.settle(id, Outcome::TimedOut);
+            silent += 1;
+        }
+        if rig.finals(id) == 0 {
+            rig.settle(id, Outcome::Served);
+        }
+    }
+    assert!((5..20).contains(&silent), "{silent} of 40 were spent on it");
+    // No report of idle cores: nothing is cut short, since the work would go on there.
+    let mut rig = Rig::new(aside(), &with_origin(ready(1..=6)));
+    for key in 0..30 {
+        rig.now += 20 * MS;
+        let id = rig.ask(key % 3);
+        rig.settle(id, if key % 2 == 0 { Outcome::TimedOut } else { Outcome::Served });
+    }
+    assert!(!rig
+        .out
+        .iter()
+        .any(|a| matches!(a, Action::Timer { token, .. } if *token > u64::from(u32::MAX))));
+}
