--- a/crates/stairfront/src/cache_host.rs
+++ b/crates/stairfront/src/cache_host.rs
@@ -1,9 +1,11 @@
 //! How cache hosts are spoken to: RESP2, one command at a time on a connection. Only the protocol's own forms count as
 //! answers; anything else has spoilt the attempt, which may have run, and the connection.
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use stairfront_policy::interface::{Load, Note, Outcome};
 
+use crate::budget::Budget;
 use crate::connection::Speech;
 use crate::messages::Verdict;
 use crate::resp::{CacheCodec, RespError, Value};
@@ -13,8 +15,8 @@
 const LONGEST_NOTE: usize = 16;
 
 impl Speech for CacheCodec {
-    fn new(_: SocketAddr) -> Self {
-        CacheCodec
+    fn new(_: SocketAddr, largest_value: usize, budget: &Rc<Budget>) -> Self {
+        CacheCodec::new(largest_value, budget)
     }
 
     fn verdict(reply: Value, report: &[String]) -> (Verdict, bool) {
--- a/crates/stairfront/src/caches.rs
+++ b/crates/stairfront/src/caches.rs
@@ -11,6 +11,7 @@
 use tokio::task::spawn_local;
 use tokio::time::Instant;
 
+use crate::budget::{Budget, Memory};
 use crate::connection::{Common, ConnectionId, Job, PoolNews, Task};
 use crate::counters::Counters;
 use crate::messages::{AttemptEnd, AttemptId, Input, Verdict};
@@ -67,6 +68,7 @@
     pub connect_timeout: Duration,
     /// After this the servers close an idle connection themselves.
     pub servers_idle_limit: Duration,
+    pub memory: Memory,
 }
 
 impl Pool {
@@ -76,10 +78,19 @@
         inbox: mpsc::Sender<Input>,
         counters: Rc<Counters>,
     ) -> Self {
-        let PoolLimits { connections: most, connect_timeout, servers_idle_limit } = limits;
+        let PoolLimits { connections: most, connect_timeout, servers_idle_limit, memory } = limits;
+        let (largest_value, budget) = (memory.largest_value, Budget::new(memory.replies));
         let idle_limit = servers_idle_limit.mul_f64(IDLE_PART);
         Pool {
-            common: Rc::new(Common { inbox, counters, report, connect_timeout, idle_limit }),
+            common: Rc::new(Common {
+                inbox,
+                counters,
+                report,
+                connect_timeout,
+                idle_limit,
+                largest_value,
+                budget,
+            }),
             hosts: FxHashMap::default(),
             connections: FxHashMap::default(),
             most,
--- a/crates/stairfront/src/clients.rs
+++ b/crates/stairfront/src/clients.rs
@@ -19,6 +19,7 @@
 use tokio_util::task::TaskTracker;
 use tracing::{debug, warn};
 
+use crate::budget::Budget;
 use crate::clock::Clock;
 use crate::counters::Counters;
 use crate::messages::{Answer, Arrival, Given, Input};
@@ -64,6 +65,8 @@
     pub phase: watch::Receiver<Phase>,
     /// Rung to have a connection that nobody uses close.
     pub crowd: Crowd,
+    /// For commands that are not whole yet.
+    pub budget: Rc<Budget>,
     pub next_id: Cell<u32>,
 }
 
@@ -250,7 +253,7 @@
     if let Err(problem) = socket.set_nodelay(true) {
         debug!("no TCP_NODELAY: {problem}");
     }
-    let mut wire = Framed::with_capacity(socket, ClientCodec, READ_BUFFER);
+    let mut wire = Framed::with_capacity(socket, ClientCodec::new(&context.budget), READ_BUFFER);
     *wire.write_buffer_mut() = BytesMut::new();
     let spare_until = place.spare.then(|| Instant::now() + SPARE_LIMIT);
     let mut connection = Connection {
--- a/crates/stairfront/src/config.rs
+++ b/crates/stairfront/src/config.rs
@@ -8,6 +8,7 @@
 use stairfront_settings::Start;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::budget::Memory;
 use crate::clients::MOST_SPARE;
 use crate::discovery::{RawList, ServerList};
 
@@ -51,6 +52,7 @@
 #[derive(Deserialize, Default)]
 struct RawLimits {
     sockets: Option<usize>,
+    memory_mb: Option<usize>,
 }
 
 /// How the descriptors are dealt out.
@@ -78,6 +80,7 @@
     pub discovery: SocketAddr,
     pub seed: u64,
     pub sockets: Sockets,
+    pub memory: Memory,
     pub known: ServerList,
     pub start: Start,
 }
@@ -110,6 +113,11 @@
             let problem = format!("{sockets} is too few, {FEWEST_SOCKETS} at least");
             return Err(fault("limits.sockets".to_string(), problem));
         }
+        let memory_mb = raw.limits.memory_mb.unwrap_or(Memory::USUAL_MB);
+        if memory_mb < Memory::FEWEST_MB {
+            let problem = format!("{memory_mb} is too few, {} at least", Memory::FEWEST_MB);
+            return Err(fault("limits.memory_mb".to_string(), problem));
+        }
         let known =
             raw.known.read(&start.names).map_err(|e| fault("known.endpoints".to_string(), e.to_string()))?;
         Ok(Config {
@@ -120,6 +128,7 @@
             discovery: raw.discovery,
             seed: seed(&raw.seed),
             sockets: Sockets::split(sockets),
+            memory: Memory::of(memory_mb),
             known,
             start,
         })
--- a/crates/stairfront/src/connection.rs
+++ b/crates/stairfront/src/connection.rs
@@ -13,6 +13,7 @@
 use tokio_util::codec::{Decoder, Encoder, Framed};
 use tracing::debug;
 
+use crate::budget::Budget;
 use crate::counters::Counters;
 use crate::messages::{AttemptEnd, AttemptId, Command, Input, Outgoing, Verdict};
 use crate::resp::shrink;
@@ -20,7 +21,7 @@
 
 /// How one kind of server is spoken to.
 pub trait Speech: Decoder<Item: Debug> + Encoder<Outgoing, Error = <Self as Decoder>::Error> + Sized {
-    fn new(address: SocketAddr) -> Self;
+    fn new(address: SocketAddr, largest_value: usize, budget: &Rc<Budget>) -> Self;
     /// What a reply means, and whether the connection can carry another request.
     fn verdict(reply: Self::Item, report: &[String]) -> (Verdict, bool);
     /// Whether what came could not be read, or nothing more could come.
@@ -70,6 +71,9 @@
     pub report: Vec<String>,
     pub connect_timeout: Duration,
     pub idle_limit: Duration,
+    pub largest_value: usize,
+    /// For replies that are not whole yet.
+    pub budget: Rc<Budget>,
 }
 
 /// The owner of one socket.
@@ -130,7 +134,8 @@
                 Ok(Ok(socket)) => {
                     // Requests are small and each is waited for.
                     socket.set_nodelay(true).map_err(|_| Outcome::ConnectFailed)?;
-                    Ok(Framed::new(socket, S::new(self.address)))
+                    let Common { largest_value, budget, .. } = &*self.common;
+                    Ok(Framed::new(socket, S::new(self.address, *largest_value, budget)))
                 }
                 Ok(Err(_)) | Err(_) => Err(Outcome::ConnectFailed),
             },
--- a/crates/stairfront/src/discovery.rs
+++ b/crates/stairfront/src/discovery.rs
@@ -16,6 +16,7 @@
 use tracing::{info, warn};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::budget::Budget;
 use crate::counters::Counters;
 use crate::http::{HttpCodec, HttpError, Request};
 use crate::messages::Input;
@@ -249,7 +250,7 @@
                 let connected = timeout(ANSWER_LIMIT, TcpStream::connect(address));
                 let socket = connected.await.map_err(|_| CallError::Late)??;
                 socket.set_nodelay(true)?;
-                none.insert(Framed::new(socket, HttpCodec::new(LARGEST_LIST)))
+                none.insert(Framed::new(socket, HttpCodec::new(LARGEST_LIST, &Budget::new(LARGEST_LIST))))
             }
         };
         let (target, limit) = match self.index {
--- a/crates/stairfront/src/engine.rs
+++ b/crates/stairfront/src/engine.rs
@@ -14,6 +14,7 @@
 use tokio_util::time::DelayQueue;
 use tracing::info;
 
+use crate::budget::Memory;
 use crate::caches::{Endpoint, Pool, Protocol};
 use crate::clock::{duration, Clock};
 use crate::connection::Job;
@@ -52,6 +53,7 @@
     pub fn new(
         start: Start,
         seed: u64,
+        memory: Memory,
         clock: Clock,
         pool: Pool,
         counters: Rc<Counters>,
@@ -62,7 +64,7 @@
         settings.discovery = stairfront_policy::interface::Discovery::Push;
         Engine {
             clock,
-            table: Table::new(host.open_requests),
+            table: Table::new(host.open_requests, memory),
             pool,
             timers: DelayQueue::new(),
             counters,
--- a/crates/stairfront/src/http.rs
+++ b/crates/stairfront/src/http.rs
@@ -1,9 +1,11 @@
 //! The client's side of HTTP/1.1 as a tokio-util codec; httparse reads heads and chunk sizes.
 use std::io;
+use std::rc::Rc;
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use tokio_util::codec::{Decoder, Encoder};
 
+use crate::budget::{Budget, Claim};
 use crate::resp::cut_frame;
 
 const MOST_HEADERS: usize = 48;
@@ -51,14 +53,15 @@
 #[derive(Debug)]
 pub struct HttpCodec {
     largest_body: usize,
+    claim: Claim,
     head: Option<(Response, Body)>,
     /// Interim answers since the last real one.
     interim: u32,
 }
 
 impl HttpCodec {
-    pub fn new(largest_body: usize) -> Self {
-        HttpCodec { largest_body, head: None, interim: 0 }
+    pub fn new(largest_body: usize, budget: &Rc<Budget>) -> Self {
+        HttpCodec { largest_body, claim: Claim::new(budget), head: None, interim: 0 }
     }
 
     fn read_head(&self, src: &mut BytesMut) -> Result<Option<(Response, Body)>, HttpError> {
@@ -151,6 +154,13 @@
 
     fn read_body(&mut self, src: &mut BytesMut) -> Result<Option<Response>, HttpError> {
         let Some((mut response, mut body)) = self.head.take() else { return Ok(None) };
+        let needed = match &body {
+            Body::Sized(length) => *length,
+            Body::Chunked(done) => done.len() + src.len(),
+        };
+        if !self.claim.hold(needed) {
+            return Err(HttpError::Malformed("no memory for so large a body"));
+        }
         let whole = match &mut body {
             Body::Sized(length) if src.len() >= *length => Some(cut_frame(src, *length)),
             Body::Sized(length) => {
@@ -163,6 +173,7 @@
         };
         match whole {
             Some(bytes) => {
+                let _ = self.claim.hold(0);
                 response.body = bytes;
                 Ok(Some(response))
             }
--- a/crates/stairfront/src/lib.rs
+++ b/crates/stairfront/src/lib.rs
@@ -1,5 +1,6 @@
 //! The stairfront balancer on sockets. The decision module decides; everything here carries messages, times and
 //! bytes to it and does what it says. `docs/architecture.md` follows one request through these parts.
+pub mod budget;
 pub mod cache_host;
 pub mod caches;
 pub mod clients;
--- a/crates/stairfront/src/origin.rs
+++ b/crates/stairfront/src/origin.rs
@@ -1,15 +1,17 @@
 //! How the origin is spoken to: HTTP/1.1, one request at a time on a connection.
 use std::fmt::Write as _;
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use bytes::{Bytes, BytesMut};
 use stairfront_policy::interface::{Load, Note, Outcome};
 use tokio_util::codec::{Decoder, Encoder};
 
+use crate::budget::Budget;
 use crate::connection::Speech;
 use crate::http::{HttpCodec, HttpError, Request, Response};
 use crate::messages::{Outgoing, Verb, Verdict};
-use crate::resp::{with_time_left, LARGEST_BULK};
+use crate::resp::with_time_left;
 use crate::stages::relay;
 
 #[derive(Debug)]
@@ -64,8 +66,8 @@
 }
 
 impl Speech for OriginCodec {
-    fn new(address: SocketAddr) -> Self {
-        OriginCodec { http: HttpCodec::new(LARGEST_BULK), host: Bytes::from(address.to_string()) }
+    fn new(address: SocketAddr, largest_value: usize, budget: &Rc<Budget>) -> Self {
+        OriginCodec { http: HttpCodec::new(largest_value, budget), host: Bytes::from(address.to_string()) }
     }
 
     fn verdict(reply: Response, report: &[String]) -> (Verdict, bool) {
--- a/crates/stairfront/src/resp.rs
+++ b/crates/stairfront/src/resp.rs
@@ -2,13 +2,15 @@
 //! cache hosts. Decoded parts are slices of the read buffer.
 use std::io;
 use std::ops::Range;
+use std::rc::Rc;
 
 use bytes::{BufMut, Bytes, BytesMut};
 use tokio_util::codec::{Decoder, Encoder};
 
+use crate::budget::{Budget, Claim};
 use crate::messages::{Answer, Outgoing, Verb};
 
-/// The protocol's limit on values; other bulk strings are held to it too.
+/// The protocol's limit on values that clients send; other bulk strings of theirs are held to it too.
 pub const LARGEST_BULK: usize = 64 * 1024;
 /// Longest line: a length, a status or an error with a load report.
 const LONGEST_LINE: usize = 1024;
@@ -16,8 +18,8 @@
 const MOST_ELEMENTS: usize = 32;
 /// Arrays in arrays: none is expected, one level is harmless.
 const DEEPEST: usize = 2;
-/// A larger frame never comes; without this bound a client could have a buffer grow for ever.
-const LARGEST_FRAME: usize = LARGEST_BULK + 8 * 1024;
+/// What a frame may have beyond its value; without this bound a peer could have a buffer grow for ever.
+const FRAME_MARGIN: usize = 8 * 1024;
 /// Buffers above this are not kept once empty, and small slices of them are copied out: a slice keeps its whole
 /// buffer alive.
 pub const ROOMY_BUFFER: usize = 16 * 1024;
@@ -74,6 +76,7 @@
 struct Parser<'a> {
     bytes: &'a [u8],
     at: usize,
+    largest_bulk: usize,
 }
 
 impl Parser<'_> {
@@ -122,7 +125,7 @@
             b'+' => Ok(Place::Simple(line)),
             b'-' => Ok(Place::Error(line)),
             b':' => Ok(Place::Integer(line)),
-            b'$' => match self.length(line, LARGEST_BULK)? {
+            b'$' => match self.length(line, self.largest_bulk)? {
                 Some(length) => self.bulk(length),
                 None => Ok(Place::Null),
             },
@@ -151,17 +154,27 @@
 }
 
 /// The next whole value, or none yet. Split reads leave the buffer as it is until the last byte is there.
-fn decode_value(src: &mut BytesMut) -> Result<Option<Value>, RespError> {
+fn decode_value(
+    src: &mut BytesMut,
+    largest_bulk: usize,
+    claim: &mut Claim,
+) -> Result<Option<Value>, RespError> {
     if src.is_empty() {
         return Ok(None);
     }
-    let mut parser = Parser { bytes: src, at: 0 };
+    let mut parser = Parser { bytes: src, at: 0, largest_bulk };
     match parser.value(DEEPEST) {
         Ok(place) => {
             let end = parser.at;
+            // From here on it counts as what it is: a request, or an answer.
+            let _ = claim.hold(0);
             Ok(Some(place.cut(&cut_frame(src, end))))
         }
-        Err(Stop::Need(whole)) if whole <= LARGEST_FRAME => {
+        Err(Stop::Need(whole)) if whole <= largest_bulk + FRAME_MARGIN => {
+            // Danger: many peers that each send most of a large message would fill the memory.
+            if !claim.hold(whole) {
+                return Err(RespError::Malformed("no memory for so large a message"));
+            }
             src.reserve(whole - src.len());
             Ok(None)
         }
@@ -211,8 +224,16 @@
 }
 
 /// Towards clients: commands in, answers out.
-#[derive(Debug, Default)]
-pub struct ClientCodec;
+#[derive(Debug)]
+pub struct ClientCodec {
+    claim: Claim,
+}
+
+impl ClientCodec {
+    pub fn new(budget: &Rc<Budget>) -> Self {
+        ClientCodec { claim: Claim::new(budget) }
+    }
+}
 
 impl Decoder for ClientCodec {
     type Item = Vec<Bytes>;
@@ -223,7 +244,7 @@
         if src.first().is_some_and(|b| *b != b'*') {
             return Err(RespError::Malformed("expected an array of bulk strings"));
         }
-        let Some(value) = decode_value(src)? else { return Ok(None) };
+        let Some(value) = decode_value(src, LARGEST_BULK, &mut self.claim)? else { return Ok(None) };
         let Value::Array(items) = value else {
             return Err(RespError::Malformed("expected an array of bulk strings"));
         };
@@ -254,15 +275,24 @@
 }
 
 /// Towards cache hosts: commands out, replies in.
-#[derive(Debug, Default)]
-pub struct CacheCodec;
+#[derive(Debug)]
+pub struct CacheCodec {
+    largest_value: usize,
+    claim: Claim,
+}
+
+impl CacheCodec {
+    pub fn new(largest_value: usize, budget: &Rc<Budget>) -> Self {
+        CacheCodec { largest_value, claim: Claim::new(budget) }
+    }
+}
 
 impl Decoder for CacheCodec {
     type Item = Value;
     type Error = RespError;
 
     fn decode(&mut self, src: &mut BytesMut) -> Result<Option<Value>, RespError> {
-        decode_value(src)
+        decode_value(src, self.largest_value, &mut self.claim)
     }
 }
 
--- a/crates/stairfront/src/server.rs
+++ b/crates/stairfront/src/server.rs
@@ -8,6 +8,7 @@
 use tokio::task::{spawn_local, JoinHandle, LocalSet};
 use tracing::info;
 
+use crate::budget::Budget;
 use crate::caches::{Pool, PoolLimits};
 use crate::clients::{self, Context, Crowd};
 use crate::clock::{duration, Clock};
@@ -48,7 +49,7 @@
     hangups: mpsc::Receiver<()>,
 ) -> io::Result<()> {
     let (known, start) = (std::mem::take(&mut config.known), config.start.clone());
-    let (name, seed, sockets) = (config.name.clone(), config.seed, config.sockets);
+    let (name, seed, sockets, memory) = (config.name.clone(), config.seed, config.sockets, config.memory);
     let (agent, agents) = watch::channel(config.discovery);
     let (inbox, inputs) = mpsc::channel(INBOX);
     let (ready, is_ready) = watch::channel(false);
@@ -58,6 +59,7 @@
         connections: sockets.servers,
         connect_timeout: duration(start.settings.limits.connect_timeout),
         servers_idle_limit: duration(start.host.idle),
+        memory,
     };
     let pool = Pool::new(limits, start.names.report.clone(), inbox.clone(), Rc::clone(&counters));
     let watch = Watch::new(agents, start.names.clone(), known.index, inbox.clone(), Rc::clone(&counters));
@@ -70,9 +72,10 @@
         ready: is_ready,
         phase,
         crowd: Crowd::default(),
+        budget: Budget::new(memory.commands),
         next_id: Cell::new(0),
     });
-    let engine = Engine::new(start, seed, clock, pool, Rc::clone(&counters), ready);
+    let engine = Engine::new(start, seed, memory, clock, pool, Rc::clone(&counters), ready);
     info!("{name} serves on {} with {} known servers", listener.local_addr()?, known.lines.len());
     let reloads = Reloads { current: config, agent, counters: Rc::clone(&counters) };
     let watching = [spawn_local(watch.run()), spawn_local(reloads.run(hangups))];
--- a/crates/stairfront/src/stages/admit.rs
+++ b/crates/stairfront/src/stages/admit.rs
@@ -6,12 +6,9 @@
 use stairfront_policy::interface::{CacheId, Micros, Request, RequestId};
 use tokio::sync::{oneshot, Semaphore};
 
+use crate::budget::Memory;
 use crate::messages::{Answer, Arrival, Command, Given};
 
-/// Most bytes of keys and values that open requests may hold together, and most of values on their way to clients:
-/// each a sixth of the smallest memory limit. Read buffers of all connections may take the rest.
-const MOST_BYTES: usize = 32 * 1024 * 1024;
-
 /// An attempt whose end has not been heard.
 pub struct Out {
     pub number: u8,
@@ -54,16 +51,18 @@
     /// Bytes left for values on their way to clients.
     pub room: Arc<Semaphore>,
     most: usize,
+    most_bytes: usize,
 }
 
 impl Table {
-    pub fn new(most: usize) -> Self {
+    pub fn new(most: usize, memory: Memory) -> Self {
         Table {
             open: FxHashMap::default(),
             ids: FxHashSet::default(),
             bytes: 0,
-            room: Arc::new(Semaphore::new(MOST_BYTES)),
+            room: Arc::new(Semaphore::new(memory.answers)),
             most,
+            most_bytes: memory.requests,
         }
     }
 
@@ -75,7 +74,7 @@
             // Danger: servers know a request by its id alone. A second one under it would count as a second copy, and
             // be answered with what was made for the first.
             Some((NotAdmitted::IdOpen, Answer::Error("ERR id is open already")))
-        } else if self.open.len() >= self.most || self.bytes + bytes > MOST_BYTES {
+        } else if self.open.len() >= self.most || self.bytes + bytes > self.most_bytes {
             Some((NotAdmitted::NoRoom, Answer::Busy { after_ms: None }))
         } else {
             None
--- a/crates/stairfront/tests/caches.rs
+++ b/crates/stairfront/tests/caches.rs
@@ -274,6 +274,23 @@
     });
 }
 
+#[test]
+fn larger_values_than_the_protocol_says_are_passed_on() {
+    run(async {
+        let log = Log::default();
+        let large = "x".repeat(400_000);
+        let (value, body) = (large.clone(), large.clone());
+        let host = cache("cache", &log, move |_, words| if words[1] == "hit" { hit(&value) } else { miss() });
+        let source = origin("origin", &log, move |_, _| http(200, "", &body)).await;
+        let balancer = with(&log, &[("c", host.await, "box"), ("o", source, "origin")]).await;
+        let mut client = balancer.client().await;
+        for key in ["hit", "miss", "hit"] {
+            assert_eq!(client.get(key, key, 1400).await, bulk(&large));
+        }
+        counted(&balancer, "attempts_spoilt:0").await;
+    });
+}
+
 #[test]
 fn values_up_to_the_protocols_limit_go_both_ways() {
     run(async {
