--- a/crates/stairfront/src/clients.rs
+++ b/crates/stairfront/src/clients.rs
@@ -48,8 +48,9 @@
 const LINGER_PAUSE: Duration = Duration::from_millis(20);
 /// First read buffer of a connection: a usual command has some hundred bytes, and each open one keeps its buffer.
 const READ_BUFFER: usize = 1024;
-/// Below this part of free places a new connection has one that stands idle close ahead of need.
-const FEW_PLACES: usize = 16;
+/// Below this part of free places a new connection has one that stands idle close ahead of need: some clients ask once
+/// and keep their connection for good.
+const FEW_PLACES: usize = 4;
 /// Pause after an accept that failed for want of descriptors or memory.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
--- a/crates/stairfront/src/config.rs
+++ b/crates/stairfront/src/config.rs
@@ -64,8 +64,12 @@
 
 impl Sockets {
     fn split(limit: usize) -> Self {
-        let free = limit.min(MOST_SOCKETS) - RESERVE;
-        Sockets { clients: free / 2, servers: free - free / 2 }
+        let limit = limit.min(MOST_SOCKETS);
+        let free = limit - RESERVE;
+        // Clients hold a third of the descriptors at most, connections that they only keep included. Danger: up to that
+        // all would be kept ones, and new requests find no connection; so fewer are kept, and servers get the rest.
+        let clients = (limit * 5 / 16).min(free / 2);
+        Sockets { clients, servers: free - clients }
     }
 }
 
