--- a/crates/stairfront/src/cache_host.rs
+++ b/crates/stairfront-balancer/src/cache_host.rs
@@ -3,17 +3,60 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use bytes::BytesMut;
 use stairfront_policy::interface::{Load, Note, Outcome};
+use stairfront_wire::budget::Budget;
+use stairfront_wire::resp::{put_bulk, put_number, ReplyReader, RespError, Value};
+use tokio_util::codec::{Decoder, Encoder};
 
-use crate::budget::Budget;
 use crate::connection::Speech;
-use crate::messages::Verdict;
-use crate::resp::{CacheCodec, RespError, Value};
-use crate::stages::relay;
+use crate::load_report::load_report;
+use crate::messages::{Outgoing, Verb, Verdict};
 
 /// Longest word on how a request went.
 const LONGEST_NOTE: usize = 16;
 
+/// Commands out, replies in.
+#[derive(Debug)]
+pub struct CacheCodec(ReplyReader);
+
+impl CacheCodec {
+    pub fn new(largest_value: usize, budget: &Rc<Budget>) -> Self {
+        CacheCodec(ReplyReader::new(largest_value, budget))
+    }
+}
+
+impl Decoder for CacheCodec {
+    type Item = Value;
+    type Error = RespError;
+
+    fn decode(&mut self, src: &mut BytesMut) -> Result<Option<Value>, RespError> {
+        self.0.decode(src)
+    }
+}
+
+impl Encoder<Outgoing> for CacheCodec {
+    type Error = RespError;
+
+    fn encode(&mut self, outgoing: Outgoing, dst: &mut BytesMut) -> Result<(), RespError> {
+        let command = &outgoing.command;
+        let (verb, words) = match command.verb {
+            Verb::Get => (&b"C.GET"[..], 4),
+            Verb::Set => (&b"C.SET"[..], 4 + usize::from(command.value.is_some())),
+        };
+        dst.reserve(command.bytes() + 64);
+        put_number(dst, b'*', words);
+        put_bulk(dst, verb);
+        put_bulk(dst, &command.key);
+        put_bulk(dst, &command.id);
+        put_bulk(dst, &outgoing.info());
+        if let (Verb::Set, Some(value)) = (command.verb, &command.value) {
+            put_bulk(dst, value);
+        }
+        Ok(())
+    }
+}
+
 impl Speech for CacheCodec {
     fn new(_: SocketAddr, largest_value: usize, budget: &Rc<Budget>) -> Self {
         CacheCodec::new(largest_value, budget)
@@ -52,7 +95,7 @@
     };
     let load = match load {
         Value::Null => Load::default(),
-        Value::Bulk(text) => relay::load_report(&text, report),
+        Value::Bulk(text) => load_report(&text, report),
         _ => return None,
     };
     let (outcome, value) = match value {
@@ -70,7 +113,7 @@
     forms.into_iter().find_map(|(form, outcome)| {
         let load = match line.strip_prefix(form)? {
             [] => Load::default(),
-            [b' ', text @ ..] if is_report(text, report) => relay::load_report(text, report),
+            [b' ', text @ ..] if is_report(text, report) => load_report(text, report),
             _ => return None,
         };
         Some(Verdict { load, ..Verdict::bare(outcome) })
--- a/crates/stairfront/src/caches.rs
+++ b/crates/stairfront-balancer/src/caches.rs
@@ -7,16 +7,18 @@
 
 use rustc_hash::FxHashMap;
 use stairfront_policy::interface::{CacheId, Outcome};
+use stairfront_wire::budget::Budget;
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
-use tokio::time::Instant;
 
-use crate::budget::{Budget, Memory};
-use crate::connection::{Common, ConnectionId, Job, PoolNews, Task};
+use crate::cache_host::CacheCodec;
+use crate::clock::Instant;
+use crate::connection::{Common, Task};
 use crate::counters::Counters;
-use crate::messages::{AttemptEnd, AttemptId, Input, Verdict};
+use crate::limits::Memory;
+use crate::messages::{AttemptEnd, AttemptId, ConnectionId, Input, Job, PoolNews, Verdict};
 use crate::origin::OriginCodec;
-use crate::resp::CacheCodec;
+use crate::transport::Network;
 
 /// Part of the servers' own idle limit after which a connection is closed here. Danger: a request written to a
 /// connection that the server is just closing ends as a reset, and may have run.
@@ -50,8 +52,8 @@
     jobs: Option<mpsc::Sender<Job>>,
 }
 
-pub struct Pool {
-    common: Rc<Common>,
+pub struct Pool<N: Network> {
+    common: Rc<Common<N>>,
     hosts: FxHashMap<CacheId, Host>,
     connections: FxHashMap<ConnectionId, Connection>,
     most: usize,
@@ -71,8 +73,9 @@
     pub memory: Memory,
 }
 
-impl Pool {
+impl<N: Network> Pool<N> {
     pub fn new(
+        network: N,
         limits: PoolLimits,
         report: Vec<String>,
         inbox: mpsc::Sender<Input>,
@@ -83,6 +86,7 @@
         let idle_limit = servers_idle_limit.mul_f64(IDLE_PART);
         Pool {
             common: Rc::new(Common {
+                network,
                 inbox,
                 counters,
                 report,
--- a/crates/stairfront/src/clients.rs
+++ b/crates/stairfront-balancer/src/clients.rs
@@ -8,25 +8,23 @@
 
 use bytes::{Bytes, BytesMut};
 use futures_util::{FutureExt, SinkExt, StreamExt};
-use stairfront_policy::interface::{Class, RequestId};
-use stairfront_settings::Names;
+use stairfront_policy::interface::RequestId;
+use stairfront_wire::budget::Budget;
+use stairfront_wire::resp::{put_bulk, put_line, shrink, CommandReader, RespError};
 use tokio::io::AsyncReadExt;
-use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot, watch, AcquireError, Notify, OwnedSemaphorePermit, Semaphore};
 use tokio::task::{spawn_local, yield_now};
-use tokio::time::{sleep, sleep_until, timeout, Instant};
-use tokio_util::codec::Framed;
+use tokio_util::codec::{Decoder, Encoder, Framed};
 use tokio_util::task::TaskTracker;
 use tracing::{debug, warn};
 
-use crate::budget::Budget;
-use crate::clock::Clock;
+use crate::clock::{sleep, sleep_until, timeout, Instant};
 use crate::counters::Counters;
+use crate::limits::MOST_SPARE;
 use crate::messages::{Answer, Arrival, Given, Input};
-use crate::resp::{shrink, ClientCodec, RespError};
 use crate::shutdown::Phase;
-use crate::socket::{unread, Unread};
-use crate::stages::take_in::{self, Taken};
+use crate::stages::take_in::{self, Intake, Taken};
+use crate::transport::{Listener, Stream, Unread};
 
 /// Commands of one connection that may be open at once; reading waits beyond that. Few, so that one client that sends
 /// hundreds at once does not fill the servers.
@@ -57,12 +55,8 @@
 /// What all client connections share; all of it lives on the one thread.
 pub struct Context {
     pub inbox: mpsc::Sender<Input>,
-    pub names: Names,
-    pub classes: Vec<Class>,
-    pub clock: Clock,
+    pub intake: Intake,
     pub counters: Rc<Counters>,
-    /// There is a list of servers to serve from.
-    pub ready: watch::Receiver<bool>,
     pub phase: watch::Receiver<Phase>,
     /// Rung to have a connection that nobody uses close.
     pub crowd: Crowd,
@@ -119,8 +113,6 @@
     }
 }
 
-/// Connections beyond the limit, which are turned away; they take descriptors of the configuration's reserve.
-pub const MOST_SPARE: usize = 8;
 /// How long a new connection waits for a place: with some places in use for a tenth of a second each, one is free soon.
 /// Each wait in vain halves the next, down to what an idle connection takes to close, so that a row of new
 /// connections before places that are stuck does not wait past its time.
@@ -136,7 +128,7 @@
 }
 
 /// Accepts until shutdown says that no more come, then waits for all connections to end.
-pub async fn serve(listener: TcpListener, context: Rc<Context>, most: usize) {
+pub async fn serve<L: Listener>(listener: L, context: Rc<Context>, most: usize) {
     let (places, spares) = (Arc::new(Semaphore::new(most)), Arc::new(Semaphore::new(MOST_SPARE)));
     let tasks = TaskTracker::new();
     let mut phase = context.phase.clone();
@@ -148,7 +140,7 @@
             _ = phase.wait_for(|phase| phase.listener_closed()) => break,
         };
         match accepted {
-            Ok((socket, _)) => {
+            Ok(socket) => {
                 context.counters.client_connections_accepted.add();
                 if places.available_permits() < most / FEW_PLACES {
                     context.crowd.ring();
@@ -202,8 +194,45 @@
     Awaited(RequestId, oneshot::Receiver<Given>),
 }
 
-struct Connection {
-    wire: Framed<TcpStream, ClientCodec>,
+/// Commands in, answers out.
+#[derive(Debug)]
+pub struct ClientCodec(CommandReader);
+
+impl ClientCodec {
+    pub fn new(budget: &Rc<Budget>) -> Self {
+        ClientCodec(CommandReader::new(budget))
+    }
+}
+
+impl Decoder for ClientCodec {
+    type Item = Vec<Bytes>;
+    type Error = RespError;
+
+    fn decode(&mut self, src: &mut BytesMut) -> Result<Option<Self::Item>, RespError> {
+        self.0.decode(src)
+    }
+}
+
+impl Encoder<Answer> for ClientCodec {
+    type Error = RespError;
+
+    fn encode(&mut self, answer: Answer, dst: &mut BytesMut) -> Result<(), RespError> {
+        match answer {
+            Answer::Value(value) => put_bulk(dst, &value),
+            Answer::Busy { after_ms: Some(ms) } => put_line(dst, b'-', format!("BUSY {ms}").as_bytes()),
+            Answer::Busy { after_ms: None } => put_line(dst, b'-', b"BUSY"),
+            Answer::Failed => put_line(dst, b'-', b"ERR failed"),
+            Answer::Pong => put_line(dst, b'+', b"PONG"),
+            Answer::Ok => put_line(dst, b'+', b"OK"),
+            Answer::Error(text) => put_line(dst, b'-', text.as_bytes()),
+            Answer::Text(text) => put_bulk(dst, text.as_bytes()),
+        }
+        Ok(())
+    }
+}
+
+struct Connection<T: Stream> {
+    wire: Framed<T, ClientCodec>,
     context: Rc<Context>,
     owed: VecDeque<Owed>,
     /// No command is read any more: what is owed goes out, then the connection ends so.
@@ -248,12 +277,8 @@
     Gone,
 }
 
-async fn run_connection(socket: TcpStream, context: Rc<Context>, place: Place, places: Arc<Semaphore>) {
+async fn run_connection<T: Stream>(socket: T, context: Rc<Context>, place: Place, places: Arc<Semaphore>) {
     context.counters.client_connections_open.add();
-    // Answers are small and each is waited for; without it they only come later.
-    if let Err(problem) = socket.set_nodelay(true) {
-        debug!("no TCP_NODELAY: {problem}");
-    }
     let mut wire = Framed::with_capacity(socket, ClientCodec::new(&context.budget), READ_BUFFER);
     *wire.write_buffer_mut() = BytesMut::new();
     let spare_until = place.spare.then(|| Instant::now() + SPARE_LIMIT);
@@ -284,7 +309,7 @@
     drop(place);
 }
 
-impl Connection {
+impl<T: Stream> Connection<T> {
     async fn run(&mut self) -> End {
         let context = Rc::clone(&self.context);
         let (mut phase, mut last) = (context.phase.clone(), context.phase.clone());
@@ -399,7 +424,7 @@
     /// Asks the kernel itself, as the last thing before a close. Danger: on a small part of a core much time can pass
     /// after the event loop has looked, and what came meanwhile counts as taken.
     fn input_waits(&self) -> bool {
-        unread(self.wire.get_ref()) == Unread::Bytes
+        self.wire.get_ref().unread() == Unread::Bytes
     }
 
     async fn write(&mut self, answer: Answer) -> Result<(), RespError> {
@@ -419,7 +444,7 @@
         let context = &self.context;
         self.standing = Standing::Used;
         (self.leaving, self.half_since, self.quiet_since) = (None, None, Instant::now());
-        let owed = match take_in::take_in(words, context) {
+        let owed = match take_in::take_in(words, &context.intake) {
             // Danger: closed right after its answer, it would be closed in the face of the client's next request.
             Taken::Request { .. } if spare => {
                 context.counters.over_cap.add();
--- a/crates/stairfront/src/clock.rs
+++ b/crates/stairfront-balancer/src/clock.rs
@@ -1,9 +1,10 @@
-//! The one clock of a balancer: Unix time read once at the start, carried on by the monotonic clock. So the start
-//! times in discovery's lists compare with `now`, and a clock that is set meanwhile moves nothing.
+//! The one clock of a balancer. Every wait, time-out and time stamp of the network code comes from here: tokio's
+//! clock, which a test may pause and move. Unix time is read once at the start and carried on by it, so the start times
+//! in discovery's lists compare with `now`, and a clock that is set meanwhile moves nothing.
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use stairfront_policy::interface::Micros;
-use tokio::time::Instant;
+pub use tokio::time::{sleep, sleep_until, timeout, timeout_at, Instant};
 
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
@@ -15,7 +16,12 @@
     pub fn start() -> Self {
         // A machine whose clock stands before 1970 counts from 1970.
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { unix: micros(unix), start: Instant::now() }
+        Clock::starting_at(micros(unix))
+    }
+
+    /// A clock that shows this Unix time now.
+    pub fn starting_at(unix: Micros) -> Self {
+        Clock { unix, start: Instant::now() }
     }
 
     pub fn now(&self) -> Micros {
--- a/crates/stairfront/src/config.rs
+++ b/crates/stairfront-balancer/src/config.rs
@@ -8,18 +8,10 @@
 use stairfront_settings::Start;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::budget::Memory;
-use crate::clients::MOST_SPARE;
-use crate::discovery::{RawList, ServerList};
+use crate::limits::{Memory, Sockets, MOST_SOCKETS};
+use crate::server_list::{RawList, ServerList};
 
 const CONFIG: &str = "ROUTER_CONFIG";
-/// Descriptors that are not connections with a place: standard streams, event queue, signals, listener, discovery, a
-/// connection just accepted and some for the libraries (14 were seen), and the spare connections.
-const RESERVE: usize = 16 + MOST_SPARE;
-/// Fewer would leave no room for a client and a server connection at once.
-const FEWEST_SOCKETS: usize = RESERVE + 8;
-/// The most sockets that the deployment ever grants; a larger limit is not used.
-const MOST_SOCKETS: usize = 1024;
 /// Keys that a running balancer does not compare with a new file: the address of discovery takes effect at once, the
 /// list and the seed are for a start alone.
 const NOT_COMPARED: [&str; 3] = ["discovery", "known", "seed"];
@@ -55,24 +47,6 @@
     memory_mb: Option<usize>,
 }
 
-/// How the descriptors are dealt out.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Sockets {
-    pub clients: usize,
-    pub servers: usize,
-}
-
-impl Sockets {
-    fn split(limit: usize) -> Self {
-        let limit = limit.min(MOST_SOCKETS);
-        let free = limit - RESERVE;
-        // Clients hold a third of the descriptors at most, connections that they only keep included. Danger: up to that
-        // all would be kept ones, and new requests find no connection; so fewer are kept, and servers get the rest.
-        let clients = (limit * 5 / 16).min(free / 2);
-        Sockets { clients, servers: free - clients }
-    }
-}
-
 #[derive(Debug)]
 pub struct Config {
     /// Where it was read from, and is read again on SIGHUP.
@@ -113,8 +87,8 @@
         let start =
             Start::from_value(raw.settings).map_err(|e| fault(format!("settings.{}", e.key), e.problem))?;
         let sockets = raw.limits.sockets.unwrap_or(MOST_SOCKETS);
-        if sockets < FEWEST_SOCKETS {
-            let problem = format!("{sockets} is too few, {FEWEST_SOCKETS} at least");
+        if sockets < Sockets::FEWEST {
+            let problem = format!("{sockets} is too few, {} at least", Sockets::FEWEST);
             return Err(fault("limits.sockets".to_string(), problem));
         }
         let memory_mb = raw.limits.memory_mb.unwrap_or(Memory::USUAL_MB);
--- a/crates/stairfront/src/connection.rs
+++ b/crates/stairfront-balancer/src/connection.rs
@@ -6,18 +6,17 @@
 use std::time::Duration;
 
 use futures_util::{SinkExt, StreamExt};
-use stairfront_policy::interface::{CacheId, Outcome};
-use tokio::net::TcpStream;
+use stairfront_policy::interface::Outcome;
+use stairfront_wire::budget::Budget;
+use stairfront_wire::resp::shrink;
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::{sleep_until, timeout, timeout_at, Instant};
 use tokio_util::codec::{Decoder, Encoder, Framed};
 use tracing::debug;
 
-use crate::budget::Budget;
+use crate::clock::{sleep_until, timeout, timeout_at, Instant};
 use crate::counters::Counters;
-use crate::messages::{AttemptEnd, AttemptId, Command, Input, Outgoing, Verdict};
-use crate::resp::shrink;
-use crate::socket::{unread, Unread};
+use crate::messages::{AttemptEnd, ConnectionId, Input, Job, Outgoing, PoolNews, Verdict};
+use crate::transport::{Network, Stream, Unread};
 
 /// How one kind of server is spoken to.
 pub trait Speech: Decoder<Item: Debug> + Encoder<Outgoing, Error = <Self as Decoder>::Error> + Sized {
@@ -28,44 +27,9 @@
     fn is_malformed(error: &<Self as Decoder>::Error) -> bool;
 }
 
-/// One attempt on its way to one server.
-#[derive(Debug)]
-pub struct Job {
-    pub attempt: AttemptId,
-    pub cache: CacheId,
-    pub command: Command,
-    /// When it was decided.
-    pub sent_at: Instant,
-    /// When it got a socket. Danger: a wait for one of this balancer's own is not the server's slowness.
-    pub begun: Instant,
-    pub give_up: Instant,
-    /// Told when the attempt is given up before its time; a sender that is dropped means nothing.
-    pub cancel: oneshot::Receiver<()>,
-}
-
-impl Job {
-    /// Until when the attempt may wait for a socket and a connection together: both count in its time.
-    pub fn connect_limit(&self, connect_timeout: Duration) -> Instant {
-        self.give_up.min(self.sent_at + connect_timeout)
-    }
-
-    pub fn end(&self, verdict: Verdict) -> AttemptEnd {
-        AttemptEnd { attempt: self.attempt, cache: self.cache, begun: self.begun, verdict }
-    }
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct ConnectionId(pub u64);
-
-/// What a connection's task tells the pool. The socket is closed before `Closed` is told.
-#[derive(Debug)]
-pub enum PoolNews {
-    Idle { connection: ConnectionId, end: AttemptEnd },
-    Closed { connection: ConnectionId, end: Option<AttemptEnd>, unsent: Option<Box<Job>> },
-}
-
 /// What every connection's task needs to know.
-pub struct Common {
+pub struct Common<N> {
+    pub network: N,
     pub inbox: mpsc::Sender<Input>,
     pub counters: Rc<Counters>,
     pub report: Vec<String>,
@@ -77,14 +41,14 @@
 }
 
 /// The owner of one socket.
-pub struct Task {
+pub struct Task<N: Network> {
     pub id: ConnectionId,
     pub address: SocketAddr,
-    pub common: Rc<Common>,
+    pub common: Rc<Common<N>>,
     pub jobs: mpsc::Receiver<Job>,
 }
 
-impl Task {
+impl<N: Network> Task<N> {
     pub async fn run<S: Speech>(mut self, first: Job)
     where
         <S as Decoder>::Error: std::fmt::Display + 'static,
@@ -113,7 +77,7 @@
             match next {
                 Some(next) if quiet => job = next,
                 next => {
-                    if !wire.read_buffer().is_empty() || unread(wire.get_ref()) == Unread::Bytes {
+                    if !wire.read_buffer().is_empty() || wire.get_ref().unread() == Unread::Bytes {
                         self.common.counters.server_connections_surplus.add();
                     }
                     drop(wire);
@@ -125,15 +89,13 @@
         }
     }
 
-    async fn connect<S: Speech>(&self, job: &mut Job) -> Result<Framed<TcpStream, S>, Outcome> {
+    async fn connect<S: Speech>(&self, job: &mut Job) -> Result<Framed<N::Stream, S>, Outcome> {
         let limit = job.connect_limit(self.common.connect_timeout);
         tokio::select! {
             biased;
             () = cancelled(&mut job.cancel) => Err(Outcome::Cancelled),
-            connected = timeout_at(limit, TcpStream::connect(self.address)) => match connected {
+            connected = timeout_at(limit, self.common.network.connect(self.address)) => match connected {
                 Ok(Ok(socket)) => {
-                    // Requests are small and each is waited for.
-                    socket.set_nodelay(true).map_err(|_| Outcome::ConnectFailed)?;
                     let Common { largest_value, budget, .. } = &*self.common;
                     Ok(Framed::new(socket, S::new(self.address, *largest_value, budget)))
                 }
@@ -143,12 +105,11 @@
     }
 
     /// The next attempt for this connection; none if it has ended, stood idle too long or is to close.
-    async fn next_job<S: Speech>(&mut self, wire: &mut Framed<TcpStream, S>) -> Option<Job> {
-        let mut byte = [0];
+    async fn next_job<S: Speech>(&mut self, wire: &mut Framed<N::Stream, S>) -> Option<Job> {
         tokio::select! {
             biased;
             // The end of the connection, or bytes that nobody asked for: either way it is of no more use.
-            _ = wire.get_ref().peek(&mut byte) => None,
+            () = wire.get_ref().arrival() => None,
             job = timeout(self.common.idle_limit, self.jobs.recv()) => job.ok().flatten(),
         }
     }
@@ -164,8 +125,8 @@
 }
 
 /// Danger: a reply names no request. What stands behind a good one would answer the next request on the connection.
-fn is_quiet<S>(wire: &Framed<TcpStream, S>) -> bool {
-    wire.read_buffer().is_empty() && unread(wire.get_ref()) == Unread::Nothing
+fn is_quiet<T: Stream, S>(wire: &Framed<T, S>) -> bool {
+    wire.read_buffer().is_empty() && wire.get_ref().unread() == Unread::Nothing
 }
 
 async fn cancelled(cancel: &mut oneshot::Receiver<()>) {
@@ -175,8 +136,8 @@
 }
 
 /// One command and its reply; whether the connection can be used again.
-async fn exchange<S: Speech>(
-    wire: &mut Framed<TcpStream, S>,
+async fn exchange<T: Stream, S: Speech>(
+    wire: &mut Framed<T, S>,
     job: &mut Job,
     report: &[String],
 ) -> (Verdict, bool)
--- a/crates/stairfront/src/discovery.rs
+++ b/crates/stairfront-balancer/src/discovery.rs
@@ -1,4 +1,4 @@
-//! Discovery's lists and the watch on its agent.
+//! The watch on discovery's agent.
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -6,20 +6,18 @@
 
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
-use serde::Deserialize;
-use stairfront_policy::interface::{CacheId, Cell, Kind, Member, MemberState, Micros, Zone, MS};
 use stairfront_settings::Names;
-use tokio::net::TcpStream;
+use stairfront_wire::budget::Budget;
+use stairfront_wire::http::{HttpCodec, HttpError, Request};
 use tokio::sync::{mpsc, watch};
-use tokio::time::{sleep, timeout};
 use tokio_util::codec::Framed;
 use tracing::{info, warn};
-use xxhash_rust::xxh3::xxh3_64;
 
-use crate::budget::Budget;
+use crate::clock::{sleep, timeout};
 use crate::counters::Counters;
-use crate::http::{HttpCodec, HttpError, Request};
 use crate::messages::Input;
+use crate::server_list::{ListError, RawList, ServerList};
+use crate::transport::Network;
 
 /// How long the agent may hold a watch for news; 60 s is the most. Danger: while discovery is down its changes count
 /// as told 2 s after the hold is over, heard or not, so a short hold has this balancer send to caches that drain.
@@ -35,111 +33,6 @@
 /// One line in the log for so many failed calls in a row.
 const LOG_EVERY: u32 = 50;
 
-/// A list as discovery writes it.
-#[derive(Debug, Default, Deserialize)]
-pub struct RawList {
-    #[serde(default)]
-    index: u64,
-    #[serde(default)]
-    snapshot: bool,
-    #[serde(default)]
-    endpoints: Vec<RawEndpoint>,
-}
-
-#[derive(Debug, Deserialize)]
-struct RawEndpoint {
-    name: String,
-    address: String,
-    #[serde(default)]
-    zone: String,
-    #[serde(default, rename = "type")]
-    kind: String,
-    #[serde(default)]
-    group: u16,
-    status: String,
-    #[serde(default = "one")]
-    weight: f32,
-    #[serde(default)]
-    since_ms: f64,
-}
-
-fn one() -> f32 {
-    1.0
-}
-
-#[derive(Debug, thiserror::Error)]
-pub enum ListError {
-    #[error("server {name:?}: unknown status {status:?}")]
-    Status { name: String, status: String },
-    #[error("server {name:?}: {address:?} is not an address and a port")]
-    Address { name: String, address: String },
-    #[error("server {name:?}: since_ms {since_ms} is not a time")]
-    Since { name: String, since_ms: f64 },
-}
-
-#[derive(Clone, Debug, PartialEq)]
-pub struct Line {
-    pub name: String,
-    pub member: Member,
-    pub address: SocketAddr,
-}
-
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct ServerList {
-    pub index: u64,
-    /// The complete list, not changes alone.
-    pub full: bool,
-    pub lines: Vec<Line>,
-}
-
-/// The same at every balancer and after every restart, whatever the address.
-pub fn cache_id(name: &str) -> CacheId {
-    CacheId(xxh3_64(name.as_bytes()))
-}
-
-/// Position of a name; an unknown one gets a number that no known one has.
-fn position(names: &[String], name: &str) -> Option<usize> {
-    names.iter().position(|known| known == name)
-}
-
-impl RawList {
-    pub fn read(self, names: &Names) -> Result<ServerList, ListError> {
-        let lines = self.endpoints.into_iter().map(|raw| raw.read(names)).collect::<Result<_, _>>()?;
-        Ok(ServerList { index: self.index, full: self.snapshot, lines })
-    }
-}
-
-impl RawEndpoint {
-    fn read(self, names: &Names) -> Result<Line, ListError> {
-        let RawEndpoint { name, address, status, since_ms, .. } = self;
-        let state = match status.as_str() {
-            "SERVING" => MemberState::Ready,
-            "DRAINING" => MemberState::Draining,
-            "DELETED" => MemberState::Gone,
-            _ => return Err(ListError::Status { name, status }),
-        };
-        let Ok(address) = address.parse::<SocketAddr>() else {
-            return Err(ListError::Address { name, address });
-        };
-        // Within the range of the clock; beyond a few thousand years it is a slip of a unit.
-        if !(0.0..1e14).contains(&since_ms) {
-            return Err(ListError::Since { name, since_ms });
-        }
-        let zone = position(&names.zones, &self.zone).and_then(|i| u8::try_from(i).ok());
-        let kind = position(&names.kinds, &self.kind).and_then(|i| u16::try_from(i).ok());
-        let member = Member {
-            id: cache_id(&name),
-            state,
-            born: (since_ms * MS as f64) as Micros,
-            zone: Zone(zone.unwrap_or(u8::MAX)),
-            cell: Cell(self.group),
-            kind: Kind(kind.unwrap_or(u16::MAX)),
-            size: self.weight,
-        };
-        Ok(Line { name, member, address })
-    }
-}
-
 #[derive(Debug, thiserror::Error)]
 enum CallError {
     #[error("{0}")]
@@ -164,12 +57,13 @@
 
 /// Keeps a watch on the agent for as long as the balancer runs and passes on all that changes. A dead agent costs
 /// nothing but these calls: serving goes on with the list in hand.
-pub struct Watch {
+pub struct Watch<N: Network> {
+    network: N,
     /// Where the agent is; a new configuration may name another.
     agents: watch::Receiver<SocketAddr>,
     names: Names,
     inbox: mpsc::Sender<Input>,
-    wire: Option<Framed<TcpStream, HttpCodec>>,
+    wire: Option<Framed<N::Stream, HttpCodec>>,
     /// The version in hand; none asks for the whole list.
     index: Option<u64>,
     /// How long the next call may be held: not at all until one was answered, so that a start or a return of the
@@ -178,15 +72,25 @@
     counters: Rc<Counters>,
 }
 
-impl Watch {
+impl<N: Network> Watch<N> {
     pub fn new(
+        network: N,
         agents: watch::Receiver<SocketAddr>,
         names: Names,
         known: u64,
         inbox: mpsc::Sender<Input>,
         counters: Rc<Counters>,
     ) -> Self {
-        Watch { agents, names, inbox, wire: None, index: Some(known), hold: Duration::ZERO, counters }
+        Watch {
+            network,
+            agents,
+            names,
+            inbox,
+            wire: None,
+            index: Some(known),
+            hold: Duration::ZERO,
+            counters,
+        }
     }
 
     /// Danger: a call to the agent of an old configuration may be held for most of a minute, and its versions mean
@@ -247,9 +151,8 @@
         let wire = match &mut self.wire {
             Some(wire) => wire,
             none => {
-                let connected = timeout(ANSWER_LIMIT, TcpStream::connect(address));
+                let connected = timeout(ANSWER_LIMIT, self.network.connect(address));
                 let socket = connected.await.map_err(|_| CallError::Late)??;
-                socket.set_nodelay(true)?;
                 none.insert(Framed::new(socket, HttpCodec::new(LARGEST_LIST, &Budget::new(LARGEST_LIST))))
             }
         };
--- a/crates/stairfront/src/engine.rs
+++ b/crates/stairfront-balancer/src/engine.rs
@@ -6,24 +6,24 @@
 
 use rustc_hash::FxHashMap;
 use stairfront_policy::interface::{
-    Action, CacheId, CacheMode, Event, ListNews, Load, Member, MemberState, Micros, Outcome, RequestId, MS,
+    Action, CacheId, CacheMode, Event, ListNews, Load, Member, MemberState, Micros, Outcome, RequestId,
+    Settings, MS,
 };
-use stairfront_policy::Policy;
 use stairfront_settings::Start;
 use tokio::sync::{mpsc, watch};
 use tokio_util::time::DelayQueue;
 use tracing::info;
 
-use crate::budget::Memory;
 use crate::caches::{Endpoint, Pool, Protocol};
 use crate::clock::{duration, Clock};
-use crate::connection::Job;
 use crate::counters::Counters;
-use crate::discovery::{Line, ServerList};
-use crate::messages::{Answer, AttemptEnd, AttemptId, Input};
+use crate::limits::Memory;
+use crate::messages::{Answer, AttemptEnd, AttemptId, Input, Job};
+use crate::server_list::{Line, ServerList};
 use crate::stages::admit::{NotAdmitted, Table};
-use crate::stages::route;
+use crate::stages::route::{self, Decide};
 use crate::stages::send::Sending;
+use crate::transport::Network;
 
 enum Due {
     /// A timer of the decision module.
@@ -32,11 +32,11 @@
     Socket(AttemptId),
 }
 
-pub struct Engine {
-    policy: Policy,
+pub struct Engine<D, N: Network> {
+    policy: D,
     clock: Clock,
     table: Table,
-    pool: Pool,
+    pool: Pool<N>,
     timers: DelayQueue<Due>,
     counters: Rc<Counters>,
     ready: watch::Sender<bool>,
@@ -49,13 +49,14 @@
     actions: Vec<Action>,
 }
 
-impl Engine {
+impl<D: Decide, N: Network> Engine<D, N> {
+    /// `decider` makes the decision module from its settings.
     pub fn new(
         start: Start,
-        seed: u64,
+        decider: impl FnOnce(Settings) -> D,
         memory: Memory,
         clock: Clock,
-        pool: Pool,
+        pool: Pool<N>,
         counters: Rc<Counters>,
         ready: watch::Sender<bool>,
     ) -> Self {
@@ -74,7 +75,7 @@
             servers: FxHashMap::default(),
             ends: VecDeque::new(),
             actions: Vec::new(),
-            policy: Policy::new(settings, seed),
+            policy: decider(settings),
         }
     }
 
--- /dev/null
+++ b/crates/stairfront-balancer/src/limits.rs
@@ -0,0 +1,63 @@
+//! What the configuration's limits leave for each use: descriptors and memory.
+
+/// Connections of clients beyond their places, which are turned away; they take descriptors of the reserve.
+pub const MOST_SPARE: usize = 8;
+/// Descriptors that are not connections with a place: standard streams, event queue, signals, listener, discovery, a
+/// connection just accepted and some for the libraries (14 were seen), and the spare connections.
+const RESERVE: usize = 16 + MOST_SPARE;
+/// The most sockets that the deployment ever grants; a larger limit is not used.
+pub const MOST_SOCKETS: usize = 1024;
+
+const MIB: usize = 1024 * 1024;
+
+/// How the descriptors are dealt out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Sockets {
+    pub clients: usize,
+    pub servers: usize,
+}
+
+impl Sockets {
+    /// Fewer would leave no room for a client and a server connection at once.
+    pub const FEWEST: usize = RESERVE + 8;
+
+    /// Of a limit that is `FEWEST` at least.
+    pub fn split(limit: usize) -> Self {
+        let limit = limit.clamp(Self::FEWEST, MOST_SOCKETS);
+        let free = limit - RESERVE;
+        // Clients hold a third of the descriptors at most, connections that they only keep included. Danger: up to that
+        // all would be kept ones, and new requests find no connection; so fewer are kept, and servers get the rest.
+        let clients = (limit * 5 / 16).min(free / 2);
+        Sockets { clients, servers: free - clients }
+    }
+}
+
+/// What may be held of each kind. Together less than half of the limit: buffers that grow are copied, written values
+/// stand in a write buffer as well, and the program itself takes some megabytes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Memory {
+    /// Keys and values of open requests.
+    pub requests: usize,
+    /// Values on their way to clients.
+    pub answers: usize,
+    /// Commands of clients that are not whole yet.
+    pub commands: usize,
+    /// Replies of servers that are not whole yet.
+    pub replies: usize,
+    /// The largest value that is taken from a server.
+    pub largest_value: usize,
+}
+
+impl Memory {
+    pub const FEWEST_MB: usize = 16;
+    /// Where no limit is told.
+    pub const USUAL_MB: usize = 192;
+    /// Values are said to have 64 KiB at most, and servers were seen to send 400 KB. More than this is noise.
+    const LARGEST_VALUE: usize = MIB;
+
+    pub fn of(limit_mb: usize) -> Self {
+        let part = limit_mb.max(Self::FEWEST_MB) * MIB / 8;
+        let largest_value = (part / 4).min(Self::LARGEST_VALUE);
+        Memory { requests: part / 2, answers: part, commands: part / 2, replies: part, largest_value }
+    }
+}
--- a/crates/stairfront/src/messages.rs
+++ b/crates/stairfront-balancer/src/messages.rs
@@ -1,11 +1,12 @@
 //! What the parts of the balancer hand to each other. Payloads are slices of the buffers they were read into.
+use std::time::Duration;
+
 use bytes::Bytes;
 use stairfront_policy::interface::{CacheId, Load, Note, Outcome, Request, RequestId};
 use tokio::sync::{oneshot, OwnedSemaphorePermit};
-use tokio::time::Instant;
 
-use crate::connection::PoolNews;
-use crate::discovery::ServerList;
+use crate::clock::Instant;
+use crate::server_list::ServerList;
 
 /// The final answer to one request, or an immediate one to a command that needs no decision.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -69,6 +70,25 @@
     pub left_ms: u64,
 }
 
+impl Outgoing {
+    /// The list of names and values with `d` telling how long this balancer will wait; all else as it came.
+    pub fn info(&self) -> Vec<u8> {
+        let info = &self.command.info;
+        let mut list = Vec::with_capacity(info.len() + 8);
+        for pair in info.split(|b| *b == b',').filter(|pair| !pair.is_empty()) {
+            if !list.is_empty() {
+                list.push(b',');
+            }
+            if pair.starts_with(b"d=") {
+                list.extend_from_slice(format!("d={}", self.left_ms).as_bytes());
+            } else {
+                list.extend_from_slice(pair);
+            }
+        }
+        list
+    }
+}
+
 /// A request taken from a client.
 #[derive(Debug)]
 pub struct Arrival {
@@ -107,6 +127,42 @@
     pub verdict: Verdict,
 }
 
+/// One attempt on its way to one server.
+#[derive(Debug)]
+pub struct Job {
+    pub attempt: AttemptId,
+    pub cache: CacheId,
+    pub command: Command,
+    /// When it was decided.
+    pub sent_at: Instant,
+    /// When it got a socket. Danger: a wait for one of this balancer's own is not the server's slowness.
+    pub begun: Instant,
+    pub give_up: Instant,
+    /// Told when the attempt is given up before its time; a sender that is dropped means nothing.
+    pub cancel: oneshot::Receiver<()>,
+}
+
+impl Job {
+    /// Until when the attempt may wait for a socket and a connection together: both count in its time.
+    pub fn connect_limit(&self, connect_timeout: Duration) -> Instant {
+        self.give_up.min(self.sent_at + connect_timeout)
+    }
+
+    pub fn end(&self, verdict: Verdict) -> AttemptEnd {
+        AttemptEnd { attempt: self.attempt, cache: self.cache, begun: self.begun, verdict }
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct ConnectionId(pub u64);
+
+/// What a connection's task tells the pool. The socket is closed before `Closed` is told.
+#[derive(Debug)]
+pub enum PoolNews {
+    Idle { connection: ConnectionId, end: AttemptEnd },
+    Closed { connection: ConnectionId, end: Option<AttemptEnd>, unsent: Option<Box<Job>> },
+}
+
 /// What the engine is told.
 #[derive(Debug)]
 pub enum Input {
--- a/crates/stairfront/src/origin.rs
+++ b/crates/stairfront-balancer/src/origin.rs
@@ -5,14 +5,13 @@
 
 use bytes::{Bytes, BytesMut};
 use stairfront_policy::interface::{Load, Note, Outcome};
+use stairfront_wire::budget::Budget;
+use stairfront_wire::http::{HttpCodec, HttpError, Request, Response};
 use tokio_util::codec::{Decoder, Encoder};
 
-use crate::budget::Budget;
 use crate::connection::Speech;
-use crate::http::{HttpCodec, HttpError, Request, Response};
+use crate::load_report::load_report;
 use crate::messages::{Outgoing, Verb, Verdict};
-use crate::resp::with_time_left;
-use crate::stages::relay;
 
 #[derive(Debug)]
 pub struct OriginCodec {
@@ -36,12 +35,12 @@
     type Error = HttpError;
 
     fn encode(&mut self, outgoing: Outgoing, dst: &mut BytesMut) -> Result<(), HttpError> {
-        let Outgoing { command, left_ms } = outgoing;
+        let info = Bytes::from(outgoing.info());
+        let command = outgoing.command;
         let (method, body) = match command.verb {
             Verb::Get => ("GET", None),
             Verb::Set => ("PUT", Some(command.value.unwrap_or_default())),
         };
-        let info = Bytes::from(with_time_left(&command.info, left_ms));
         let headers = vec![("Host", self.host.clone()), ("Request-Id", command.id), ("Request-Info", info)];
         self.http.encode(Request { method, target: target(&command.key), headers, body }, dst)
     }
@@ -78,7 +77,7 @@
             // Not a word of the origin's: what it meant is not known.
             _ => return (Verdict::bare(Outcome::Spoilt), false),
         };
-        let load = reply.load.map_or(Load::default(), |text| relay::load_report(&text, report));
+        let load = reply.load.map_or(Load::default(), |text| load_report(&text, report));
         let value = (outcome == Outcome::Served).then_some(reply.body);
         (Verdict { outcome, note: Note::None, load, value }, !reply.last)
     }
--- a/crates/stairfront/src/server.rs
+++ b/crates/stairfront-balancer/src/server.rs
@@ -3,12 +3,13 @@
 use std::io;
 use std::rc::Rc;
 
+use stairfront_policy::interface::Settings;
+use stairfront_wire::budget::Budget;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 use tokio::task::{spawn_local, JoinHandle, LocalSet};
 use tracing::info;
 
-use crate::budget::Budget;
 use crate::caches::{Pool, PoolLimits};
 use crate::clients::{self, Context, Crowd};
 use crate::clock::{duration, Clock};
@@ -18,12 +19,15 @@
 use crate::engine::Engine;
 use crate::reload::{self, Reloads};
 use crate::shutdown::{watch_signals, Phase};
+use crate::stages::route::Decide;
+use crate::stages::take_in::Intake;
+use crate::transport::{Listener, Network, Tcp};
 
 /// Messages that may wait for the engine; senders wait beyond that. Each is handled in some microseconds.
 const INBOX: usize = 1024;
 
-/// Serves until told to stop.
-pub fn run(config: Config) -> io::Result<()> {
+/// Serves on the kernel's sockets until told to stop. `decider` makes the decision module from its settings and a seed.
+pub fn run<D: Decide>(config: Config, decider: impl FnOnce(Settings, u64) -> D) -> io::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     runtime.block_on(LocalSet::new().run_until(async {
         // Caught before the first connection can come, and so before the first +PONG.
@@ -33,50 +37,65 @@
         let (rung, rings) = mpsc::channel(1);
         let (stopping, reloading) =
             (spawn_local(watch_signals(phase)), spawn_local(reload::pass_on(hangups, rung)));
-        let served = serve(config, listener, phases, rings).await;
+        let around = Around { network: Tcp, listener, clock: Clock::start(), phase: phases, hangups: rings };
+        let served = serve(config, decider, around).await;
         stopping.abort();
         reloading.abort();
         served
     }))
 }
 
+/// What a balancer finds round itself: its network, its clock and those who tell it to stop or to read again.
+pub struct Around<N, L> {
+    pub network: N,
+    pub listener: L,
+    pub clock: Clock,
+    pub phase: watch::Receiver<Phase>,
+    pub hangups: mpsc::Receiver<()>,
+}
+
 /// Serves until the phase says to close and all that was taken is answered; on a hangup the configuration is read
 /// again.
-pub async fn serve(
+pub async fn serve<D: Decide, N: Network, L: Listener>(
     mut config: Config,
-    listener: TcpListener,
-    phase: watch::Receiver<Phase>,
-    hangups: mpsc::Receiver<()>,
+    decider: impl FnOnce(Settings, u64) -> D,
+    around: Around<N, L>,
 ) -> io::Result<()> {
+    let Around { network, listener, clock, phase, hangups } = around;
     let (known, start) = (std::mem::take(&mut config.known), config.start.clone());
     let (name, seed, sockets, memory) = (config.name.clone(), config.seed, config.sockets, config.memory);
     let (agent, agents) = watch::channel(config.discovery);
     let (inbox, inputs) = mpsc::channel(INBOX);
     let (ready, is_ready) = watch::channel(false);
     let counters = Rc::new(Counters::default());
-    let clock = Clock::start();
     let limits = PoolLimits {
         connections: sockets.servers,
         connect_timeout: duration(start.settings.limits.connect_timeout),
         servers_idle_limit: duration(start.host.idle),
         memory,
     };
-    let pool = Pool::new(limits, start.names.report.clone(), inbox.clone(), Rc::clone(&counters));
-    let watch = Watch::new(agents, start.names.clone(), known.index, inbox.clone(), Rc::clone(&counters));
+    let pool =
+        Pool::new(network.clone(), limits, start.names.report.clone(), inbox.clone(), Rc::clone(&counters));
+    let watch =
+        Watch::new(network, agents, start.names.clone(), known.index, inbox.clone(), Rc::clone(&counters));
     let context = Rc::new(Context {
         inbox,
-        names: start.names.clone(),
-        classes: start.settings.classes.clone(),
-        clock,
+        intake: Intake {
+            names: start.names.clone(),
+            classes: start.settings.classes.clone(),
+            clock,
+            counters: Rc::clone(&counters),
+            ready: is_ready,
+        },
         counters: Rc::clone(&counters),
-        ready: is_ready,
         phase,
         crowd: Crowd::default(),
         budget: Budget::new(memory.commands),
         next_id: Cell::new(0),
     });
-    let engine = Engine::new(start, seed, memory, clock, pool, Rc::clone(&counters), ready);
-    info!("{name} serves on {} with {} known servers", listener.local_addr()?, known.lines.len());
+    let decider = |settings| decider(settings, seed);
+    let engine = Engine::new(start, decider, memory, clock, pool, Rc::clone(&counters), ready);
+    info!("{name} serves on {} with {} known servers", listener.local_address()?, known.lines.len());
     let reloads = Reloads { current: config, agent, counters: Rc::clone(&counters) };
     let watching = [spawn_local(watch.run()), spawn_local(reloads.run(hangups))];
     let mut deciding = spawn_local(engine.run(known, inputs));
--- a/crates/stairfront/src/shutdown.rs
+++ b/crates/stairfront-balancer/src/shutdown.rs
@@ -4,9 +4,10 @@
 
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::watch;
-use tokio::time::sleep;
 use tracing::info;
 
+use crate::clock::sleep;
+
 /// New connections go on coming for 0.2 to 0.4 s after SIGTERM; those accepted by the machine must be served.
 const STILL_COMING: Duration = Duration::from_millis(500);
 /// What comes later than 0.7 s after SIGTERM is lost if SIGKILL finds it unanswered: better it is not read.
--- a/crates/stairfront/src/stages/admit.rs
+++ b/crates/stairfront-balancer/src/stages/admit.rs
@@ -6,7 +6,7 @@
 use stairfront_policy::interface::{CacheId, Micros, Request, RequestId};
 use tokio::sync::{oneshot, Semaphore};
 
-use crate::budget::Memory;
+use crate::limits::Memory;
 use crate::messages::{Answer, Arrival, Command, Given};
 
 /// An attempt whose end has not been heard.
--- a/crates/stairfront/src/stages/relay.rs
+++ b/crates/stairfront-balancer/src/stages/relay.rs
@@ -2,15 +2,12 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use stairfront_policy::interface::{Load, RequestId, Settled};
+use stairfront_policy::interface::{RequestId, Settled};
 
 use crate::clock::micros;
 use crate::messages::{Answer, AttemptEnd, Given};
 use crate::stages::admit::Table;
 
-/// Load reports hold four values at most.
-const MOST_VALUES: usize = 4;
-
 impl Table {
     /// Gives the client its final answer; false if it has had one or has left.
     pub fn answer(&mut self, request: RequestId, answer: impl Into<Given>) -> bool {
@@ -49,22 +46,3 @@
         }
     }
 }
-
-/// A report such as `inflight=7,queue=2`, in the order in which the settings name the fields. Danger: a part of one, or
-/// a figure that no server can have, would be believed; such a report is none.
-pub fn load_report(text: &[u8], fields: &[String]) -> Load {
-    let read = |field: &String| {
-        let value = |pair: &'_ [u8]| Some(pair.strip_prefix(field.as_bytes())?.strip_prefix(b"=")?.to_vec());
-        let mut values = text.split(|b| *b == b',').filter_map(value);
-        let figure = String::from_utf8(values.next()?).ok()?.parse::<f32>().ok()?;
-        (values.next().is_none() && figure.is_finite() && figure >= 0.0).then_some(figure)
-    };
-    let mut load = Load::default();
-    for (i, field) in fields.iter().enumerate().take(MOST_VALUES) {
-        match read(field) {
-            Some(figure) => (load.values[i], load.len) = (figure, i as u8 + 1),
-            None => return Load::default(),
-        }
-    }
-    load
-}
--- a/crates/stairfront/src/stages/route.rs
+++ b/crates/stairfront-balancer/src/stages/route.rs
@@ -5,9 +5,20 @@
 use stairfront_policy::Policy;
 use tracing::error;
 
+/// What decides which server, whether to retry and what is refused: events and a time in, actions out.
+pub trait Decide: 'static {
+    fn handle(&mut self, now: Micros, event: Event<'_>, actions: &mut Vec<Action>);
+}
+
+impl Decide for Policy {
+    fn handle(&mut self, now: Micros, event: Event<'_>, actions: &mut Vec<Action>) {
+        Policy::handle(self, now, event, actions);
+    }
+}
+
 /// Hands one event over. Danger: a panic in a decision would end every request in flight; it is logged, what was
 /// decided before it is carried out, and false returned.
-pub fn route(policy: &mut Policy, now: Micros, event: Event<'_>, actions: &mut Vec<Action>) -> bool {
+pub fn route(policy: &mut impl Decide, now: Micros, event: Event<'_>, actions: &mut Vec<Action>) -> bool {
     let decided = catch_unwind(AssertUnwindSafe(|| policy.handle(now, event, actions)));
     if decided.is_err() {
         error!("the decision module panicked on {event:?}");
--- a/crates/stairfront/src/stages/send.rs
+++ b/crates/stairfront-balancer/src/stages/send.rs
@@ -1,11 +1,9 @@
 //! Fourth stage: a send that was decided becomes a job for the pool of connections.
 use stairfront_policy::interface::{CacheId, Micros, Outcome, RequestId};
 use tokio::sync::oneshot;
-use tokio::time::Instant;
 
-use crate::clock::duration;
-use crate::connection::Job;
-use crate::messages::{AttemptEnd, AttemptId, Verdict};
+use crate::clock::{duration, Instant};
+use crate::messages::{AttemptEnd, AttemptId, Job, Verdict};
 use crate::stages::admit::{Deferred, Out, Table};
 
 pub enum Sending {
--- a/crates/stairfront/src/stages/take_in.rs
+++ b/crates/stairfront-balancer/src/stages/take_in.rs
@@ -1,9 +1,14 @@
 //! First stage: a client's command becomes a request, or is answered on the spot.
+use std::rc::Rc;
+
 use bytes::Bytes;
-use stairfront_policy::interface::{ClassId, Key, Micros, Request, RequestId, TenantId, MS};
+use stairfront_policy::interface::{Class, ClassId, Key, Micros, Request, RequestId, TenantId, MS};
+use stairfront_settings::Names;
+use tokio::sync::watch;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::clients::Context;
+use crate::clock::Clock;
+use crate::counters::Counters;
 use crate::messages::{Answer, Command, Verb};
 
 /// Longest key, id or list of names and values. They go on in an HTTP head, which servers bound.
@@ -16,6 +21,16 @@
 const UNKNOWN_CLASS: &str = "ERR unknown class";
 const NOT_READY: &str = "LOADING no list of servers yet";
 
+/// What a command is read against.
+pub struct Intake {
+    pub names: Names,
+    pub classes: Vec<Class>,
+    pub clock: Clock,
+    pub counters: Rc<Counters>,
+    /// There is a list of servers to serve from.
+    pub ready: watch::Receiver<bool>,
+}
+
 pub enum Taken {
     Request {
         command: Command,
@@ -26,29 +41,29 @@
     Last(Answer),
 }
 
-pub fn take_in(words: Vec<Bytes>, context: &Context) -> Taken {
+pub fn take_in(words: Vec<Bytes>, intake: &Intake) -> Taken {
     let Some(name) = words.first().map(|word| word.to_ascii_uppercase()) else {
-        return reject(context, BAD_COMMAND);
+        return reject(intake, BAD_COMMAND);
     };
     let verb = match &name[..] {
         b"C.GET" => Verb::Get,
         b"C.SET" => Verb::Set,
-        b"PING" if *context.ready.borrow() => return Taken::Answered(Answer::Pong),
+        b"PING" if *intake.ready.borrow() => return Taken::Answered(Answer::Pong),
         b"PING" => return Taken::Answered(Answer::Error(NOT_READY)),
-        b"INFO" => return Taken::Answered(Answer::Text(context.counters.to_string())),
+        b"INFO" => return Taken::Answered(Answer::Text(intake.counters.to_string())),
         b"CLIENT" | b"SELECT" => return Taken::Answered(Answer::Ok),
         b"QUIT" => return Taken::Last(Answer::Ok),
-        _ => return reject(context, UNKNOWN_COMMAND),
+        _ => return reject(intake, UNKNOWN_COMMAND),
     };
-    let Some(command) = command(verb, words) else { return reject(context, BAD_COMMAND) };
-    match request(&command, context) {
+    let Some(command) = command(verb, words) else { return reject(intake, BAD_COMMAND) };
+    match request(&command, intake) {
         Ok(request) => Taken::Request { command, request },
-        Err(problem) => reject(context, problem),
+        Err(problem) => reject(intake, problem),
     }
 }
 
-fn reject(context: &Context, problem: &'static str) -> Taken {
-    context.counters.rejected.add();
+fn reject(intake: &Intake, problem: &'static str) -> Taken {
+    intake.counters.rejected.add();
     Taken::Answered(Answer::Error(problem))
 }
 
@@ -66,8 +81,8 @@
     (1..=LONGEST_WORD).contains(&word.len()) && word.iter().all(u8::is_ascii_graphic)
 }
 
-fn request(command: &Command, context: &Context) -> Result<Request, &'static str> {
-    let now = context.clock.now();
+fn request(command: &Command, intake: &Intake) -> Result<Request, &'static str> {
+    let now = intake.clock.now();
     let (mut class, mut tenant, mut wait, mut repeat) = (None, TenantId(u32::MAX), None, false);
     let mut told = [0; 2];
     for pair in command.info.split(|b| *b == b',') {
@@ -75,10 +90,10 @@
         told[0] += usize::from(pair.starts_with(b"c="));
         told[1] += usize::from(pair.starts_with(b"d="));
         match pair {
-            [b'c', b'=', name @ ..] => class = position(&context.names.classes, name),
+            [b'c', b'=', name @ ..] => class = position(&intake.names.classes, name),
             // A tenant that the settings do not know has no share; it is not mixed up with another's.
             [b't', b'=', name @ ..] => {
-                let known = position(&context.names.tenants, name).and_then(|i| u32::try_from(i).ok());
+                let known = position(&intake.names.tenants, name).and_then(|i| u32::try_from(i).ok());
                 tenant = TenantId(known.unwrap_or(u32::MAX));
             }
             [b'd', b'=', ms @ ..] => wait = Some(milliseconds(ms).ok_or(BAD_COMMAND)?),
@@ -90,7 +105,7 @@
         return Err(BAD_COMMAND);
     }
     let class = class.and_then(|i| u8::try_from(i).ok()).ok_or(UNKNOWN_CLASS)?;
-    let deadline = context.classes.get(usize::from(class)).map(|c| c.deadline).ok_or(UNKNOWN_CLASS)?;
+    let deadline = intake.classes.get(usize::from(class)).map(|c| c.deadline).ok_or(UNKNOWN_CLASS)?;
     Ok(Request {
         id: RequestId(0),
         class: ClassId(class),
--- /dev/null
+++ b/crates/stairfront-balancer/src/transport.rs
@@ -0,0 +1,93 @@
+//! The one seam between the balancer and its network: connect, listen, accept, read and write, whether anything
+//! unread has come, close (by dropping). All network code is generic over it, so that the same code runs on the
+//! kernel's sockets and on a network that a test makes up.
+use std::future::Future;
+use std::io;
+use std::io::ErrorKind;
+use std::mem::MaybeUninit;
+use std::net::SocketAddr;
+
+use socket2::SockRef;
+use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::net::{TcpListener, TcpStream};
+use tracing::debug;
+
+/// What has come on a connection and was not read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unread {
+    Nothing,
+    Bytes,
+    /// The connection has ended or is broken.
+    End,
+}
+
+/// One connection; dropping it closes it.
+pub trait Stream: AsyncRead + AsyncWrite + Unpin + 'static {
+    /// What is there now and was not read. Danger: an event loop knows only what was there when it last looked.
+    fn unread(&self) -> Unread;
+    /// Waits until something can be read or the connection has ended; reads nothing.
+    fn arrival(&self) -> impl Future<Output = ()>;
+}
+
+pub trait Listener: 'static {
+    type Stream: Stream;
+    fn accept(&self) -> impl Future<Output = io::Result<Self::Stream>>;
+    fn local_address(&self) -> io::Result<SocketAddr>;
+}
+
+pub trait Network: Clone + 'static {
+    type Stream: Stream;
+    /// Ends with an error as soon as it is known that the connection cannot be made; the caller bounds the time.
+    fn connect(&self, to: SocketAddr) -> impl Future<Output = io::Result<Self::Stream>>;
+}
+
+/// The kernel's TCP.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Tcp;
+
+impl Network for Tcp {
+    type Stream = TcpStream;
+
+    async fn connect(&self, to: SocketAddr) -> io::Result<TcpStream> {
+        let socket = TcpStream::connect(to).await?;
+        // Requests are small and each is waited for.
+        socket.set_nodelay(true)?;
+        Ok(socket)
+    }
+}
+
+impl Listener for TcpListener {
+    type Stream = TcpStream;
+
+    async fn accept(&self) -> io::Result<TcpStream> {
+        let (socket, _) = TcpListener::accept(self).await?;
+        // Answers are small and each is waited for; without it they only come later.
+        if let Err(problem) = socket.set_nodelay(true) {
+            debug!("no TCP_NODELAY: {problem}");
+        }
+        Ok(socket)
+    }
+
+    fn local_address(&self) -> io::Result<SocketAddr> {
+        self.local_addr()
+    }
+}
+
+impl Stream for TcpStream {
+    /// Asks the kernel itself.
+    fn unread(&self) -> Unread {
+        match SockRef::from(self).peek(&mut [MaybeUninit::uninit()]) {
+            Ok(0) => Unread::End,
+            Ok(_) => Unread::Bytes,
+            Err(problem) if matches!(problem.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {
+                Unread::Nothing
+            }
+            Err(_) => Unread::End,
+        }
+    }
+
+    async fn arrival(&self) {
+        // An error is an end, which the next read tells.
+        let _ = self.peek(&mut [0]).await;
+    }
+}
--- a/crates/stairfront/tests/discovery.rs
+++ b/crates/stairfront-balancer/tests/discovery.rs
@@ -3,7 +3,7 @@
 
 use common::{bulk, cache, commands, hit, http, line, ms, origin, run, Balancer, Log, Step};
 use serde_json::{json, Value};
-use stairfront::discovery::{cache_id, RawList};
+use stairfront_balancer::server_list::{cache_id, RawList};
 use stairfront_policy::interface::{Cell, Kind, MemberState, Zone};
 use stairfront_settings::Names;
 use tokio::time::sleep;
--- /dev/null
+++ b/crates/stairfront-balancer/tests/virtual_network.rs
@@ -0,0 +1,213 @@
+//! The seam: the same network code on a network of pipes and a paused clock, with no socket and no time of its own.
+mod common;
+
+use std::cell::RefCell;
+use std::future::poll_fn;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, Waker};
+use std::time::Duration;
+
+use common::{config, get, hit, line, Step};
+use rustc_hash::FxHashMap;
+use stairfront_balancer::clock::{sleep, Clock, Instant};
+use stairfront_balancer::config::Config;
+use stairfront_balancer::server::{serve, Around};
+use stairfront_balancer::shutdown::Phase;
+use stairfront_balancer::transport::{Listener, Network, Stream, Unread};
+use stairfront_policy::Policy;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf};
+use tokio::sync::{mpsc, watch};
+use tokio::task::{spawn_local, LocalSet};
+
+/// One direction: bytes on their way, and whether the writer has gone.
+#[derive(Default)]
+struct Way {
+    bytes: Vec<u8>,
+    ended: bool,
+    reader: Option<Waker>,
+}
+
+impl Way {
+    fn wake(&mut self) {
+        if let Some(reader) = self.reader.take() {
+            reader.wake();
+        }
+    }
+}
+
+struct Pipe {
+    input: Rc<RefCell<Way>>,
+    output: Rc<RefCell<Way>>,
+}
+
+fn pipes() -> (Pipe, Pipe) {
+    let (a, b) = (Rc::new(RefCell::default()), Rc::new(RefCell::default()));
+    (Pipe { input: Rc::clone(&a), output: Rc::clone(&b) }, Pipe { input: b, output: a })
+}
+
+impl Drop for Pipe {
+    fn drop(&mut self) {
+        for way in [&self.input, &self.output] {
+            let mut way = way.borrow_mut();
+            way.ended = true;
+            way.wake();
+        }
+    }
+}
+
+impl AsyncRead for Pipe {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, to: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        let mut way = self.input.borrow_mut();
+        if way.bytes.is_empty() && !way.ended {
+            way.reader = Some(cx.waker().clone());
+            return Poll::Pending;
+        }
+        let n = way.bytes.len().min(to.remaining());
+        to.put_slice(&way.bytes[..n]);
+        way.bytes.drain(..n);
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for Pipe {
+    fn poll_write(self: Pin<&mut Self>, _: &mut Context<'_>, from: &[u8]) -> Poll<io::Result<usize>> {
+        let mut way = self.output.borrow_mut();
+        if way.ended {
+            return Poll::Ready(Err(io::ErrorKind::BrokenPipe.into()));
+        }
+        way.bytes.extend_from_slice(from);
+        way.wake();
+        Poll::Ready(Ok(from.len()))
+    }
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.output.borrow_mut().ended = true;
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl Stream for Pipe {
+    fn unread(&self) -> Unread {
+        let way = self.input.borrow();
+        match (way.bytes.is_empty(), way.ended) {
+            (false, _) => Unread::Bytes,
+            (true, true) => Unread::End,
+            (true, false) => Unread::Nothing,
+        }
+    }
+    async fn arrival(&self) {
+        poll_fn(|cx| {
+            let mut way = self.input.borrow_mut();
+            if way.bytes.is_empty() && !way.ended {
+                way.reader = Some(cx.waker().clone());
+                return Poll::Pending;
+            }
+            Poll::Ready(())
+        })
+        .await;
+    }
+}
+
+/// Listeners by address.
+#[derive(Clone, Default)]
+struct Made(Rc<RefCell<FxHashMap<SocketAddr, mpsc::UnboundedSender<Pipe>>>>);
+
+struct Ear(SocketAddr, RefCell<mpsc::UnboundedReceiver<Pipe>>);
+
+impl Made {
+    fn listen(&self, at: SocketAddr) -> Ear {
+        let (calls, ear) = mpsc::unbounded_channel();
+        self.0.borrow_mut().insert(at, calls);
+        Ear(at, RefCell::new(ear))
+    }
+}
+
+impl Network for Made {
+    type Stream = Pipe;
+    async fn connect(&self, to: SocketAddr) -> io::Result<Pipe> {
+        let (near, far) = pipes();
+        let taken = self.0.borrow().get(&to).is_some_and(|ear| ear.send(far).is_ok());
+        if taken {
+            Ok(near)
+        } else {
+            Err(io::ErrorKind::ConnectionRefused.into())
+        }
+    }
+}
+
+impl Listener for Ear {
+    type Stream = Pipe;
+    async fn accept(&self) -> io::Result<Pipe> {
+        poll_fn(|cx| self.1.borrow_mut().poll_recv(cx)).await.ok_or(io::ErrorKind::NotConnected.into())
+    }
+    fn local_address(&self) -> io::Result<SocketAddr> {
+        Ok(self.0)
+    }
+}
+
+/// Answers the first request on each connection so; no bytes mean silence.
+async fn host(ear: Ear, answer: &'static str) {
+    while let Ok(mut pipe) = ear.accept().await {
+        spawn_local(async move {
+            let mut piece = [0; 4096];
+            while pipe.read(&mut piece).await.is_ok_and(|n| n > 0) {
+                let Step::Say(bytes) = hit(answer) else { return };
+                if !answer.is_empty() && pipe.write_all(&bytes).await.is_err() {
+                    return;
+                }
+            }
+        });
+    }
+}
+
+#[test]
+fn an_hour_passes_on_the_paused_clock_without_a_socket() {
+    let real = std::time::Instant::now();
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build().unwrap();
+    runtime.block_on(LocalSet::new().run_until(async {
+        let at = |n: u16| SocketAddr::from(([10, 0, 0, 1], n));
+        let network = Made::default();
+        spawn_local(host(network.listen(at(2)), "good"));
+        spawn_local(host(network.listen(at(3)), ""));
+        let text = |lines| config(at(1), at(9), lines, 1024).to_string();
+        let lines = [line("good", at(2), "box"), line("silent", at(3), "box")];
+        let config = Config::from_text("test", &text(&lines)).unwrap();
+        let (phase, phases) = watch::channel(Phase::Running);
+        let (_hangups, rings) = mpsc::channel(1);
+        let around = Around {
+            network: network.clone(),
+            listener: network.listen(at(1)),
+            clock: Clock::starting_at(0),
+            phase: phases,
+            hangups: rings,
+        };
+        let balancer = spawn_local(serve(config, Policy::new, around));
+        let start = Instant::now();
+        let (mut good, mut failed) = (0, 0);
+        for i in 0..200 {
+            let mut client = network.connect(at(1)).await.unwrap();
+            client.write_all(&get(&format!("k{i}"), &i.to_string(), 1500)).await.unwrap();
+            let (mut answer, asked) = (vec![0; 100], Instant::now());
+            let n = client.read(&mut answer).await.unwrap();
+            assert!(asked.elapsed() <= Duration::from_millis(1550), "{:?}", asked.elapsed());
+            good += usize::from(answer[..n].starts_with(b"$4\r\ngood"));
+            failed += usize::from(answer[..n].starts_with(b"-"));
+            sleep(Duration::from_secs(18)).await;
+        }
+        assert_eq!(
+            (good + failed, failed > 0, good > 50),
+            (200, true, true),
+            "{good} served, {failed} failed"
+        );
+        assert!(start.elapsed() >= Duration::from_secs(3600));
+        phase.send_replace(Phase::Last);
+        balancer.await.unwrap().unwrap();
+    }));
+    assert!(real.elapsed() < Duration::from_secs(20), "{:?}", real.elapsed());
+}
--- a/crates/stairfront/src/http.rs
+++ b/crates/stairfront-wire/src/http.rs
@@ -8,8 +8,8 @@
 use crate::budget::{Budget, Claim};
 use crate::resp::cut_frame;
 
-const MOST_HEADERS: usize = 48;
-const LARGEST_HEAD: usize = 16 * 1024;
+pub(crate) const MOST_HEADERS: usize = 48;
+pub(crate) const LARGEST_HEAD: usize = 16 * 1024;
 /// Interim answers (1xx) ahead of one; more are noise without an end.
 const MOST_INTERIM: u32 = 16;
 
--- a/crates/stairfront/src/resp.rs
+++ b/crates/stairfront-wire/src/resp.rs
@@ -1,14 +1,12 @@
-//! RESP2 as tokio-util codecs: commands in and answers out towards clients, commands out and replies in towards
-//! cache hosts. Decoded parts are slices of the read buffer.
+//! RESP2: readers of commands and of replies, and what writes either. Decoded parts are slices of the read buffer.
 use std::io;
 use std::ops::Range;
 use std::rc::Rc;
 
 use bytes::{BufMut, Bytes, BytesMut};
-use tokio_util::codec::{Decoder, Encoder};
+use tokio_util::codec::Decoder;
 
 use crate::budget::{Budget, Claim};
-use crate::messages::{Answer, Outgoing, Verb};
 
 /// The protocol's limit on values that clients send; other bulk strings of theirs are held to it too.
 pub const LARGEST_BULK: usize = 64 * 1024;
@@ -205,37 +203,43 @@
     }
 }
 
-fn put_line(dst: &mut BytesMut, kind: u8, text: &[u8]) {
+/// A line of one kind, such as `-ERR failed`; the text must hold no line break.
+pub fn put_line(dst: &mut BytesMut, kind: u8, text: &[u8]) {
     dst.reserve(text.len() + 3);
     dst.put_u8(kind);
     dst.put_slice(text);
     dst.put_slice(b"\r\n");
 }
 
-fn put_number(dst: &mut BytesMut, kind: u8, number: usize) {
+/// A line with a number: the head of an array (`*`), or an integer (`:`).
+pub fn put_number(dst: &mut BytesMut, kind: u8, number: usize) {
     put_line(dst, kind, number.to_string().as_bytes());
 }
 
-fn put_bulk(dst: &mut BytesMut, bytes: &[u8]) {
+pub fn put_bulk(dst: &mut BytesMut, bytes: &[u8]) {
     put_number(dst, b'$', bytes.len());
     dst.reserve(bytes.len() + 2);
     dst.put_slice(bytes);
     dst.put_slice(b"\r\n");
 }
 
-/// Towards clients: commands in, answers out.
+pub fn put_null(dst: &mut BytesMut) {
+    dst.put_slice(b"$-1\r\n");
+}
+
+/// Reads commands: arrays of bulk strings.
 #[derive(Debug)]
-pub struct ClientCodec {
+pub struct CommandReader {
     claim: Claim,
 }
 
-impl ClientCodec {
+impl CommandReader {
     pub fn new(budget: &Rc<Budget>) -> Self {
-        ClientCodec { claim: Claim::new(budget) }
+        CommandReader { claim: Claim::new(budget) }
     }
 }
 
-impl Decoder for ClientCodec {
+impl Decoder for CommandReader {
     type Item = Vec<Bytes>;
     type Error = RespError;
 
@@ -256,38 +260,20 @@
     }
 }
 
-impl Encoder<Answer> for ClientCodec {
-    type Error = RespError;
-
-    fn encode(&mut self, answer: Answer, dst: &mut BytesMut) -> Result<(), RespError> {
-        match answer {
-            Answer::Value(value) => put_bulk(dst, &value),
-            Answer::Busy { after_ms: Some(ms) } => put_line(dst, b'-', format!("BUSY {ms}").as_bytes()),
-            Answer::Busy { after_ms: None } => put_line(dst, b'-', b"BUSY"),
-            Answer::Failed => put_line(dst, b'-', b"ERR failed"),
-            Answer::Pong => put_line(dst, b'+', b"PONG"),
-            Answer::Ok => put_line(dst, b'+', b"OK"),
-            Answer::Error(text) => put_line(dst, b'-', text.as_bytes()),
-            Answer::Text(text) => put_bulk(dst, text.as_bytes()),
-        }
-        Ok(())
-    }
-}
-
-/// Towards cache hosts: commands out, replies in.
+/// Reads replies, whatever their form; `largest_value` bounds each bulk string in bytes.
 #[derive(Debug)]
-pub struct CacheCodec {
+pub struct ReplyReader {
     largest_value: usize,
     claim: Claim,
 }
 
-impl CacheCodec {
+impl ReplyReader {
     pub fn new(largest_value: usize, budget: &Rc<Budget>) -> Self {
-        CacheCodec { largest_value, claim: Claim::new(budget) }
+        ReplyReader { largest_value, claim: Claim::new(budget) }
     }
 }
 
-impl Decoder for CacheCodec {
+impl Decoder for ReplyReader {
     type Item = Value;
     type Error = RespError;
 
@@ -295,41 +281,3 @@
         decode_value(src, self.largest_value, &mut self.claim)
     }
 }
-
-impl Encoder<Outgoing> for CacheCodec {
-    type Error = RespError;
-
-    fn encode(&mut self, outgoing: Outgoing, dst: &mut BytesMut) -> Result<(), RespError> {
-        let command = &outgoing.command;
-        let (verb, words) = match command.verb {
-            Verb::Get => (&b"C.GET"[..], 4),
-            Verb::Set => (&b"C.SET"[..], 4 + usize::from(command.value.is_some())),
-        };
-        dst.reserve(command.bytes() + 64);
-        put_number(dst, b'*', words);
-        put_bulk(dst, verb);
-        put_bulk(dst, &command.key);
-        put_bulk(dst, &command.id);
-        put_bulk(dst, &with_time_left(&command.info, outgoing.left_ms));
-        if let (Verb::Set, Some(value)) = (command.verb, &command.value) {
-            put_bulk(dst, value);
-        }
-        Ok(())
-    }
-}
-
-/// The list of names and values with `d` telling how long this balancer will wait; all else as it came.
-pub fn with_time_left(info: &[u8], left_ms: u64) -> Vec<u8> {
-    let mut list = Vec::with_capacity(info.len() + 8);
-    for pair in info.split(|b| *b == b',').filter(|pair| !pair.is_empty()) {
-        if !list.is_empty() {
-            list.push(b',');
-        }
-        if pair.starts_with(b"d=") {
-            list.extend_from_slice(format!("d={left_ms}").as_bytes());
-        } else {
-            list.extend_from_slice(pair);
-        }
-    }
-    list
-}
--- a/crates/stairfront/src/main.rs
+++ b/crates/stairfront/src/main.rs
@@ -1,8 +1,9 @@
 //! Reads the configuration, sets up the log and runs the balancer until it is told to stop.
 use std::process::ExitCode;
 
-use stairfront::config::Config;
-use stairfront::server;
+use stairfront_balancer::config::Config;
+use stairfront_balancer::server;
+use stairfront_policy::Policy;
 use tracing::error;
 
 fn main() -> ExitCode {
@@ -16,7 +17,7 @@
             return ExitCode::FAILURE;
         }
     };
-    match server::run(config) {
+    match server::run(config, Policy::new) {
         Ok(()) => ExitCode::SUCCESS,
         Err(problem) => {
             error!("cannot serve: {problem}");
