--- a/crates/stairfront-models/tests/rules.rs
+++ b/crates/stairfront-models/tests/rules.rs
@@ -5,6 +5,8 @@
 
 const ORIGIN: u16 = 9;
 
+type Trace = Vec<(Micros, Seen)>;
+
 fn limits() -> Limits {
     let classes = vec![Repeats::Safe, Repeats::Keyed, Repeats::Unsafe];
     Limits { classes, origin: ORIGIN, ..Limits::default() }
@@ -42,7 +44,7 @@
 }
 
 /// A miss that is fetched, a keyed write whose first attempt was lost, and a host that drains in time.
-fn good() -> Vec<(Micros, Seen)> {
+fn good() -> Trace {
     vec![
         (10 * MS, sent(1, 0)),
         (11 * MS, began(1, 1, 3)),
@@ -95,7 +97,7 @@
             [(n as Micros * 50 * MS, began(n, 1, 4)), (n as Micros * 50 * MS + 1, ended(n, 1, false))]
         })
         .collect();
-    let cases: Vec<(&str, usize, Vec<(Micros, Seen)>)> = vec![
+    let cases: Vec<(&str, usize, Trace)> = vec![
         ("no answer", 0, without(Seen::Answered { id: 1, answer: OWN })),
         ("two answers", 0, with(&[(70 * MS, Seen::Answered { id: 1, answer: Answer::Failed })])),
         ("late", 0, with(&[(5 * MS, sent(7, 0)), (560 * MS, Seen::Answered { id: 7, answer: OWN })])),
--- a/crates/stairfront-models/tests/servers.rs
+++ b/crates/stairfront-models/tests/servers.rs
@@ -111,7 +111,7 @@
     let (fell, worst, _) = cold(SECOND / 40);
     assert!(fell.is_none() && (0.3..0.9).contains(&worst), "{fell:?} {worst}");
     let (fell, worst, mut host) = cold(SECOND / 120);
-    assert!(fell.is_some_and(|at| at >= SECOND && at < 2 * SECOND) && worst > 1.0, "{fell:?} {worst}");
+    assert!(fell.is_some_and(|at| (SECOND..2 * SECOND).contains(&at)) && worst > 1.0, "{fell:?} {worst}");
     assert!(!host.open(4 * SECOND, ConnId(2)), "it stays down");
     host.start_cold(20 * SECOND);
     assert!(host.open(20 * SECOND, ConnId(2)));
