--- a/crates/stairfront-lab/src/fleet.rs
+++ b/crates/stairfront-lab/src/fleet.rs
@@ -77,6 +77,7 @@
     /// The agent of each balancer, now and after a move.
     agents: Vec<[SocketAddr; 2]>,
     known: Vec<Value>,
+    hosts: Vec<SocketAddr>,
     plan: FleetPlan,
     clock: RunClock,
 }
@@ -127,6 +128,7 @@
         let since = if plan.cold { clock.unix_ms(clock.now()) } else { 0 };
         let lists: Vec<Vec<Line>> = (0..plan.balancers).map(|b| places.lines(&plan, b, since)).collect();
         let known = lists.iter().map(|lines| Agent::new(lines.clone(), 0).snapshot()).collect();
+        let hosts = places.hosts.iter().filter_map(|addresses| addresses.first().map(Address::at)).collect();
         let agents = places.agents.iter().map(|[now, later]| [now.at(), later.at()]).collect();
         let threads = plan.threads.max(1);
         let (orders, inboxes): (Vec<_>, Vec<_>) = (0..threads).map(|_| mpsc::unbounded_channel()).unzip();
@@ -145,7 +147,7 @@
             }
             running.push(part.run(inbox)?);
         }
-        Ok(Fleet { orders, threads: running, agents, known, plan, clock })
+        Ok(Fleet { orders, threads: running, agents, known, hosts, plan, clock })
     }
 
     /// What is started with: the list as this balancer last had it.
@@ -153,6 +155,11 @@
         &self.known[balancer]
     }
 
+    /// The caches themselves, as the first balancer reaches them.
+    pub fn hosts(&self) -> &[SocketAddr] {
+        &self.hosts
+    }
+
     pub fn agent(&self, balancer: usize, moved: bool) -> SocketAddr {
         self.agents[balancer][usize::from(moved)]
     }
