One command line: serve, check, demo, lab, stand-in; a TOML configuration for other installs

Need: a newcomer has to see the balancer at work in a minute, and installs that are not the platform had to write its JSON.

--- a/crates/stairfront-balancer/src/config.rs
+++ b/crates/stairfront-balancer/src/config.rs
@@ -1,4 +1,5 @@
-//! The configuration a balancer is started with: one JSON file, read and checked here.
+//! The configuration a balancer is started with, read and checked here: the platform's JSON file, or a TOML file of an
+//! install of its own (`product.rs`), which is put into the platform's form first.
 use std::env;
 use std::fs;
 use std::net::SocketAddr;
@@ -9,6 +10,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::limits::{Memory, Sockets, MOST_SOCKETS};
+use crate::product;
 use crate::server_list::{RawList, ServerList};
 
 const CONFIG: &str = "ROUTER_CONFIG";
@@ -24,6 +26,9 @@
     File { path: String, problem: std::io::Error },
     #[error("{path}: {key}: {problem}")]
     Key { path: String, key: String, problem: String },
+    /// A key whose line is known.
+    #[error("{path}:{line}: {key}: {problem}")]
+    Line { path: String, line: usize, key: String, problem: String },
 }
 
 #[derive(Deserialize)]
@@ -31,7 +36,7 @@
     #[serde(default)]
     name: String,
     listen: SocketAddr,
-    discovery: SocketAddr,
+    discovery: Option<SocketAddr>,
     #[serde(default)]
     seed: String,
     #[serde(default)]
@@ -55,7 +60,8 @@
     text: Value,
     pub name: String,
     pub listen: SocketAddr,
-    pub discovery: SocketAddr,
+    /// Where discovery's agent is; without one the list in the file is all there is.
+    pub discovery: Option<SocketAddr>,
     pub seed: u64,
     pub sockets: Sockets,
     pub memory: Memory,
@@ -75,29 +81,75 @@
         }
     }
 
-    /// `path` only names the source in errors.
+    /// `path` names the source in errors, and by its ending the form: TOML for `.toml`, else the platform's JSON.
     pub fn from_text(path: &str, text: &str) -> Result<Self, ConfigError> {
-        let fault = |key: String, problem: String| ConfigError::Key { path: path.to_string(), key, problem };
-        let raw: Raw = serde_path_to_error::deserialize(&mut serde_json::Deserializer::from_str(text))
-            .map_err(|e| fault(e.path().to_string(), e.inner().to_string()))?;
-        let mut whole: Value = serde_json::from_str(text).map_err(|e| fault(".".into(), e.to_string()))?;
-        if let Some(keys) = whole.as_object_mut() {
-            NOT_COMPARED.iter().for_each(|key| drop(keys.remove(*key)));
+        let (whole, origin) = Self::whole(path, text)?;
+        let (raw, problems) = Self::examine(&whole);
+        match (raw, problems.into_iter().next()) {
+            (Some(raw), None) => {
+                Self::build(path, whole, raw).map_err(|(key, problem)| origin.fault(key, problem))
+            }
+            (_, Some((key, problem))) => Err(origin.fault(key, problem)),
+            (None, None) => Err(origin.fault(".".to_string(), "no configuration".to_string())),
         }
-        let start =
-            Start::from_value(raw.settings).map_err(|e| fault(format!("settings.{}", e.key), e.problem))?;
-        let sockets = raw.limits.sockets.unwrap_or(MOST_SOCKETS);
-        if sockets < Sockets::FEWEST {
-            let problem = format!("{sockets} is too few, {} at least", Sockets::FEWEST);
-            return Err(fault("limits.sockets".to_string(), problem));
+    }
+
+    /// Every fault of a configuration; none if `from_text` takes it.
+    pub fn faults(path: &str, text: &str) -> Vec<ConfigError> {
+        let (whole, origin) = match Self::whole(path, text) {
+            Ok(read) => read,
+            Err(fault) => return vec![fault],
+        };
+        let (raw, mut problems) = Self::examine(&whole);
+        if let (Some(raw), true) = (raw, problems.is_empty()) {
+            problems.extend(Self::build(path, whole, raw).err());
         }
-        let memory_mb = raw.limits.memory_mb.unwrap_or(Memory::USUAL_MB);
-        if memory_mb < Memory::FEWEST_MB {
-            let problem = format!("{memory_mb} is too few, {} at least", Memory::FEWEST_MB);
-            return Err(fault("limits.memory_mb".to_string(), problem));
+        problems.into_iter().map(|(key, problem)| origin.fault(key, problem)).collect()
+    }
+
+    /// The file in the platform's form, and where each of its keys came from.
+    fn whole(path: &str, text: &str) -> Result<(Value, Origin), ConfigError> {
+        if path.ends_with(".toml") {
+            let whole = product::read(text).map_err(|fault| product_fault(path, text, fault))?;
+            return Ok((whole, Origin { path: path.to_string(), toml: Some(text.to_string()) }));
+        }
+        let origin = Origin { path: path.to_string(), toml: None };
+        // Read into its types first: an error of theirs names the key and the line.
+        serde_path_to_error::deserialize::<_, Raw>(&mut serde_json::Deserializer::from_str(text))
+            .map_err(|e| origin.fault(e.path().to_string(), e.inner().to_string()))?;
+        let whole = serde_json::from_str(text).map_err(|e| origin.fault(".".into(), e.to_string()))?;
+        Ok((whole, origin))
+    }
+
+    /// What can be said before anything is built from it, fault by fault.
+    fn examine(whole: &Value) -> (Option<Raw>, Vec<(String, String)>) {
+        let raw: Raw = match serde_path_to_error::deserialize(whole) {
+            Ok(raw) => raw,
+            Err(e) => return (None, vec![(e.path().to_string(), e.inner().to_string())]),
+        };
+        let mut problems = Vec::new();
+        let faults = Start::faults(raw.settings.clone());
+        problems.extend(faults.into_iter().map(|e| (format!("settings.{}", e.key), e.problem)));
+        let limits = [
+            ("limits.sockets", raw.limits.sockets.unwrap_or(MOST_SOCKETS), Sockets::FEWEST),
+            ("limits.memory_mb", raw.limits.memory_mb.unwrap_or(Memory::USUAL_MB), Memory::FEWEST_MB),
+        ];
+        for (key, given, fewest) in limits {
+            if given < fewest {
+                problems.push((key.to_string(), format!("{given} is too few, {fewest} at least")));
+            }
+        }
+        (Some(raw), problems)
+    }
+
+    fn build(path: &str, mut whole: Value, raw: Raw) -> Result<Self, (String, String)> {
+        let start =
+            Start::from_value(raw.settings).map_err(|e| (format!("settings.{}", e.key), e.problem))?;
+        let list = raw.known.read(&start.names);
+        let known = list.map_err(|e| ("known.endpoints".to_string(), e.to_string()))?;
+        if let Some(keys) = whole.as_object_mut() {
+            NOT_COMPARED.iter().for_each(|key| drop(keys.remove(*key)));
         }
-        let known =
-            raw.known.read(&start.names).map_err(|e| fault("known.endpoints".to_string(), e.to_string()))?;
         Ok(Config {
             path: path.to_string(),
             text: whole,
@@ -105,14 +157,42 @@
             listen: raw.listen,
             discovery: raw.discovery,
             seed: seed(&raw.seed),
-            sockets: Sockets::split(sockets),
-            memory: Memory::of(memory_mb),
+            sockets: Sockets::split(raw.limits.sockets.unwrap_or(MOST_SOCKETS)),
+            memory: Memory::of(raw.limits.memory_mb.unwrap_or(Memory::USUAL_MB)),
             known,
             start,
         })
     }
 }
 
+/// Where a configuration came from, to name its faults by.
+struct Origin {
+    path: String,
+    /// Its text, where it is an install's own TOML file.
+    toml: Option<String>,
+}
+
+impl Origin {
+    /// A fault of a key of the platform's form, named as it stands in the file.
+    fn fault(&self, key: String, problem: String) -> ConfigError {
+        let path = self.path.clone();
+        let Some(text) = &self.toml else { return ConfigError::Key { path, key, problem } };
+        let key = product::own_key(&key);
+        match product::line_of(text, &key) {
+            Some(line) => ConfigError::Line { path, line, key, problem },
+            None => ConfigError::Key { path, key, problem },
+        }
+    }
+}
+
+fn product_fault(path: &str, text: &str, fault: product::Fault) -> ConfigError {
+    let (path, product::Fault { key, problem, line }) = (path.to_string(), fault);
+    match line.or_else(|| product::line_of(text, &key)) {
+        Some(line) => ConfigError::Line { path, line, key, problem },
+        None => ConfigError::Key { path, key, problem },
+    }
+}
+
 impl Config {
     /// Keys in which `new` differs and that take effect at a start only, as paths.
     pub fn needs_restart(&self, new: &Config) -> Vec<String> {
--- a/crates/stairfront-balancer/src/discovery.rs
+++ b/crates/stairfront-balancer/src/discovery.rs
@@ -60,7 +60,7 @@
 pub struct Watch<N: Network> {
     network: N,
     /// Where the agent is; a new configuration may name another.
-    agents: watch::Receiver<SocketAddr>,
+    agents: watch::Receiver<Option<SocketAddr>>,
     names: Names,
     inbox: mpsc::Sender<Input>,
     wire: Option<Framed<N::Stream, HttpCodec>>,
@@ -75,7 +75,7 @@
 impl<N: Network> Watch<N> {
     pub fn new(
         network: N,
-        agents: watch::Receiver<SocketAddr>,
+        agents: watch::Receiver<Option<SocketAddr>>,
         names: Names,
         known: u64,
         inbox: mpsc::Sender<Input>,
@@ -112,9 +112,10 @@
     }
 
     async fn keep(&mut self) {
+        let Some(address) = *self.agents.borrow() else { return std::future::pending().await };
         let mut failures = 0;
         loop {
-            match self.call().await {
+            match self.call(address).await {
                 Ok(list) => {
                     if failures > 0 {
                         info!("discovery answers again");
@@ -128,7 +129,7 @@
                 }
                 Err(problem) => {
                     if failures % LOG_EVERY == 0 {
-                        warn!("discovery at {}: {problem}", *self.agents.borrow());
+                        warn!("discovery at {address}: {problem}");
                     }
                     failures += 1;
                     self.counters.lists_failed.add();
@@ -146,8 +147,7 @@
         }
     }
 
-    async fn call(&mut self) -> Result<ServerList, CallError> {
-        let address = *self.agents.borrow();
+    async fn call(&mut self, address: SocketAddr) -> Result<ServerList, CallError> {
         let wire = match &mut self.wire {
             Some(wire) => wire,
             none => {
--- a/crates/stairfront-balancer/src/engine.rs
+++ b/crates/stairfront-balancer/src/engine.rs
@@ -12,7 +12,7 @@
 use stairfront_settings::Start;
 use tokio::sync::{mpsc, watch};
 use tokio_util::time::DelayQueue;
-use tracing::info;
+use tracing::{debug, info};
 
 use crate::caches::{Endpoint, Pool, Protocol};
 use crate::clock::{duration, Clock};
@@ -142,6 +142,7 @@
         while let Some(end) = self.ends.pop_front() {
             let id = end.attempt.request;
             self.counters.ended(end.verdict.outcome);
+            self.log_attempt(&end);
             let open = self.is_open(id);
             let settled = self.table.relay(&end);
             if open && settled.closed {
@@ -155,6 +156,17 @@
         }
     }
 
+    fn log_attempt(&self, end: &AttemptEnd) {
+        if tracing::enabled!(tracing::Level::DEBUG) {
+            let open = self.table.open.get(&end.attempt.request);
+            let request =
+                open.map_or(String::new(), |open| String::from_utf8_lossy(&open.command.id).into_owned());
+            let (server, outcome) = (format!("{:012x}", end.cache.0), end.verdict.outcome);
+            let ms = end.begun.elapsed().as_millis() as u64;
+            debug!(request, server, ?outcome, attempt = end.attempt.number, ms, "attempt ended");
+        }
+    }
+
     fn is_open(&self, id: RequestId) -> bool {
         self.table.open.get(&id).is_some_and(|open| open.answer.is_some())
     }
--- a/crates/stairfront-balancer/src/lib.rs
+++ b/crates/stairfront-balancer/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod load_report;
 pub mod messages;
 pub mod origin;
+pub mod product;
 pub mod reload;
 pub mod server;
 pub mod server_list;
--- a/crates/stairfront-balancer/src/reload.rs
+++ b/crates/stairfront-balancer/src/reload.rs
@@ -10,6 +10,8 @@
 
 use crate::config::Config;
 use crate::counters::Counters;
+use crate::messages::Input;
+use crate::server_list::ServerList;
 
 /// Catches SIGHUP from now on. Danger: uncaught it ends the process, and once caught it never does again, also while
 /// the balancer stops.
@@ -28,21 +30,23 @@
 pub struct Reloads {
     pub current: Config,
     /// Tells the watch on discovery where the agent is.
-    pub agent: watch::Sender<SocketAddr>,
+    pub agent: watch::Sender<Option<SocketAddr>>,
+    /// Takes the list of a file that names no agent.
+    pub inbox: mpsc::Sender<Input>,
     pub counters: Rc<Counters>,
 }
 
 impl Reloads {
     pub async fn run(mut self, mut hangups: mpsc::Receiver<()>) {
         while hangups.recv().await.is_some() {
-            self.reload();
+            self.reload().await;
         }
         // The agent's address must stay known to the watch.
         self.agent.closed().await;
     }
 
     /// Danger: half a file, or one with a slip in it, would take a serving balancer down. It keeps what it has.
-    fn reload(&mut self) {
+    async fn reload(&mut self) {
         let new = match Config::from_file(&self.current.path) {
             Ok(new) => new,
             Err(problem) => {
@@ -51,12 +55,17 @@
             }
         };
         self.counters.reloads.add();
-        info!("configuration read again from {}, discovery at {}", new.path, new.discovery);
+        let agent = new.discovery.map_or("no discovery".to_string(), |at| format!("discovery at {at}"));
+        info!("configuration read again from {}, {agent}", new.path);
         let waiting = self.current.needs_restart(&new);
         if !waiting.is_empty() {
             warn!("changed, but taken over only at a restart: {}", waiting.join(", "));
         }
         self.agent.send_if_modified(|agent| std::mem::replace(agent, new.discovery) != new.discovery);
+        if new.discovery.is_none() {
+            // The engine is gone only when the whole balancer ends.
+            let _ = self.inbox.send(Input::List(ServerList { full: true, ..new.known })).await;
+        }
         // Compared with what this process was started with, so that a key changed back is not named.
         self.current.discovery = new.discovery;
     }
--- a/crates/stairfront-balancer/src/server.rs
+++ b/crates/stairfront-balancer/src/server.rs
@@ -78,6 +78,7 @@
         Pool::new(network.clone(), limits, start.names.report.clone(), inbox.clone(), Rc::clone(&counters));
     let watch =
         Watch::new(network, agents, start.names.clone(), known.index, inbox.clone(), Rc::clone(&counters));
+    let lists = inbox.clone();
     let context = Rc::new(Context {
         inbox,
         intake: Intake {
@@ -96,7 +97,7 @@
     let decider = |settings| decider(settings, seed);
     let engine = Engine::new(start, decider, memory, clock, pool, Rc::clone(&counters), ready);
     info!("{name} serves on {} with {} known servers", listener.local_address()?, known.lines.len());
-    let reloads = Reloads { current: config, agent, counters: Rc::clone(&counters) };
+    let reloads = Reloads { current: config, agent, inbox: lists, counters: Rc::clone(&counters) };
     let watching = [spawn_local(watch.run()), spawn_local(reloads.run(hangups))];
     let mut deciding = spawn_local(engine.run(known, inputs));
     let ended = tokio::select! {
--- a/crates/stairfront-lab/src/compare.rs
+++ b/crates/stairfront-lab/src/compare.rs
@@ -5,7 +5,7 @@
 use serde::Serialize;
 
 use crate::experiment::{Experiment, Knee};
-use crate::run::{run, Outcome, Surroundings};
+use crate::run::{run, Outcome, Progress, Surroundings};
 
 /// The rate found by the search, and what it was found by.
 #[derive(Clone, Debug, Serialize)]
@@ -79,7 +79,7 @@
             }
         }
     }
-    if around.progress {
+    if around.progress == Progress::Line {
         eprintln!();
     }
     results.ratios = ratios(&results.runs);
--- a/crates/stairfront-lab/src/load.rs
+++ b/crates/stairfront-lab/src/load.rs
@@ -28,6 +28,7 @@
 use tokio_util::codec::Decoder;
 
 use crate::clock::RunClock;
+use crate::live::Live;
 use crate::tally::Tally;
 use crate::tape::Tape;
 
@@ -43,6 +44,11 @@
 const PATIENCE: Micros = 30 * SECOND;
 /// Times that a request which nobody has read goes to another connection.
 const MOST_MOVES: u8 = 4;
+/// Between two commands, and two reads, of a client that reads slowly.
+const SLOW_PAUSE: Duration = Duration::from_millis(20);
+/// Looks, a millisecond apart, for the reset behind an end: on loopback it is there at once, or when a kernel thread
+/// has got round to it.
+const RESET_LOOKS: u32 = 20;
 const LARGEST_VALUE: usize = 16 * 1024 * 1024;
 const READ_BUFFER: usize = 16 * 1024;
 
@@ -88,6 +94,7 @@
     /// Arrivals end then; what is due from `count_from` on is counted.
     pub end: Micros,
     pub count_from: Micros,
+    pub live: Arc<Live>,
 }
 
 /// Runs all clients until the last answer is in or nobody waits any more.
@@ -361,6 +368,7 @@
         let in_time = end == End::Served && now - ask.first_due <= clients.aim(ask.class);
         clients.settle(now, ask, end);
         self.tally.borrow_mut().book(now, ask, end, unsent, in_time);
+        self.plan.live.ended(end, (now - ask.due).max(0) as u64);
         self.wake.notify_one();
     }
 
@@ -455,9 +463,7 @@
                 () = line.bell.notified() => continue,
                 read = socket.read_buf(&mut input) => match read {
                     Ok(0) if line.owed.borrow().is_empty() => return Ended::Left,
-                    // A request that crossed the close was answered with a reset behind the end that is read here.
-                    Ok(0) if matches!(socket.take_error(), Ok(Some(_))) => return self.broken(line),
-                    Ok(0) => return Ended::Closed,
+                    Ok(0) => return self.end_read(&socket, line).await,
                     Ok(_) => {}
                     Err(_) => return self.broken(line),
                 },
@@ -475,6 +481,17 @@
         }
     }
 
+    /// A request that crossed the close is answered with a reset, which comes behind the end that was read.
+    async fn end_read(&self, socket: &TcpStream, line: &Line) -> Ended {
+        for _ in 0..RESET_LOOKS {
+            if matches!(socket.take_error(), Ok(Some(_))) {
+                return self.broken(line);
+            }
+            sleep(Duration::from_millis(1)).await;
+        }
+        Ended::Closed
+    }
+
     /// A reset on a connection that was in use before says that what crossed it was not read.
     fn broken(&self, line: &Line) -> Ended {
         if line.used.get() {
@@ -551,12 +568,11 @@
                         Seen::Sent { id, class: 0, balancer: balancer as u16, deadline: far },
                     );
                     ids.push(id);
-                    if !matches!(
-                        timeout(Duration::from_millis(50), socket.read(&mut piece)).await,
-                        Ok(Ok(1..)) | Err(_)
-                    ) {
+                    let read = timeout(SLOW_PAUSE, socket.read(&mut piece)).await;
+                    if !matches!(read, Ok(Ok(1..)) | Err(_)) {
                         break;
                     }
+                    sleep(SLOW_PAUSE).await;
                 }
                 let now = self.clock.now();
                 ids.into_iter().for_each(|id| self.note(now, Seen::Left { id }));
--- a/crates/stairfront-lab/src/process.rs
+++ b/crates/stairfront-lab/src/process.rs
@@ -1,9 +1,11 @@
 //! Balancers as processes: started with a configuration in the platform's form, signalled, looked at from outside.
+use std::collections::BTreeSet;
 use std::fs::{self, File};
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
+use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use nix::sys::signal::{kill, Signal};
@@ -59,12 +61,15 @@
     last: Sample,
 }
 
-/// An address on loopback that was free just now.
+/// An address on loopback that was free just now, and that this process has not given out before. Danger: of two runs
+/// with one address the clients of both would speak to whichever balancer came first.
 pub fn free_address(dice: &mut Dice) -> io::Result<SocketAddr> {
+    static GIVEN: Mutex<BTreeSet<u16>> = Mutex::new(BTreeSet::new());
+    let mut given = GIVEN.lock().unwrap_or_else(PoisonError::into_inner);
     for _ in 0..1000 {
         let port = PORTS.start + dice.below(u64::from(PORTS.end - PORTS.start)) as u16;
         let at = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
-        if TcpListener::bind(at).is_ok() {
+        if given.insert(port) && TcpListener::bind(at).is_ok() {
             return Ok(at);
         }
     }
--- a/crates/stairfront-lab/src/run.rs
+++ b/crates/stairfront-lab/src/run.rs
@@ -5,7 +5,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{mpsc, Arc};
 use std::time::Duration;
 
@@ -22,6 +22,7 @@
 use crate::clock::RunClock;
 use crate::experiment::{Experiment, Variant};
 use crate::fleet::{Fleet, ServerReport};
+use crate::live::{Glance, Live};
 use crate::load::{self, Front, LoadPlan};
 use crate::process::{free_address, Balancer, Build};
 use crate::tally::{Counts, Tally};
@@ -44,8 +45,17 @@
     pub balancer: Build,
     pub baseline: PathBuf,
     pub folder: PathBuf,
-    /// Tells how far a run is.
-    pub progress: bool,
+    pub progress: Progress,
+}
+
+/// What is told on standard error while a run goes on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Progress {
+    Nothing,
+    /// How far it is, on one line that is written over.
+    Line,
+    /// What was answered in each second, and by whom.
+    Table,
 }
 
 #[derive(Clone, Debug, Serialize)]
@@ -134,7 +144,10 @@
     around: &Surroundings,
 ) -> io::Result<Outcome> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    let folder = around.folder.join(format!("run-{}-{seed}", std::process::id()));
+    // Danger: two runs at once in one process would write each other's configurations.
+    static RUNS: AtomicU64 = AtomicU64::new(0);
+    let number = RUNS.fetch_add(1, Ordering::Relaxed);
+    let folder = around.folder.join(format!("run-{}-{number}", std::process::id()));
     fs::create_dir_all(&folder)?;
     let mut plan = experiment.clone();
     plan.clients.traffic.rate = rate;
@@ -198,7 +211,9 @@
         let (tapes, heard) = mpsc::channel();
         let limits = self.limits();
         let hosts = usize::from(limits.origin) + 1;
-        let recorder = std::thread::spawn(move || record(heard, limits, hosts));
+        let live = Arc::new(Live::new(hosts));
+        let to_recorder = Arc::clone(&live);
+        let recorder = std::thread::spawn(move || record(heard, limits, hosts, &to_recorder));
         let count = self.plan.balancers.count;
         let clock = RunClock::starting_in(LEAD + LEAD_EACH * count as u32);
         let fleet = Fleet::start(self.plan.fleet_plan(self.seed), clock, &tapes)?;
@@ -221,11 +236,20 @@
         };
         let front = |address| Front { address, closed: Arc::default() };
         let fronts: Vec<Front> = addresses.into_iter().map(front).collect();
-        let plan = self.load_plan(fronts.clone());
+        let plan = self.load_plan(fronts.clone(), Arc::clone(&live));
         let (to_load, own_tape) = (tapes.clone(), Tape::new(clock, tapes));
         let load = std::thread::spawn(move || load::run(&plan, clock, &to_load));
-        let mut show =
-            Show { run: self, clock, fleet, balancers, fronts, tape: own_tape, moved: false, cpu: [None; 2] };
+        let mut show = Show {
+            run: self,
+            clock,
+            fleet,
+            balancers,
+            fronts,
+            tape: own_tape,
+            moved: false,
+            cpu: [None; 2],
+            live,
+        };
         show.conduct(|| load.is_finished()).await?;
         let tally = load.join().unwrap_or_else(|_| Err(io::Error::other("the clients ended")))?;
         let Show { fleet, mut balancers, cpu, tape, .. } = show;
@@ -249,7 +273,7 @@
         }
     }
 
-    fn load_plan(&self, balancers: Vec<Front>) -> LoadPlan {
+    fn load_plan(&self, balancers: Vec<Front>, live: Arc<Live>) -> LoadPlan {
         let clients = &self.plan.clients;
         let traffic = clients.traffic.clone();
         let threads = match clients.threads {
@@ -266,6 +290,7 @@
             seed: self.seed,
             end: self.plan.end(),
             count_from: self.plan.count_from(),
+            live,
         }
     }
 
@@ -359,6 +384,7 @@
     moved: bool,
     /// Processor time of all balancers when counting begins and ends.
     cpu: [Option<u64>; 2],
+    live: Arc<Live>,
 }
 
 impl Show<'_> {
@@ -376,7 +402,7 @@
                 }
             }
             self.look(now, marks)?;
-            if self.run.around.progress && now / SECOND != told {
+            if now / SECOND != told {
                 told = now / SECOND;
                 self.tell(now);
             }
@@ -407,15 +433,47 @@
 
     fn tell(&self, now: Micros) {
         let plan = self.run.plan;
-        eprint!(
-            "\r{:24} {:16} seed {:<4} rate {:<8.0} {:5.1} of {:.0} s  ",
-            plan.name,
-            self.run.variant.name,
-            self.run.seed,
-            plan.clients.traffic.rate,
-            to_ms(now.max(0)) / 1e3,
-            plan.seconds
-        );
+        match self.run.around.progress {
+            Progress::Nothing => {}
+            Progress::Line => eprint!(
+                "\r{:24} {:16} seed {:<4} rate {:<8.0} {:5.1} of {:.0} s  ",
+                plan.name,
+                self.run.variant.name,
+                self.run.seed,
+                plan.clients.traffic.rate,
+                to_ms(now.max(0)) / 1e3,
+                plan.seconds
+            ),
+            Progress::Table => self.tell_second(now / SECOND),
+        }
+    }
+
+    /// A line of what was answered since the last one, and of what befell whom.
+    fn tell_second(&self, second: Micros) {
+        let Glance { served, refused, other, slowest_us, begun } = self.live.take();
+        if second <= 0 {
+            let names: String =
+                (0..begun.len().saturating_sub(1)).map(|i| format!("{:>6}", format!("c{i}"))).collect();
+            return eprintln!(
+                "{:>4}{:>8}{:>9}{:>8}{:>12}  {names}{:>8}",
+                "s", "served", "refused", "other", "slowest ms", "origin"
+            );
+        }
+        let at = second as f64;
+        let (_, marks) = self.run.plan.steps(self.run.seed);
+        let begins = marks
+            .iter()
+            .filter(|mark| (at - 1.0..at).contains(&mark.from_s))
+            .map(|m| format!("  <- {}", m.text));
+        let ends = marks
+            .iter()
+            .filter(|mark| (at - 1.0..at).contains(&mark.until_s))
+            .map(|m| format!("  <- over: {}", m.text));
+        let (origin, caches) = begun.split_last().map_or((0, &[][..]), |(origin, caches)| (*origin, caches));
+        let caches: String = caches.iter().map(|n| format!("{n:>6}")).collect();
+        let notes: String = begins.chain(ends).collect();
+        let slowest = slowest_us as f64 / 1e3;
+        eprintln!("{second:>4}{served:>8}{refused:>9}{other:>8}{slowest:>12.1}  {caches}{origin:>8}{notes}");
     }
 
     async fn act(&mut self, act: Act) -> io::Result<()> {
--- a/crates/stairfront-lab/src/services.rs
+++ b/crates/stairfront-lab/src/services.rs
@@ -220,6 +220,15 @@
             b"C.SET" => true,
             b"PING" => return plain(b"+PONG\r\n"),
             b"CLIENT" | b"SELECT" => return plain(b"+OK\r\n"),
+            // Between stand-ins alone: what the origin tells caches in other processes.
+            b"STAND-IN.FILL" | b"STAND-IN.DROP" => {
+                let argument = words.get(1).cloned().unwrap_or_default();
+                match &name[9..] {
+                    b"FILL" => self.model.fill(now, &argument),
+                    _ => self.model.drop_key(&argument),
+                }
+                return plain(b"+OK\r\n");
+            }
             b"INFO" => return plain(b"-NOPERM\r\n"),
             _ => return plain(b"-ERR unknown command\r\n"),
         };
--- a/crates/stairfront-lab/src/tape.rs
+++ b/crates/stairfront-lab/src/tape.rs
@@ -6,6 +6,7 @@
 use stairfront_models::time::{Micros, SECOND};
 
 use crate::clock::RunClock;
+use crate::live::Live;
 
 /// Sightings handed over at once, and the longest that some wait.
 const BATCH: usize = 512;
@@ -69,7 +70,7 @@
 pub const INTERVAL: Micros = SECOND / 4;
 
 /// Hears all tapes until the last one ends.
-pub fn record(from: Receiver<Batch>, limits: Limits, hosts: usize) -> Recorded {
+pub fn record(from: Receiver<Batch>, limits: Limits, hosts: usize, live: &Live) -> Recorded {
     let mut checker = Checker::new(limits);
     let mut begun = vec![Vec::new(); hosts];
     let mut heard = 0;
@@ -77,6 +78,7 @@
         heard += batch.len();
         for (at, seen) in batch {
             if let Seen::Began { host, .. } = seen {
+                live.began(usize::from(host));
                 if let Some(series) = begun.get_mut(usize::from(host)) {
                     count(series, at);
                 }
--- a/crates/stairfront-settings/src/lib.rs
+++ b/crates/stairfront-settings/src/lib.rs
@@ -62,10 +62,23 @@
     fn read<'a>(
         source: impl serde::Deserializer<'a, Error = serde_json::Error>,
     ) -> Result<Self, SettingsError> {
-        let raw: Raw = serde_path_to_error::deserialize(source)
-            .map_err(|e| SettingsError::new(e.path().to_string(), e.inner().to_string()))?;
-        raw.check()?;
-        raw.start()
+        let raw = Raw::read(source)?;
+        match raw.faults().into_iter().next() {
+            Some(fault) => Err(fault),
+            None => raw.start(),
+        }
+    }
+
+    /// Every fault that the settings have; none if `from_value` takes them.
+    pub fn faults(value: serde_json::Value) -> Vec<SettingsError> {
+        match Raw::read(value) {
+            Err(fault) => vec![fault],
+            Ok(raw) => {
+                let mut faults = raw.faults();
+                faults.extend(raw.start().err());
+                faults
+            }
+        }
     }
 }
 
@@ -266,37 +279,43 @@
 }
 
 impl Raw {
+    fn read<'a>(
+        source: impl serde::Deserializer<'a, Error = serde_json::Error>,
+    ) -> Result<Self, SettingsError> {
+        serde_path_to_error::deserialize(source)
+            .map_err(|e| SettingsError::new(e.path().to_string(), e.inner().to_string()))
+    }
+
     /// Figures that would only show up as strange decisions hours later.
-    fn check(&self) -> Result<(), SettingsError> {
-        if self.profiles.is_empty() {
-            return Err(SettingsError::new("profiles", "at least one class is needed"));
-        }
+    fn faults(&self) -> Vec<SettingsError> {
+        let mut checks = vec![must(!self.profiles.is_empty(), "profiles", "at least one class is needed")];
         for (i, class) in self.profiles.iter().enumerate() {
             let key = |name: &str| format!("profiles[{i}].{name}");
-            positive(key("aim"), class.aim)?;
-            positive(key("deadline"), class.deadline)?;
-            time(key("key_ttl"), class.key_ttl)?;
-            share(key("late_worth"), class.late_worth)?;
+            checks.push(positive(key("aim"), class.aim));
+            checks.push(positive(key("deadline"), class.deadline));
+            checks.push(time(key("key_ttl"), class.key_ttl));
+            checks.push(share(key("late_worth"), class.late_worth));
         }
         for (i, tenant) in self.tenants.iter().enumerate() {
-            at_least_zero(format!("tenants[{i}].quota_rps"), tenant.quota_rps)?;
-        }
-        time("tick", self.tick)?;
-        share("over_share_worth", self.over_share_worth)?;
-        time("caps.max_retry_after", self.caps.max_retry_after)?;
-        time("caps.connect_timeout", self.caps.connect_timeout)?;
-        positive("caps.keepalive", self.caps.keepalive)?;
-        if self.caps.open_cap == 0 {
-            return Err(SettingsError::new("caps.open_cap", "must be above 0"));
+            checks.push(at_least_zero(format!("tenants[{i}].quota_rps"), tenant.quota_rps));
         }
         let rules = &self.rules;
-        time("rules.answer_slack", rules.answer_slack)?;
-        time("rules.ask_every", rules.ask_every)?;
-        time("rules.stop_sending_within", rules.stop_sending_within)?;
-        time("rules.warm_up", rules.warm_up)?;
-        time("rules.fall", rules.fall)?;
-        share("rules.cold_from", rules.cold_from)?;
-        at_least_zero("rules.fall_multiple", rules.fall_multiple)
+        checks.extend([
+            time("tick", self.tick),
+            share("over_share_worth", self.over_share_worth),
+            time("caps.max_retry_after", self.caps.max_retry_after),
+            time("caps.connect_timeout", self.caps.connect_timeout),
+            positive("caps.keepalive", self.caps.keepalive),
+            must(self.caps.open_cap > 0, "caps.open_cap", "must be above 0"),
+            time("rules.answer_slack", rules.answer_slack),
+            time("rules.ask_every", rules.ask_every),
+            time("rules.stop_sending_within", rules.stop_sending_within),
+            time("rules.warm_up", rules.warm_up),
+            time("rules.fall", rules.fall),
+            share("rules.cold_from", rules.cold_from),
+            at_least_zero("rules.fall_multiple", rules.fall_multiple),
+        ]);
+        checks.into_iter().filter_map(Result::err).collect()
     }
 
     fn start(&self) -> Result<Start, SettingsError> {
--- a/crates/stairfront/src/command_line.rs
+++ b/crates/stairfront/src/command_line.rs
@@ -1,4 +1,5 @@
 //! What can be said on the command line.
+use std::net::SocketAddr;
 use std::path::PathBuf;
 
 use clap::{Args, Parser, Subcommand, ValueEnum};
@@ -12,10 +13,20 @@
     /// Form of the log on standard error.
     #[arg(long, global = true, value_enum, default_value_t = LogFormat::Text)]
     pub log_format: LogFormat,
+    /// What is logged; `debug` has a line for each attempt at a server.
+    #[arg(long, global = true, value_enum, default_value_t = LogLevel::Info)]
+    pub log_level: LogLevel,
     #[command(subcommand)]
     pub command: Option<Command>,
 }
 
+#[derive(Clone, Copy, PartialEq, Eq, ValueEnum)]
+pub enum LogLevel {
+    Warn,
+    Info,
+    Debug,
+}
+
 #[derive(Clone, Copy, PartialEq, Eq, ValueEnum)]
 pub enum LogFormat {
     Text,
@@ -32,6 +43,20 @@
         #[arg(long)]
         config: Option<PathBuf>,
     },
+    /// Check a configuration and list every fault by its key.
+    #[command(
+        after_help = "Example:\n  stairfront check deploy/stairfront.toml\n\nExit codes: 0 good, 2 faulty."
+    )]
+    Check {
+        /// TOML for a name that ends in .toml, else the platform's JSON.
+        config: PathBuf,
+    },
+    /// Show the balancer at work for half a minute: stand-ins, clients, and a cache that dies.
+    #[command(after_help = "Example:\n  stairfront demo\n\nExit codes: 0 all rules held, 1 not.")]
+    Demo,
+    /// Run one stand-in server until Ctrl-C.
+    #[command(subcommand)]
+    StandIn(StandIn),
     /// Run an experiment with stand-ins, clients and balancer processes on this machine.
     #[command(after_help = "Examples:\n  stairfront lab experiments/one-slow-cache.toml\n  \
                             stairfront lab experiments/knee.toml --json knee.json --report knee.html\n\n\
@@ -56,3 +81,57 @@
     #[arg(long)]
     pub quiet: bool,
 }
+
+#[derive(Subcommand)]
+pub enum StandIn {
+    /// A cache host that speaks RESP2.
+    #[command(after_help = "Example:\n  stairfront stand-in cache --listen 127.0.0.1:7001 --work-ms 5")]
+    Cache {
+        #[arg(long)]
+        listen: SocketAddr,
+        /// Mean work of an answer on one core, in milliseconds.
+        #[arg(long, default_value_t = 2.0)]
+        work_ms: f64,
+        #[arg(long, default_value_t = 2)]
+        cores: usize,
+        /// Most requests that wait for a core.
+        #[arg(long, default_value_t = 200)]
+        queue: usize,
+        /// Most keys kept.
+        #[arg(long, default_value_t = 20_000)]
+        store: usize,
+        /// Has just started.
+        #[arg(long)]
+        cold: bool,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
+    /// The origin, which speaks HTTP/1.1.
+    #[command(
+        after_help = "Example:\n  stairfront stand-in origin --listen 127.0.0.1:7000 --fills 127.0.0.1:7001"
+    )]
+    Origin {
+        #[arg(long)]
+        listen: SocketAddr,
+        /// Mean work of a fetch on one core, in milliseconds.
+        #[arg(long, default_value_t = 40.0)]
+        work_ms: f64,
+        #[arg(long, default_value_t = 8)]
+        cores: usize,
+        /// Stand-in caches that are given what they missed.
+        #[arg(long, value_delimiter = ',')]
+        fills: Vec<SocketAddr>,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
+    /// Discovery's agent with a list that does not change.
+    #[command(after_help = "Example:\n  stairfront stand-in discovery --listen 127.0.0.1:8500 \\\n    \
+                            --server c1=127.0.0.1:7001 --server origin=127.0.0.1:7000")]
+    Discovery {
+        #[arg(long)]
+        listen: SocketAddr,
+        /// A server as name=address; the one called origin is the origin.
+        #[arg(long = "server", value_name = "NAME=ADDRESS")]
+        servers: Vec<String>,
+    },
+}
--- a/crates/stairfront/src/lab.rs
+++ b/crates/stairfront/src/lab.rs
@@ -9,16 +9,15 @@
 use stairfront_lab::experiment::Experiment;
 use stairfront_lab::process::Build;
 use stairfront_lab::report;
-use stairfront_lab::run::Surroundings;
+use stairfront_lab::run::{Progress, Surroundings};
 
 use crate::command_line::LabArguments;
+use crate::FAULTY;
 
 const BASELINE: &str = "stairfront-baseline";
-/// A faulty experiment, as of a faulty command line.
-const FAULTY: u8 = 2;
 
 /// This program as the balancer, and the baselines beside it.
-pub fn surroundings(progress: bool) -> io::Result<Surroundings> {
+pub fn surroundings(progress: Progress) -> io::Result<Surroundings> {
     let program = env::current_exe()?;
     let beside = |name: &str| program.parent().unwrap_or(Path::new(".")).join(name);
     Ok(Surroundings {
@@ -40,7 +39,8 @@
     if !arguments.seeds.is_empty() {
         experiment.seeds.clone_from(&arguments.seeds);
     }
-    let ran = surroundings(!arguments.quiet).and_then(|around| compare::experiment(&experiment, &around));
+    let progress = if arguments.quiet { Progress::Nothing } else { Progress::Line };
+    let ran = surroundings(progress).and_then(|around| compare::experiment(&experiment, &around));
     let told = ran.and_then(|results| tell(&results, arguments).map(|()| results.rules_hold()));
     match told {
         Ok(true) => ExitCode::SUCCESS,
--- a/crates/stairfront/src/serve.rs
+++ b/crates/stairfront/src/serve.rs
@@ -5,12 +5,12 @@
 use stairfront_balancer::config::Config;
 use stairfront_balancer::server;
 use stairfront_policy::Policy;
-use tracing::error;
+use tracing::{error, Level};
 
-use crate::command_line::LogFormat;
+use crate::command_line::{LogFormat, LogLevel};
 
-pub fn serve(config: Option<&Path>, format: LogFormat) -> ExitCode {
-    start_log(format);
+pub fn serve(config: Option<&Path>, format: LogFormat, level: LogLevel) -> ExitCode {
+    start_log(format, level);
     let config = match config {
         Some(path) => Config::from_file(&path.display().to_string()),
         None => Config::from_environment(),
@@ -31,10 +31,15 @@
     }
 }
 
-fn start_log(format: LogFormat) {
+fn start_log(format: LogFormat, level: LogLevel) {
+    let level = match level {
+        LogLevel::Warn => Level::WARN,
+        LogLevel::Info => Level::INFO,
+        LogLevel::Debug => Level::DEBUG,
+    };
     // Danger: the log's own complaint about a standard error that nobody reads any more would panic.
     let log = tracing_subscriber::fmt().log_internal_errors(false);
-    let log = log.with_writer(std::io::stderr).with_ansi(false).with_target(false);
+    let log = log.with_max_level(level).with_writer(std::io::stderr).with_ansi(false).with_target(false);
     match format {
         LogFormat::Text => log.init(),
         LogFormat::Json => log.json().flatten_event(true).init(),
