--- a/crates/stairfront-balancer/src/product.rs
+++ b/crates/stairfront-balancer/src/product.rs
@@ -310,7 +310,7 @@
                 found.map(|(key, value)| (key.span().start, value))
             }
             DeValue::Array(items) => {
-                let found = word.parse::<usize>().ok().and_then(|i| items.iter().nth(i));
+                let found = word.parse::<usize>().ok().and_then(|i| items.get(i));
                 found.map(|item| (item.span().start, item))
             }
             _ => None,
--- a/crates/stairfront-lab/src/experiment.rs
+++ b/crates/stairfront-lab/src/experiment.rs
@@ -151,6 +151,9 @@
     pub warm_up_s: f64,
     #[serde(default = "one_seed")]
     pub seeds: Vec<u64>,
+    /// Rates to run at in turn; the traffic's own where there are none.
+    #[serde(default)]
+    pub rates: Vec<f64>,
     #[serde(default)]
     pub fleet: Fleet,
     #[serde(default)]
@@ -236,6 +239,8 @@
         must((0.1..=86_400.0).contains(&self.seconds), "seconds", "must be between 0.1 and a day");
         must((0.0..self.seconds.max(0.1)).contains(&self.warm_up_s), "warm_up_s", "must be below seconds");
         must(!self.seeds.is_empty(), "seeds", "at least one is needed");
+        let good = self.rates.iter().all(|rate| (0.0..=10_000_000.0).contains(rate));
+        must(good, "rates", "must be between 0 and 10,000,000 a second");
         must(!self.variants.is_empty(), "variants", "at least one is needed");
         must((1..=64).contains(&self.balancers.count), "balancers.count", "must be between 1 and 64");
         must((1..=5_000).contains(&self.fleet.caches), "fleet.caches", "must be between 1 and 5,000");
--- a/crates/stairfront/tests/lab.rs
+++ b/crates/stairfront/tests/lab.rs
@@ -79,6 +79,23 @@
     assert_eq!(outcome.servers.len(), 5);
 }
 
+#[test]
+fn a_balancer_that_breaks_a_rule_is_seen() {
+    // Set up to try four times where the rules of the run allow one attempt: each miss that is fetched is one too many.
+    let outcome = lab(r#"
+        name = "wrong"
+        seconds = 1
+        warm_up_s = 0
+        fleet = { caches = 2 }
+        balancers = { most_tries = 1 }
+        variants = [{ name = "wrong", set = { "settings.caps.most_tries" = 4 } }]
+        [clients]
+        traffic = { rate = 50 }
+    "#);
+    let broken: Vec<bool> = outcome.rules.rules.iter().map(|rule| rule.broken > 0).collect();
+    assert_eq!(broken, [false, true, false, false], "{:?}", outcome.rules);
+}
+
 /// A process of the program, ended with the test.
 struct Program(Child);
 
