--- a/crates/stairfront-balancer/src/clients.rs
+++ b/crates/stairfront-balancer/src/clients.rs
@@ -454,7 +454,8 @@
             Taken::Request { command, mut request } => {
                 request.id = context.new_id();
                 let (answer, receiver) = oneshot::channel();
-                context.inbox.send(Input::Arrived(Arrival { request, command, answer })).await?;
+                let came = context.intake.clock.now();
+                context.inbox.send(Input::Arrived(Arrival { request, came, command, answer })).await?;
                 Owed::Awaited(request.id, receiver)
             }
             Taken::Answered(answer) => Owed::Ready(answer),
--- a/crates/stairfront-balancer/src/counters.rs
+++ b/crates/stairfront-balancer/src/counters.rs
@@ -29,6 +29,12 @@
     client_gone,
     /// Requests turned away before a decision: no room for one more.
     over_cap,
+    /// Requests turned away since this balancer itself was behind.
+    shed,
+    /// The furthest that its loop was behind in the last look, in microseconds, and the part of requests that it takes,
+    /// in thousandths.
+    loop_behind_us,
+    taking_permille,
     /// Commands answered with an error of our own, and connections ended for broken input.
     rejected,
     malformed,
@@ -71,6 +77,10 @@
     pub fn sub(&self) {
         self.0.set(self.0.get().saturating_sub(1));
     }
+    /// For figures that are not counted but measured.
+    pub fn set(&self, value: u64) {
+        self.0.set(value);
+    }
     pub fn get(&self) -> u64 {
         self.0.get()
     }
--- a/crates/stairfront-balancer/src/engine.rs
+++ b/crates/stairfront-balancer/src/engine.rs
@@ -1,10 +1,12 @@
 //! The one task that owns the decision module, the open requests, the pool and the timers. It hands events to the
 //! module and carries its actions out, each through its stage.
+use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::future::poll_fn;
 use std::rc::Rc;
 
 use rustc_hash::FxHashMap;
+use stairfront_overload::Door;
 use stairfront_policy::interface::{
     Action, CacheId, CacheMode, Event, ListNews, Load, Member, MemberState, Micros, Outcome, RequestId,
     Settings, MS,
@@ -17,8 +19,9 @@
 use crate::caches::{Endpoint, Pool, Protocol};
 use crate::clock::{duration, Clock};
 use crate::counters::Counters;
+use crate::heartbeat::Vitals;
 use crate::limits::Memory;
-use crate::messages::{Answer, AttemptEnd, AttemptId, Input, Job};
+use crate::messages::{Answer, Arrival, AttemptEnd, AttemptId, Input, Job};
 use crate::server_list::{Line, ServerList};
 use crate::stages::admit::{NotAdmitted, Table};
 use crate::stages::route::{self, Decide};
@@ -39,6 +42,8 @@
     pool: Pool<N>,
     timers: DelayQueue<Due>,
     counters: Rc<Counters>,
+    /// Hears how long requests waited for the engine.
+    door: Rc<RefCell<Door>>,
     ready: watch::Sender<bool>,
     mode: CacheMode,
     most_attempts: u8,
@@ -55,11 +60,11 @@
         start: Start,
         decider: impl FnOnce(Settings) -> D,
         memory: Memory,
-        clock: Clock,
         pool: Pool<N>,
-        counters: Rc<Counters>,
+        vitals: Vitals,
         ready: watch::Sender<bool>,
     ) -> Self {
+        let Vitals { clock, door, counters } = vitals;
         let Start { mut settings, host, .. } = start;
         // The agent is watched at no cost from the start, whatever the simulator's discovery would ask for.
         settings.discovery = stairfront_policy::interface::Discovery::Push;
@@ -69,6 +74,7 @@
             pool,
             timers: DelayQueue::new(),
             counters,
+            door,
             ready,
             mode: settings.mode,
             most_attempts: settings.limits.most_attempts,
@@ -99,14 +105,10 @@
 
     fn hear(&mut self, input: Input) {
         match input {
-            Input::Arrived(arrival) => match self.table.admit(arrival) {
-                Ok(request) => {
-                    self.counters.taken_in.add();
-                    self.tell(Event::Request(request));
-                }
-                Err(NotAdmitted::IdOpen) => self.counters.rejected.add(),
-                Err(NotAdmitted::NoRoom) => self.counters.over_cap.add(),
-            },
+            Input::Arrived(arrival) => {
+                self.door.borrow_mut().message(self.clock.now() - arrival.came);
+                self.arrived(arrival);
+            }
             Input::ClientGone(id) => self.client_gone(id),
             Input::Pool(news) => {
                 self.pool.hear(news, &mut self.ends);
@@ -120,6 +122,17 @@
         self.settle();
     }
 
+    fn arrived(&mut self, arrival: Arrival) {
+        match self.table.admit(arrival) {
+            Ok(request) => {
+                self.counters.taken_in.add();
+                self.tell(Event::Request(request));
+            }
+            Err(NotAdmitted::IdOpen) => self.counters.rejected.add(),
+            Err(NotAdmitted::NoRoom) => self.counters.over_cap.add(),
+        }
+    }
+
     fn fire(&mut self, due: Due) {
         match due {
             Due::Token(token) => self.tell(Event::Timer { token }),
--- a/crates/stairfront-balancer/src/lib.rs
+++ b/crates/stairfront-balancer/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod counters;
 pub mod discovery;
 pub mod engine;
+pub mod heartbeat;
 pub mod limits;
 pub mod load_report;
 pub mod messages;
--- a/crates/stairfront-balancer/src/messages.rs
+++ b/crates/stairfront-balancer/src/messages.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use stairfront_policy::interface::{CacheId, Load, Note, Outcome, Request, RequestId};
+use stairfront_policy::interface::{CacheId, Load, Micros, Note, Outcome, Request, RequestId};
 use tokio::sync::{oneshot, OwnedSemaphorePermit};
 
 use crate::clock::Instant;
@@ -93,6 +93,8 @@
 #[derive(Debug)]
 pub struct Arrival {
     pub request: Request,
+    /// When it was taken in.
+    pub came: Micros,
     pub command: Command,
     pub answer: oneshot::Sender<Given>,
 }
--- a/crates/stairfront-balancer/src/server.rs
+++ b/crates/stairfront-balancer/src/server.rs
@@ -17,6 +17,7 @@
 use crate::counters::Counters;
 use crate::discovery::Watch;
 use crate::engine::Engine;
+use crate::heartbeat::{self, Vitals};
 use crate::reload::{self, Reloads};
 use crate::shutdown::{watch_signals, Phase};
 use crate::stages::route::Decide;
@@ -78,6 +79,7 @@
         Pool::new(network.clone(), limits, start.names.report.clone(), inbox.clone(), Rc::clone(&counters));
     let watch =
         Watch::new(network, agents, start.names.clone(), known.index, inbox.clone(), Rc::clone(&counters));
+    let door = heartbeat::door(&start.settings, clock, seed);
     let lists = inbox.clone();
     let context = Rc::new(Context {
         inbox,
@@ -86,6 +88,7 @@
             classes: start.settings.classes.clone(),
             clock,
             counters: Rc::clone(&counters),
+            door: Rc::clone(&door),
             ready: is_ready,
         },
         counters: Rc::clone(&counters),
@@ -95,10 +98,12 @@
         next_id: Cell::new(0),
     });
     let decider = |settings| decider(settings, seed);
-    let engine = Engine::new(start, decider, memory, clock, pool, Rc::clone(&counters), ready);
+    let vitals = Vitals { clock, door, counters: Rc::clone(&counters) };
+    let engine = Engine::new(start, decider, memory, pool, vitals.clone(), ready);
     info!("{name} serves on {} with {} known servers", listener.local_address()?, known.lines.len());
     let reloads = Reloads { current: config, agent, inbox: lists, counters: Rc::clone(&counters) };
-    let watching = [spawn_local(watch.run()), spawn_local(reloads.run(hangups))];
+    let beating = heartbeat::beat(vitals);
+    let watching = [spawn_local(beating), spawn_local(watch.run()), spawn_local(reloads.run(hangups))];
     let mut deciding = spawn_local(engine.run(known, inputs));
     let ended = tokio::select! {
         () = clients::serve(listener, context, sockets.clients) => Ok(()),
--- a/crates/stairfront-balancer/src/stages/admit.rs
+++ b/crates/stairfront-balancer/src/stages/admit.rs
@@ -68,7 +68,7 @@
 
     /// Enters a request, or answers it at once.
     pub fn admit(&mut self, arrival: Arrival) -> Result<Request, NotAdmitted> {
-        let Arrival { request, command, answer } = arrival;
+        let Arrival { request, command, answer, .. } = arrival;
         let bytes = command.bytes();
         let problem = if self.ids.contains(&command.id) {
             // Danger: servers know a request by its id alone. A second one under it would count as a second copy, and
--- a/crates/stairfront-balancer/src/stages/take_in.rs
+++ b/crates/stairfront-balancer/src/stages/take_in.rs
@@ -1,7 +1,9 @@
 //! First stage: a client's command becomes a request, or is answered on the spot.
+use std::cell::RefCell;
 use std::rc::Rc;
 
 use bytes::Bytes;
+use stairfront_overload::{Arrival, Door, Verdict};
 use stairfront_policy::interface::{Class, ClassId, Key, Micros, Request, RequestId, TenantId, MS};
 use stairfront_settings::Names;
 use tokio::sync::watch;
@@ -27,6 +29,8 @@
     pub classes: Vec<Class>,
     pub clock: Clock,
     pub counters: Rc<Counters>,
+    /// Says what is taken while this balancer itself is behind.
+    pub door: Rc<RefCell<Door>>,
     /// There is a list of servers to serve from.
     pub ready: watch::Receiver<bool>,
 }
@@ -58,7 +62,11 @@
     let Some(command) = command(verb, words) else { return reject(intake, BAD_COMMAND) };
     match request(&command, intake) {
         Ok(request) => Taken::Request { command, request },
-        Err(problem) => reject(intake, problem),
+        Err(Turned::Unfit(problem)) => reject(intake, problem),
+        Err(Turned::Shed { after_ms }) => {
+            intake.counters.shed.add();
+            Taken::Answered(Answer::Busy { after_ms })
+        }
     }
 }
 
@@ -81,7 +89,28 @@
     (1..=LONGEST_WORD).contains(&word.len()) && word.iter().all(u8::is_ascii_graphic)
 }
 
-fn request(command: &Command, intake: &Intake) -> Result<Request, &'static str> {
+/// Why a command becomes no request.
+enum Turned {
+    Unfit(&'static str),
+    Shed { after_ms: Option<u64> },
+}
+
+impl From<&'static str> for Turned {
+    fn from(problem: &'static str) -> Self {
+        Turned::Unfit(problem)
+    }
+}
+
+/// Asked before the key is hashed or anything is entered, so that what is turned away costs little more than its reading.
+fn knock(intake: &Intake, class: u8, tenant: TenantId, retry: bool) -> Result<(), Turned> {
+    let arrival = Arrival { tenant: usize::try_from(tenant.0).ok(), class: usize::from(class), retry };
+    match intake.door.borrow_mut().ask(arrival) {
+        Verdict::Take => Ok(()),
+        Verdict::Refuse { after_ms } => Err(Turned::Shed { after_ms }),
+    }
+}
+
+fn request(command: &Command, intake: &Intake) -> Result<Request, Turned> {
     let now = intake.clock.now();
     let (mut class, mut tenant, mut wait, mut repeat) = (None, TenantId(u32::MAX), None, false);
     let mut told = [0; 2];
@@ -102,10 +131,11 @@
         }
     }
     if told.iter().any(|times| *times > 1) {
-        return Err(BAD_COMMAND);
+        return Err(BAD_COMMAND.into());
     }
     let class = class.and_then(|i| u8::try_from(i).ok()).ok_or(UNKNOWN_CLASS)?;
     let deadline = intake.classes.get(usize::from(class)).map(|c| c.deadline).ok_or(UNKNOWN_CLASS)?;
+    knock(intake, class, tenant, repeat)?;
     Ok(Request {
         id: RequestId(0),
         class: ClassId(class),
--- a/crates/stairfront-balancer/tests/stages.rs
+++ b/crates/stairfront-balancer/tests/stages.rs
@@ -1,12 +1,20 @@
 //! The stages on the table of open requests, without sockets.
+use std::rc::Rc;
+
 use bytes::Bytes;
+use stairfront_balancer::clock::Clock;
+use stairfront_balancer::heartbeat;
 use stairfront_balancer::limits::Memory;
 use stairfront_balancer::load_report::load_report;
 use stairfront_balancer::messages::{Answer, Arrival, AttemptEnd, AttemptId, Command, Given, Verb, Verdict};
 use stairfront_balancer::stages::admit::{NotAdmitted, Table};
 use stairfront_balancer::stages::send::Sending;
-use stairfront_policy::interface::{CacheId, ClassId, Outcome, Request, RequestId, TenantId, MS};
-use tokio::sync::oneshot;
+use stairfront_balancer::stages::take_in::{take_in, Intake, Taken};
+use stairfront_policy::interface::{
+    CacheId, Class, ClassId, Limits, Outcome, Request, RequestId, Semantics, Settings, TenantId, MS,
+};
+use stairfront_settings::Names;
+use tokio::sync::{oneshot, watch};
 use tokio::time::Instant;
 
 const CACHE: CacheId = CacheId(1);
@@ -27,7 +35,7 @@
         write: false,
         repeat: false,
     };
-    (Arrival { request, command, answer }, receiver)
+    (Arrival { request, came: 0, command, answer }, receiver)
 }
 
 fn end(request: u32, number: u8, outcome: Outcome) -> AttemptEnd {
@@ -225,3 +233,55 @@
     table.book(RequestId(1));
     assert!(table.admit(arrive(1, 1).0).is_ok());
 }
+
+#[test]
+fn a_balancer_that_is_behind_turns_requests_away_before_they_are_entered_and_nothing_else() {
+    let clock = Clock::starting_at(0);
+    let settings = Settings {
+        classes: vec![Class {
+            semantics: Semantics::Free,
+            aim: 250 * MS,
+            deadline: 1500 * MS,
+            worth: 1.0,
+            late_worth: 0.0,
+            stream: false,
+        }],
+        limits: Limits { max_retry_after: 1500 * MS, ..Limits::default() },
+        ..Settings::default()
+    };
+    let (_ready, is_ready) = watch::channel(true);
+    let door = heartbeat::door(&settings, clock, 1);
+    let intake = Intake {
+        names: Names { classes: vec!["read".to_string()], ..Names::default() },
+        classes: settings.classes.clone(),
+        clock,
+        counters: Rc::default(),
+        door: Rc::clone(&door),
+        ready: is_ready,
+    };
+    let words = |text: &str| text.split(' ').map(|word| Bytes::copy_from_slice(word.as_bytes())).collect();
+    let get = || take_in(words("C.GET k 1 c=read,d=900"), &intake);
+    assert!(matches!(get(), Taken::Request { .. }));
+    // A second in which every beat is later than the one before: it gets behind by half as fast as time passes.
+    for beat in 1..100 {
+        door.borrow_mut().timer(beat * 10 * MS, beat * 5 * MS);
+    }
+    let turned_away =
+        |taken: &Taken| matches!(taken, Taken::Answered(Answer::Busy { after_ms: Some(50..=1500) }));
+    let refused = (0..1000).filter(|_| turned_away(&get())).count() as u64;
+    assert!(refused > 800, "{refused}");
+    assert_eq!(intake.counters.shed.get(), refused);
+    for (command, answer) in
+        [("PING", Answer::Pong), ("C.GET k 1 c=other", Answer::Error("ERR unknown class"))]
+    {
+        assert!(
+            matches!(take_in(words(command), &intake), Taken::Answered(told) if told == answer),
+            "{command}"
+        );
+    }
+    // In time again for a second: all are taken.
+    for beat in 100..200 {
+        door.borrow_mut().timer(beat * 10 * MS, 0);
+    }
+    assert_eq!((0..1000).filter(|_| turned_away(&get())).count(), 0);
+}
--- /dev/null
+++ b/crates/stairfront-overload/src/lib.rs
@@ -0,0 +1,17 @@
+//! A balancer's own overload: how far its event loop is behind (`gauge`), what part of the requests it takes while it is
+//! (`controller`), and whose those are (`worth`). `Door` puts the three together: one question for each request.
+//!
+//! It knows no client, server or clock: times and figures are given to it, in microseconds. It never decides which server
+//! a request goes to; what it turns away has cost no decision.
+mod controller;
+mod door;
+mod gauge;
+mod worth;
+
+pub use controller::Controller;
+pub use door::{Arrival, Door, DoorSettings, Verdict};
+pub use gauge::{Gauge, Reading};
+pub use worth::{Level, Worth, LEVELS};
+
+/// Microseconds.
+pub type Micros = i64;
