A door for operators: health, cordon and uncordon, answered within a second

Need: staff take cache hosts out of a running balancer, and ask whether it can serve; there was no way to. Change: an address of its own (ops, ROUTER_OPS) with bounded callers, orders that the engine hears first, cordons as events to the module kept beside discovery's list, a record in TMPDIR, and a pool that begins nothing new at a barred server even where the connection is still coming up. An uncordoned host counts as just started.

--- a/crates/stairfront-balancer/src/caches.rs
+++ b/crates/stairfront-balancer/src/caches.rs
@@ -1,5 +1,6 @@
 //! The pool of connections to cache hosts and the origin: how many there are, which stand idle, and which attempts
 //! wait for one. Each connection is owned by its task (`connection.rs`).
+use std::cell::Cell;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -40,10 +41,18 @@
     endpoint: Endpoint,
     /// Raised when connections made so far are not to be used again.
     epoch: u64,
+    /// Nothing new may be begun there. Shared with its connections' tasks, which look before the first byte.
+    barred: Rc<Cell<bool>>,
     /// Idle connections, the one used last at the end: reusing that one lets the others run into their limit.
     idle: Vec<ConnectionId>,
 }
 
+impl Host {
+    fn at(endpoint: Endpoint) -> Self {
+        Host { endpoint, epoch: 0, barred: Rc::default(), idle: Vec::new() }
+    }
+}
+
 struct Connection {
     cache: CacheId,
     epoch: u64,
@@ -107,13 +116,25 @@
 
     /// Where a server is from now on. Connections to another address are not used again.
     pub fn set(&mut self, cache: CacheId, endpoint: Endpoint) {
-        let host = self.hosts.entry(cache).or_insert(Host { endpoint, epoch: 0, idle: Vec::new() });
+        let host = self.hosts.entry(cache).or_insert(Host::at(endpoint));
         if host.endpoint != endpoint {
             host.endpoint = endpoint;
             self.close_idle(cache);
         }
     }
 
+    /// Whether nothing new may be begun at a server. Danger: a job may lie before a connection's task, or wait for a
+    /// connection that is still coming up, long after its server began to drain.
+    pub fn bar(&mut self, cache: CacheId, barred: bool) {
+        let Some(host) = self.hosts.get(&cache) else { return };
+        if barred && !host.barred.replace(true) {
+            self.close_idle(cache);
+        } else if !barred && host.barred.get() {
+            // Those that saw the old one stay barred: their attempts were decided under it.
+            self.hosts.entry(cache).and_modify(|host| host.barred = Rc::default());
+        }
+    }
+
     /// Closes what stands idle now and, as they end their attempts, the connections in use.
     pub fn close_idle(&mut self, cache: CacheId) {
         let Some(host) = self.hosts.get_mut(&cache) else { return };
@@ -211,7 +232,8 @@
         self.connections.insert(id, connection);
         self.common.counters.server_connections_opened.add();
         self.common.counters.server_connections_open.add();
-        let task = Task { id, address: host.endpoint.address, common: Rc::clone(&self.common), jobs };
+        let (address, barred) = (host.endpoint.address, Rc::clone(&host.barred));
+        let task = Task { id, address, barred, common: Rc::clone(&self.common), jobs };
         match host.endpoint.protocol {
             Protocol::Resp => spawn_local(task.run::<CacheCodec>(job)),
             Protocol::Http => spawn_local(task.run::<OriginCodec>(job)),
--- a/crates/stairfront-balancer/src/config.rs
+++ b/crates/stairfront-balancer/src/config.rs
@@ -14,6 +14,7 @@
 use crate::server_list::{RawList, ServerList};
 
 const CONFIG: &str = "ROUTER_CONFIG";
+const OPERATORS: &str = "ROUTER_OPS";
 /// Keys that a running balancer does not compare with a new file: the address of discovery takes effect at once, the
 /// list and the seed are for a start alone.
 const NOT_COMPARED: [&str; 3] = ["discovery", "known", "seed"];
@@ -22,6 +23,8 @@
 pub enum ConfigError {
     #[error("{CONFIG} is not set: it names the configuration file")]
     NoPath,
+    #[error("{OPERATORS}: {address:?} is not an address and a port")]
+    Operators { address: String },
     #[error("{path}: {problem}")]
     File { path: String, problem: std::io::Error },
     #[error("{path}: {key}: {problem}")]
@@ -37,6 +40,7 @@
     name: String,
     listen: SocketAddr,
     discovery: Option<SocketAddr>,
+    ops: Option<SocketAddr>,
     #[serde(default)]
     seed: String,
     #[serde(default)]
@@ -62,6 +66,8 @@
     pub listen: SocketAddr,
     /// Where discovery's agent is; without one the list in the file is all there is.
     pub discovery: Option<SocketAddr>,
+    /// Where operators call; without one they cannot.
+    pub operators: Option<SocketAddr>,
     pub seed: u64,
     pub sockets: Sockets,
     pub memory: Memory,
@@ -71,7 +77,12 @@
 
 impl Config {
     pub fn from_environment() -> Result<Self, ConfigError> {
-        Self::from_file(&env::var(CONFIG).map_err(|_| ConfigError::NoPath)?)
+        let mut config = Self::from_file(&env::var(CONFIG).map_err(|_| ConfigError::NoPath)?)?;
+        // The file's own word goes first: it is what SIGHUP compares.
+        if let (None, Ok(address)) = (config.operators, env::var(OPERATORS)) {
+            config.operators = Some(address.parse().map_err(|_| ConfigError::Operators { address })?);
+        }
+        Ok(config)
     }
 
     pub fn from_file(path: &str) -> Result<Self, ConfigError> {
@@ -156,6 +167,7 @@
             name: raw.name,
             listen: raw.listen,
             discovery: raw.discovery,
+            operators: raw.ops,
             seed: seed(&raw.seed),
             sockets: Sockets::split(raw.limits.sockets.unwrap_or(MOST_SOCKETS)),
             memory: Memory::of(raw.limits.memory_mb.unwrap_or(Memory::USUAL_MB)),
--- a/crates/stairfront-balancer/src/connection.rs
+++ b/crates/stairfront-balancer/src/connection.rs
@@ -1,5 +1,6 @@
 //! One connection to a server: a task that owns the socket, carries one attempt at a time and gives the socket back
 //! by ending.
+use std::cell::Cell;
 use std::fmt::Debug;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -44,6 +45,8 @@
 pub struct Task<N: Network> {
     pub id: ConnectionId,
     pub address: SocketAddr,
+    /// Raised when nothing new may be begun at this server.
+    pub barred: Rc<Cell<bool>>,
     pub common: Rc<Common<N>>,
     pub jobs: mpsc::Receiver<Job>,
 }
@@ -59,6 +62,11 @@
             Err(outcome) => return self.closed(Some(job.end(Verdict::bare(outcome))), None).await,
         };
         loop {
+            if self.barred.get() {
+                // The socket goes first, as always; not a byte of the attempt was written.
+                drop(wire);
+                return self.closed(Some(job.end(Verdict::bare(Outcome::Moot))), None).await;
+            }
             let (verdict, reusable) = exchange(&mut wire, &mut job, &self.common.report).await;
             let end = job.end(verdict);
             let surplus = reusable && !is_quiet(&wire);
--- a/crates/stairfront-balancer/src/counters.rs
+++ b/crates/stairfront-balancer/src/counters.rs
@@ -55,6 +55,8 @@
     /// New configurations taken over, and those with a fault, which changed nothing.
     reloads,
     reloads_faulty,
+    /// Cache hosts that operators have taken out.
+    cordoned,
     decision_panics,
     client_connections_accepted,
     client_connections_open,
--- a/crates/stairfront-balancer/src/engine.rs
+++ b/crates/stairfront-balancer/src/engine.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 
 use rustc_hash::FxHashMap;
+use stairfront_operations::Roll;
 use stairfront_overload::Door;
 use stairfront_policy::interface::{
     Action, CacheId, CacheMode, Event, ListNews, Load, Member, MemberState, Micros, Outcome, RequestId,
@@ -14,15 +15,17 @@
 use stairfront_settings::Start;
 use tokio::sync::{mpsc, watch};
 use tokio_util::time::DelayQueue;
-use tracing::{debug, info};
+use tracing::{debug, info, warn};
 
 use crate::caches::{Endpoint, Pool, Protocol};
 use crate::clock::{duration, Clock};
+use crate::cordon_record::CordonRecord;
 use crate::counters::Counters;
 use crate::heartbeat::Vitals;
 use crate::limits::Memory;
 use crate::messages::{Answer, Arrival, AttemptEnd, AttemptId, Input, Job};
-use crate::server_list::{Line, ServerList};
+use crate::orders::{Done, Order, Ordered};
+use crate::server_list::{cache_id, Line, ServerList};
 use crate::stages::admit::{NotAdmitted, Table};
 use crate::stages::route::{self, Decide};
 use crate::stages::send::Sending;
@@ -49,6 +52,9 @@
     most_attempts: u8,
     /// What each server of the list was last said to be.
     servers: FxHashMap<CacheId, Member>,
+    /// Every cache host ever listed, and who is taken out.
+    roll: Roll,
+    record: CordonRecord,
     /// Ends of attempts that the module has not heard yet.
     ends: VecDeque<AttemptEnd>,
     actions: Vec<Action>,
@@ -63,6 +69,7 @@
         pool: Pool<N>,
         vitals: Vitals,
         ready: watch::Sender<bool>,
+        record: CordonRecord,
     ) -> Self {
         let Vitals { clock, door, counters } = vitals;
         let Start { mut settings, host, .. } = start;
@@ -79,17 +86,32 @@
             mode: settings.mode,
             most_attempts: settings.limits.most_attempts,
             servers: FxHashMap::default(),
+            roll: Roll::default(),
+            record,
             ends: VecDeque::new(),
             actions: Vec::new(),
             policy: decider(settings),
         }
     }
 
-    pub async fn run(mut self, known: ServerList, mut inputs: mpsc::Receiver<Input>) {
+    pub async fn run(
+        mut self,
+        known: ServerList,
+        mut inputs: mpsc::Receiver<Input>,
+        mut orders: mpsc::Receiver<Ordered>,
+    ) {
+        // Before the list is known, so that nothing ever goes to a cache host that was taken out.
+        self.restore_cordons();
         self.learn(known, true);
         loop {
             tokio::select! {
                 biased;
+                // Ahead of all requests that wait: an answer is owed to operators in a second under any load.
+                Some(Ordered { order, done }) = orders.recv() => {
+                    // A caller that has left finds it done when it asks again.
+                    let _ = done.send(self.carry_out_order(&order));
+                    self.settle();
+                }
                 due = poll_fn(|cx| self.timers.poll_expired(cx)), if !self.timers.is_empty() => {
                     if let Some(due) = due {
                         self.fire(due.into_inner());
@@ -122,6 +144,50 @@
         self.settle();
     }
 
+    fn restore_cordons(&mut self) {
+        for name in self.record.read() {
+            let cache = cache_id(&name);
+            info!("{name} (server {:012x}) is cordoned, as on record", cache.0);
+            self.roll.restore(cache, &name);
+            self.counters.cordoned.add();
+            self.tell(Event::Cordon { cache, on: true });
+        }
+    }
+
+    fn carry_out_order(&mut self, order: &Order) -> Done {
+        let (name, on) = match order {
+            Order::Cordon(name) => (name, true),
+            Order::Uncordon(name) => (name, false),
+        };
+        let cache = cache_id(name);
+        let changed = if on { self.roll.cordon(cache, name) } else { self.roll.uncordon(cache) };
+        let Ok(changed) = changed else { return Done::Unknown };
+        if changed {
+            self.counters.cordoned.set(self.roll.cordoned().count() as u64);
+            self.tell(Event::Cordon { cache, on });
+            self.bar(cache);
+        }
+        // Written again at a repeated call too: the first may have failed.
+        match self.record.write(self.roll.cordoned().map(|(_, name)| name)) {
+            Ok(()) => Done::Yes,
+            Err(problem) => {
+                warn!("cordons not recorded, and would be lost with this process: {problem}");
+                Done::NotRecorded
+            }
+        }
+    }
+
+    /// Has the pool hold back from a server that may get nothing new: what waits for a socket or a connection ends,
+    /// and idle connections close. What is under way goes on.
+    fn bar(&mut self, cache: CacheId) {
+        let listed = self.servers.get(&cache).is_some_and(|member| member.state == MemberState::Ready);
+        let barred = !listed || self.roll.is_cordoned(cache);
+        self.pool.bar(cache, barred);
+        if barred {
+            self.pool.end_waiting(cache, &mut self.ends);
+        }
+    }
+
     fn arrived(&mut self, arrival: Arrival) {
         match self.table.admit(arrival) {
             Ok(request) => {
@@ -285,19 +351,21 @@
             // The module knows servers by number alone, and so do its log lines.
             info!("server {:012x} is {} at {}", member.id.0, line.name, line.address);
         }
-        // A process that has started anew knows nothing of connections made before, and one that drains gets
-        // nothing new over them.
-        let restarted = before.is_some_and(|before| before.born != member.born);
-        if restarted || member.state == MemberState::Draining {
-            self.pool.close_idle(member.id);
+        if !origin {
+            self.roll.listed(member.id);
         }
-        if member.state == MemberState::Draining {
-            self.pool.end_waiting(member.id, &mut self.ends);
+        // A process that has started anew knows nothing of connections made before.
+        if before.is_some_and(|before| before.born != member.born) {
+            self.pool.close_idle(member.id);
         }
+        self.bar(member.id);
     }
 
     fn forget(&mut self, id: CacheId) {
         self.servers.remove(&id);
+        let servers = &self.servers;
+        self.roll.left(id, |other| servers.contains_key(&other));
+        self.pool.bar(id, true);
         self.pool.end_waiting(id, &mut self.ends);
         self.pool.forget(id);
     }
--- a/crates/stairfront-balancer/src/limits.rs
+++ b/crates/stairfront-balancer/src/limits.rs
@@ -1,10 +1,12 @@
 //! What the configuration's limits leave for each use: descriptors and memory.
 
+use crate::operators::MOST_CALLERS;
+
 /// Connections of clients beyond their places, which are turned away; they take descriptors of the reserve.
 pub const MOST_SPARE: usize = 8;
-/// Descriptors that are not connections with a place: standard streams, event queue, signals, listener, discovery, a
-/// connection just accepted and some for the libraries (14 were seen), and the spare connections.
-const RESERVE: usize = 16 + MOST_SPARE;
+/// Descriptors that are not connections with a place: standard streams, event queue, signals, listeners, discovery,
+/// connections just accepted and some for the libraries (16 were seen), the spare connections, and operators' calls.
+const RESERVE: usize = 18 + MOST_SPARE + MOST_CALLERS;
 /// The most sockets that the deployment ever grants; a larger limit is not used.
 pub const MOST_SOCKETS: usize = 1024;
 
--- /dev/null
+++ b/crates/stairfront-balancer/src/operators.rs
@@ -0,0 +1,147 @@
+//! The operators' door: an address of its own, HTTP/1.1, one call to a connection. What a call means stands in
+//! `stairfront-operations`; what it changes is done by the engine.
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::{SinkExt, StreamExt};
+use stairfront_operations::{Call, CallFault};
+use stairfront_wire::budget::Budget;
+use stairfront_wire::http::HttpError;
+use stairfront_wire::http_server::{HttpServerCodec, Received, Reply};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::sync::{mpsc, oneshot, watch, Semaphore};
+use tokio::task::{spawn_local, AbortHandle};
+use tokio_util::codec::Framed;
+use tracing::{info, warn};
+
+use crate::clock::{sleep, timeout};
+use crate::orders::{Done, Order, Ordered};
+use crate::transport::{Listener, Stream};
+
+/// Callers that are spoken to at once; their descriptors are set aside (`limits.rs`).
+pub const MOST_CALLERS: usize = 8;
+/// A whole call comes at once; who has brought none by then is sent away. Others may be sent away sooner, to make room.
+const CALL_LIMIT: Duration = Duration::from_millis(2000);
+/// An answer is owed within a second. What the engine has not done by then is answered with a no.
+const ORDER_LIMIT: Duration = Duration::from_millis(700);
+/// For a caller to read its answer.
+const ANSWER_LIMIT: Duration = Duration::from_millis(500);
+/// No call has a body that matters.
+const LARGEST_BODY: usize = 4096;
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
+/// What the door needs to know.
+#[derive(Clone)]
+pub struct Desk {
+    pub orders: mpsc::Sender<Ordered>,
+    /// This process can serve.
+    pub ready: watch::Receiver<bool>,
+}
+
+/// Callers that have brought no whole call yet, the one that came first in front.
+type Mute = Rc<RefCell<VecDeque<(u64, AbortHandle)>>>;
+
+/// Answers calls for as long as the balancer runs.
+pub async fn serve<L: Listener>(listener: L, desk: Desk) {
+    let (places, mute) = (Arc::new(Semaphore::new(MOST_CALLERS)), Mute::default());
+    let budget = Budget::new(MOST_CALLERS * LARGEST_BODY);
+    for caller in 0.. {
+        let socket = loop {
+            match listener.accept().await {
+                Ok(socket) => break socket,
+                Err(problem) => {
+                    warn!("operators' door: cannot accept: {problem}");
+                    sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        };
+        // Danger: callers that say nothing would keep out one that does. The one that came first makes room.
+        if places.available_permits() == 0 {
+            if let Some((_, oldest)) = mute.borrow_mut().pop_front() {
+                oldest.abort();
+            }
+        }
+        let Ok(place) = Arc::clone(&places).acquire_owned().await else { return };
+        let (desk, own_mute, budget) = (desk.clone(), Rc::clone(&mute), Rc::clone(&budget));
+        let task = spawn_local(async move {
+            let wire = Framed::new(socket, HttpServerCodec::new(LARGEST_BODY, &budget));
+            speak(wire, desk, || own_mute.borrow_mut().retain(|(other, _)| *other != caller)).await;
+            drop(place);
+        });
+        mute.borrow_mut().push_back((caller, task.abort_handle()));
+    }
+}
+
+/// One call and its answer. `heard` is called once the caller has brought a whole call or will bring none.
+async fn speak<T: Stream>(mut wire: Framed<T, HttpServerCodec>, desk: Desk, heard: impl FnOnce()) {
+    let call = timeout(CALL_LIMIT, wire.next()).await;
+    heard();
+    let reply = match call {
+        Ok(Some(Ok(received))) => answer(&received, &desk).await,
+        Ok(Some(Err(HttpError::Malformed(problem)))) => no(400, "Bad Request", problem),
+        // It has left, or brought nothing: there is nobody to answer, or nothing.
+        Ok(Some(Err(HttpError::Io(_))) | None) | Err(_) => return,
+    };
+    let said = async {
+        wire.send(reply).await?;
+        // Danger: a close with input unread resets the connection, and the answer with it.
+        let socket = wire.get_mut();
+        socket.shutdown().await?;
+        let mut rest = [0; 512];
+        while socket.read(&mut rest).await? > 0 {}
+        Ok::<(), HttpError>(())
+    };
+    // A caller that does not read has its answer or does not want it.
+    let _ = timeout(ANSWER_LIMIT, said).await;
+}
+
+async fn answer(received: &Received, desk: &Desk) -> Reply {
+    match Call::read(&received.method, &received.target) {
+        Ok(Call::Health) if *desk.ready.borrow() => yes("serves\n"),
+        Ok(Call::Health) => no(503, "Service Unavailable", "no list of servers yet"),
+        Ok(Call::Cordon(name)) => order(Order::Cordon(name), desk).await,
+        Ok(Call::Uncordon(name)) => order(Order::Uncordon(name), desk).await,
+        Err(fault @ CallFault::Unknown) => no(404, "Not Found", &fault.to_string()),
+        Err(fault @ CallFault::Method(allowed)) => {
+            let mut reply = no(405, "Method Not Allowed", &fault.to_string());
+            reply.headers.push(("Allow", allowed.to_string()));
+            reply
+        }
+        Err(fault @ CallFault::Name) => no(400, "Bad Request", &fault.to_string()),
+    }
+}
+
+/// Danger: a yes before the engine has it would have operators restart a cache host that still gets requests.
+async fn order(order: Order, desk: &Desk) -> Reply {
+    let (done, is_done) = oneshot::channel();
+    let told = async {
+        desk.orders.send(Ordered { order: order.clone(), done }).await.ok()?;
+        is_done.await.ok()
+    };
+    match timeout(ORDER_LIMIT, told).await.ok().flatten() {
+        Some(Done::Yes) => {
+            info!("operators: {order:?}: yes");
+            yes("done\n")
+        }
+        Some(Done::Unknown) => no(404, "Not Found", "no cache host of this name was ever listed"),
+        Some(Done::NotRecorded) => no(500, "Internal Server Error", "it holds here, but is not on record"),
+        None => no(503, "Service Unavailable", "not done in time; ask again"),
+    }
+}
+
+fn yes(text: &'static str) -> Reply {
+    reply(200, "OK", Bytes::from_static(text.as_bytes()))
+}
+
+fn no(status: u16, reason: &'static str, problem: &str) -> Reply {
+    reply(status, reason, Bytes::from(format!("{problem}\n")))
+}
+
+fn reply(status: u16, reason: &'static str, body: Bytes) -> Reply {
+    let headers = vec![("Connection", "close".to_string()), ("Content-Type", "text/plain".to_string())];
+    Reply { status, reason, headers, body }
+}
--- a/crates/stairfront-balancer/src/server.rs
+++ b/crates/stairfront-balancer/src/server.rs
@@ -1,6 +1,7 @@
 //! Puts the parts together on one single-threaded runtime.
 use std::cell::Cell;
 use std::io;
+use std::path::PathBuf;
 use std::rc::Rc;
 
 use stairfront_policy::interface::Settings;
@@ -14,10 +15,13 @@
 use crate::clients::{self, Context, Crowd};
 use crate::clock::{duration, Clock};
 use crate::config::Config;
+use crate::cordon_record::CordonRecord;
 use crate::counters::Counters;
 use crate::discovery::Watch;
 use crate::engine::Engine;
 use crate::heartbeat::{self, Vitals};
+use crate::operators::{self, Desk};
+use crate::orders;
 use crate::reload::{self, Reloads};
 use crate::shutdown::{watch_signals, Phase};
 use crate::stages::route::Decide;
@@ -38,7 +42,22 @@
         let (rung, rings) = mpsc::channel(1);
         let (stopping, reloading) =
             (spawn_local(watch_signals(phase)), spawn_local(reload::pass_on(hangups, rung)));
-        let around = Around { network: Tcp, listener, clock: Clock::start(), phase: phases, hangups: rings };
+        let operators = match config.operators {
+            Some(address) => Some(TcpListener::bind(address).await.map_err(|problem| {
+                io::Error::new(problem.kind(), format!("ops: cannot listen on {address}: {problem}"))
+            })?),
+            None => None,
+        };
+        let folder = std::env::var_os("TMPDIR").map(PathBuf::from);
+        let around = Around {
+            network: Tcp,
+            listener,
+            operators,
+            folder,
+            clock: Clock::start(),
+            phase: phases,
+            hangups: rings,
+        };
         let served = serve(config, decider, around).await;
         stopping.abort();
         reloading.abort();
@@ -50,6 +69,10 @@
 pub struct Around<N, L> {
     pub network: N,
     pub listener: L,
+    /// Where operators call.
+    pub operators: Option<L>,
+    /// For what is to outlive this process; shared with the one that follows it.
+    pub folder: Option<PathBuf>,
     pub clock: Clock,
     pub phase: watch::Receiver<Phase>,
     pub hangups: mpsc::Receiver<()>,
@@ -62,12 +85,14 @@
     decider: impl FnOnce(Settings, u64) -> D,
     around: Around<N, L>,
 ) -> io::Result<()> {
-    let Around { network, listener, clock, phase, hangups } = around;
+    let Around { network, listener, operators, folder, clock, phase, hangups } = around;
     let (known, start) = (std::mem::take(&mut config.known), config.start.clone());
     let (name, seed, sockets, memory) = (config.name.clone(), config.seed, config.sockets, config.memory);
     let (agent, agents) = watch::channel(config.discovery);
     let (inbox, inputs) = mpsc::channel(INBOX);
     let (ready, is_ready) = watch::channel(false);
+    let (orders, ordered) = mpsc::channel(orders::MOST_WAITING);
+    let desk = Desk { orders, ready: is_ready.clone() };
     let counters = Rc::new(Counters::default());
     let limits = PoolLimits {
         connections: sockets.servers,
@@ -99,12 +124,18 @@
     });
     let decider = |settings| decider(settings, seed);
     let vitals = Vitals { clock, door, counters: Rc::clone(&counters) };
-    let engine = Engine::new(start, decider, memory, pool, vitals.clone(), ready);
+    let record = CordonRecord::within(folder.as_deref(), &name);
+    let engine = Engine::new(start, decider, memory, pool, vitals.clone(), ready, record);
     info!("{name} serves on {} with {} known servers", listener.local_address()?, known.lines.len());
     let reloads = Reloads { current: config, agent, inbox: lists, counters: Rc::clone(&counters) };
     let beating = heartbeat::beat(vitals);
-    let watching = [spawn_local(beating), spawn_local(watch.run()), spawn_local(reloads.run(hangups))];
-    let mut deciding = spawn_local(engine.run(known, inputs));
+    let mut watching =
+        vec![spawn_local(beating), spawn_local(watch.run()), spawn_local(reloads.run(hangups))];
+    if let Some(listener) = operators {
+        info!("operators call at {}", listener.local_address()?);
+        watching.push(spawn_local(operators::serve(listener, desk.clone())));
+    }
+    let mut deciding = spawn_local(engine.run(known, inputs, ordered));
     let ended = tokio::select! {
         () = clients::serve(listener, context, sockets.clients) => Ok(()),
         // Danger: without its engine a balancer would take requests and answer none.
@@ -112,6 +143,7 @@
     };
     watching.iter().for_each(JoinHandle::abort);
     deciding.abort();
+    drop(desk);
     info!("stopped: {}", counters.to_string().trim_end().replace("\r\n", " "));
     ended
 }
--- a/crates/stairfront-balancer/tests/virtual_network.rs
+++ b/crates/stairfront-balancer/tests/virtual_network.rs
@@ -182,6 +182,8 @@
         let around = Around {
             network: network.clone(),
             listener: network.listen(at(1)),
+            operators: None,
+            folder: None,
             clock: Clock::starting_at(0),
             phase: phases,
             hangups: rings,
--- a/crates/stairfront-baselines/src/lib.rs
+++ b/crates/stairfront-baselines/src/lib.rs
@@ -1,7 +1,7 @@
 //! Baselines: what plain load balancing decides in the decision module's place, on the same sockets, so that only the
 //! decisions differ. They keep the rules on effects and drains, go to the origin on a miss, try again up to the limit,
 //! and know nothing of windows, cold servers, fairness or shed load. For the lab alone; the product has no such choice.
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use rustc_hash::FxHashMap;
 use stairfront_balancer::stages::route::Decide;
@@ -38,6 +38,7 @@
     set: Settings,
     draws: u64,
     members: BTreeMap<CacheId, Member>,
+    cordoned: BTreeSet<CacheId>,
     inflight: FxHashMap<CacheId, u32>,
     open: FxHashMap<RequestId, Open>,
 }
@@ -45,7 +46,7 @@
 impl Baseline {
     pub fn new(choice: Choice, set: Settings, seed: u64) -> Self {
         let (members, inflight, open) = (BTreeMap::new(), FxHashMap::default(), FxHashMap::default());
-        Baseline { choice, set, draws: seed, members, inflight, open }
+        Baseline { choice, set, draws: seed, members, cordoned: BTreeSet::new(), inflight, open }
     }
 
     fn is_origin(&self, member: &Member) -> bool {
@@ -73,7 +74,10 @@
     }
 
     fn choose(&mut self, open: &Open) -> Option<CacheId> {
-        let ready = |member: &&Member| member.state == MemberState::Ready && !self.is_origin(member);
+        let ready = |member: &&Member| {
+            let free = !self.is_origin(member) && !self.cordoned.contains(&member.id);
+            member.state == MemberState::Ready && free
+        };
         let mut caches: Vec<CacheId> = self.members.values().filter(ready).map(|member| member.id).collect();
         if caches.iter().any(|cache| !open.tried.contains(cache)) {
             caches.retain(|cache| !open.tried.contains(cache));
@@ -185,6 +189,8 @@
                     self.give_up(id, actions);
                 }
             }
+            Event::Cordon { cache, on: true } => drop(self.cordoned.insert(cache)),
+            Event::Cordon { cache, on: false } => drop(self.cordoned.remove(&cache)),
             Event::Probed { .. } | Event::Peer { .. } => {}
         }
     }
--- a/crates/stairfront-policy/src/interface.rs
+++ b/crates/stairfront-policy/src/interface.rs
@@ -288,6 +288,11 @@
         from: u32,
         body: &'a [u8],
     },
+    /// Operators take a cache out, whatever the list says of it, or give it back after its restart.
+    Cordon {
+        cache: CacheId,
+        on: bool,
+    },
 }
 
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/stairfront-policy/src/policy.rs
+++ b/crates/stairfront-policy/src/policy.rs
@@ -115,6 +115,7 @@
                 actions.extend(out.map(|_| Action::Cancel { id, attempt }));
             }
             Event::Timer { token } => self.on_give_up(now, RequestId(token as u32), actions),
+            Event::Cordon { cache, on } => self.on_cordon(now, cache, on),
             Event::Probed { .. } | Event::Peer { .. } => {}
         }
     }
@@ -130,7 +131,7 @@
             ListNews::Full(lines) | ListNews::Cached(lines) => {
                 for server in self.servers.values_mut() {
                     if !lines.iter().any(|line| line.id == server.member.id) {
-                        server.member.state = MemberState::Gone;
+                        (server.member.state, server.listed.state) = (MemberState::Gone, MemberState::Gone);
                     }
                 }
                 lines
@@ -159,7 +160,32 @@
         }
     }
 
-    fn learn(&mut self, now: Micros, line: &Member) {
+    /// Danger: discovery knows nothing of cordons. Its news would lift one, or a cache that was restarted
+    /// under it would look warm.
+    fn cordoned(&self, listed: &Member) -> Member {
+        match (self.cordons.get(&listed.id), listed.state) {
+            (Some(Cordon::On), MemberState::Ready) => Member { state: MemberState::Draining, ..*listed },
+            (Some(Cordon::Off(at)), _) => Member { born: listed.born.max(*at), ..*listed },
+            _ => *listed,
+        }
+    }
+
+    fn on_cordon(&mut self, now: Micros, cache: CacheId, on: bool) {
+        let warm_up = self.set.rules.warm_up;
+        self.cordons.retain(|_, cordon| !matches!(cordon, Cordon::Off(at) if now - *at > warm_up));
+        // Danger: the call back may be repeated, and would make a cache cold that has been in use since.
+        if !on && self.cordons.get(&cache) != Some(&Cordon::On) {
+            return;
+        }
+        self.cordons.insert(cache, if on { Cordon::On } else { Cordon::Off(now) });
+        if let Some(listed) = self.servers.get(&cache).map(|s| s.listed) {
+            self.learn(now, &listed);
+            self.rebuild_ring();
+        }
+    }
+
+    fn learn(&mut self, now: Micros, listed: &Member) {
+        let line = &self.cordoned(listed);
         let origin = matches!(self.set.mode, CacheMode::Aside { origin } if origin == line.kind);
         let (mean, step) = (self.mean_keys(line.id), 1.0 / f64::from(self.set.balancers));
         let role = if origin { Role::Origin } else { Role::Cache };
@@ -171,7 +197,7 @@
         if line.born > server.member.born {
             *server = fresh(server.inflight);
         }
-        server.member = *line;
+        (server.member, server.listed) = (*line, *listed);
     }
 
     fn mean_keys(&self, newcomer: CacheId) -> i64 {
--- a/crates/stairfront-policy/src/state.rs
+++ b/crates/stairfront-policy/src/state.rs
@@ -14,9 +14,19 @@
     Origin,
 }
 
+/// What operators have told of a cache, in whatever state discovery lists it.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Cordon {
+    On,
+    /// Taken off at this time, after a restart of which discovery may never tell.
+    Off(Micros),
+}
+
 #[derive(Default)]
 pub struct Server {
+    /// What counts, and what discovery said: they differ under a cordon and after it.
     pub member: Member,
+    pub listed: Member,
     pub role: Role,
     /// Keys that this balancer has placed here, on this process.
     pub keys: i64,
@@ -84,6 +94,7 @@
     pub(crate) set: Settings,
     pub(crate) random: Random,
     pub(crate) servers: BTreeMap<CacheId, Server>,
+    pub(crate) cordons: BTreeMap<CacheId, Cordon>,
     /// Points of the ready caches, ascending: the design's ring.
     pub(crate) ring: Vec<(u64, CacheId)>,
     pub(crate) table: FxHashMap<Key, Placement>,
