--- a/crates/stairfront-balancer/src/caches.rs
+++ b/crates/stairfront-balancer/src/caches.rs
@@ -66,6 +66,8 @@
     hosts: FxHashMap<CacheId, Host>,
     connections: FxHashMap<ConnectionId, Connection>,
     most: usize,
+    /// What `most` is without another process of this balancer.
+    most_alone: usize,
     /// Connections told to close that still hold their socket.
     closing: usize,
     waiting: VecDeque<Job>,
@@ -76,6 +78,8 @@
 
 pub struct PoolLimits {
     pub connections: usize,
+    /// How many of them the old process of this balancer keeps until its end.
+    pub elsewhere: usize,
     pub connect_timeout: Duration,
     /// After this the servers close an idle connection themselves.
     pub servers_idle_limit: Duration,
@@ -90,7 +94,7 @@
         inbox: mpsc::Sender<Input>,
         counters: Rc<Counters>,
     ) -> Self {
-        let PoolLimits { connections: most, connect_timeout, servers_idle_limit, memory } = limits;
+        let PoolLimits { connections: most, elsewhere, connect_timeout, servers_idle_limit, memory } = limits;
         let (largest_value, budget) = (memory.largest_value, Budget::new(memory.replies));
         let idle_limit = servers_idle_limit.mul_f64(IDLE_PART);
         Pool {
@@ -106,7 +110,8 @@
             }),
             hosts: FxHashMap::default(),
             connections: FxHashMap::default(),
-            most,
+            most: most.saturating_sub(elsewhere).max(1),
+            most_alone: most,
             closing: 0,
             waiting: VecDeque::new(),
             new_waits: Vec::new(),
@@ -149,6 +154,20 @@
         self.hosts.remove(&cache);
     }
 
+    /// Leaves half of the connections to a successor; more, if so many are in use, stay here. Returns how many stay.
+    pub fn share(&mut self) -> usize {
+        let in_use = self.connections.values().filter(|c| c.idle_since.is_none()).count();
+        self.most = (self.most_alone / 2).max(in_use).min(self.most_alone - self.most_alone / 4);
+        self.make_room();
+        self.most
+    }
+
+    /// No other process has a part of the connections any more.
+    pub fn take_all(&mut self, ends: &mut impl Extend<AttemptEnd>) {
+        self.most = self.most_alone;
+        self.serve_waiting(ends);
+    }
+
     /// Attempts that began to wait for a socket, and when `give_up_waiting` is due for each.
     pub fn new_waits(&mut self) -> std::vec::Drain<'_, (AttemptId, Instant)> {
         self.new_waits.drain(..)
@@ -215,6 +234,10 @@
                 ends.extend(unsent.and_then(|job| self.dispatch(*job)));
             }
         }
+        self.serve_waiting(ends);
+    }
+
+    fn serve_waiting(&mut self, ends: &mut impl Extend<AttemptEnd>) {
         while self.connections.len() < self.most {
             let Some(job) = self.waiting.pop_front() else { break };
             ends.extend(self.dispatch(job));
@@ -263,10 +286,10 @@
         }
     }
 
-    /// Closes the connections idle longest, one for each attempt that waits for a socket. This walks all of
-    /// them, but only while the limit is reached.
+    /// Closes the connections idle longest, one for each attempt that waits for a socket and for each connection beyond
+    /// the limit. This walks all of them, but only while the limit is reached.
     fn make_room(&mut self) {
-        while self.closing < self.waiting.len() {
+        while self.closing < self.waiting.len() + self.connections.len().saturating_sub(self.most) {
             let idle = self.connections.iter().filter_map(|(id, c)| Some((c.idle_since?, *id, c.cache)));
             let Some((_, id, cache)) = idle.min_by_key(|(since, ..)| *since) else { return };
             if let Some(host) = self.hosts.get_mut(&cache) {
--- a/crates/stairfront-balancer/src/clients.rs
+++ b/crates/stairfront-balancer/src/clients.rs
@@ -2,6 +2,7 @@
 //! of their commands.
 use std::cell::Cell;
 use std::collections::VecDeque;
+use std::io;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,12 +15,13 @@
 use tokio::io::AsyncReadExt;
 use tokio::sync::{mpsc, oneshot, watch, AcquireError, Notify, OwnedSemaphorePermit, Semaphore};
 use tokio::task::{spawn_local, yield_now};
-use tokio_util::codec::{Decoder, Encoder, Framed};
+use tokio_util::codec::{Decoder, Encoder, Framed, FramedParts};
 use tokio_util::task::TaskTracker;
 use tracing::{debug, warn};
 
 use crate::clock::{sleep, sleep_until, timeout, Instant};
 use crate::counters::Counters;
+use crate::handover::{Handed, Link, MOST_UNREAD};
 use crate::limits::MOST_SPARE;
 use crate::messages::{Answer, Arrival, Given, Input};
 use crate::shutdown::Phase;
@@ -60,6 +62,10 @@
     pub phase: watch::Receiver<Phase>,
     /// Rung to have a connection that nobody uses close.
     pub crowd: Crowd,
+    /// Places of client connections that are free.
+    pub places: Arc<Semaphore>,
+    /// The process that takes over, once there is one.
+    pub successor: Rc<Link>,
     /// For commands that are not whole yet.
     pub budget: Rc<Budget>,
     pub next_id: Cell<u32>,
@@ -127,20 +133,29 @@
     _permit: OwnedSemaphorePermit,
 }
 
-/// Accepts until shutdown says that no more come, then waits for all connections to end.
-pub async fn serve<L: Listener>(listener: L, context: Rc<Context>, most: usize) {
-    let (places, spares) = (Arc::new(Semaphore::new(most)), Arc::new(Semaphore::new(MOST_SPARE)));
+/// Accepts until shutdown says that no more come, then waits for all connections to end. `handed` brings connections
+/// from the process that this one takes over from.
+pub async fn serve<L: Listener>(
+    listener: L,
+    context: Rc<Context>,
+    most: usize,
+    mut handed: mpsc::Receiver<Handed>,
+) {
+    let (places, spares) = (Arc::clone(&context.places), Arc::new(Semaphore::new(MOST_SPARE)));
     let tasks = TaskTracker::new();
     let mut phase = context.phase.clone();
     let mut patience = PLACE_WAIT;
-    loop {
+    // A successor accepts all that come from now on.
+    while !phase.borrow().hands_over() {
         let accepted = tokio::select! {
             biased;
-            accepted = listener.accept() => accepted,
+            // They have waited already, and bring their places along.
+            Some(one) = handed.recv() => Came::adopt(one),
+            accepted = listener.accept() => accepted.map(Came::new),
             _ = phase.wait_for(|phase| phase.listener_closed()) => break,
         };
         match accepted {
-            Ok(socket) => {
+            Ok(came) => {
                 context.counters.client_connections_accepted.add();
                 if places.available_permits() < most / FEW_PLACES {
                     context.crowd.ring();
@@ -149,7 +164,7 @@
                 let place = take_place(&places, &spares, &context.crowd, patience).await;
                 let Ok(place) = place else { break };
                 patience = if place.spare { (patience / 2).max(LEAST_PLACE_WAIT) } else { PLACE_WAIT };
-                let connection = run_connection(socket, Rc::clone(&context), place, Arc::clone(&places));
+                let connection = run_connection(came, Rc::clone(&context), place);
                 spawn_local(tasks.track_future(connection));
             }
             Err(problem) => {
@@ -163,6 +178,24 @@
     tasks.wait().await;
 }
 
+/// A connection that has come, and what has been read from it elsewhere.
+struct Came<T> {
+    socket: T,
+    used: bool,
+    unread: Vec<u8>,
+}
+
+impl<T: Stream> Came<T> {
+    fn new(socket: T) -> Self {
+        Came { socket, used: false, unread: Vec::new() }
+    }
+
+    fn adopt(handed: Handed) -> io::Result<Self> {
+        let Handed { socket, used, unread } = handed;
+        Ok(Came { socket: T::adopt(socket)?, used, unread })
+    }
+}
+
 /// Danger: with all places taken a new client would wait for ever behind connections that nobody uses. One of those
 /// makes room. With all of them in use the new one gets a spare place, where its request is turned away: unread it would wait past its time and be lost.
 async fn take_place(
@@ -245,7 +278,6 @@
     /// Since when a command has been known to be incomplete.
     half_since: Option<Instant>,
     place: Place,
-    places: Arc<Semaphore>,
     /// Until when a spare connection may wait for its next command.
     spare_until: Option<Instant>,
 }
@@ -275,12 +307,18 @@
     Said,
     /// The client has left, or cannot be written to.
     Gone,
+    /// Not at all: the process that takes over goes on with it.
+    HandedOver,
 }
 
-async fn run_connection<T: Stream>(socket: T, context: Rc<Context>, place: Place, places: Arc<Semaphore>) {
+async fn run_connection<T: Stream>(came: Came<T>, context: Rc<Context>, place: Place) {
     context.counters.client_connections_open.add();
-    let mut wire = Framed::with_capacity(socket, ClientCodec::new(&context.budget), READ_BUFFER);
-    *wire.write_buffer_mut() = BytesMut::new();
+    let Came { socket, used, unread } = came;
+    let mut parts = FramedParts::new::<Answer>(socket, ClientCodec::new(&context.budget));
+    parts.read_buf = BytesMut::with_capacity(READ_BUFFER.max(unread.len()));
+    parts.read_buf.extend_from_slice(&unread);
+    parts.write_buf = BytesMut::new();
+    let wire = Framed::from_parts(parts);
     let spare_until = place.spare.then(|| Instant::now() + SPARE_LIMIT);
     let mut connection = Connection {
         wire,
@@ -288,31 +326,50 @@
         owed: VecDeque::new(),
         last: None,
         leaving: None,
-        standing: Standing::New,
+        standing: if used { Standing::Used } else { Standing::New },
         quiet_since: Instant::now(),
         half_since: None,
         place,
-        places,
         spare_until,
     };
-    match connection.run().await {
+    let end = connection.run().await;
+    match end {
         // Danger: where a request crosses the close, a FIN before it would read as the end of an answer. A plain
         // close resets the connection then, which tells the client that its request was not read.
         End::Closed => {}
         End::Said => connection.linger().await,
         End::Gone => connection.abandon().await,
+        End::HandedOver => {}
     }
     // The socket goes first, then its place.
-    let Connection { wire, place, .. } = connection;
-    drop(wire);
+    let Connection { wire, place, standing, .. } = connection;
+    match end {
+        End::HandedOver => hand_over(wire, matches!(standing, Standing::Used), &context).await,
+        _ => drop(wire),
+    }
     context.counters.client_connections_open.sub();
     drop(place);
 }
 
+/// Gives a connection to the process that takes over. What was read of a command that is not whole goes along.
+async fn hand_over<T: Stream>(wire: Framed<T, ClientCodec>, used: bool, context: &Context) {
+    let FramedParts { io, read_buf, .. } = wire.into_parts();
+    let handed = async {
+        let handed = Handed { socket: io.release()?, used, unread: read_buf.to_vec() };
+        context.successor.hand_over(handed).await
+    };
+    match handed.await {
+        Ok(()) => context.counters.client_connections_handed.add(),
+        // There is nobody else to serve it: the client sees a close between two requests.
+        Err(problem) => warn!("a connection could not be handed over: {problem}"),
+    }
+}
+
 impl<T: Stream> Connection<T> {
     async fn run(&mut self) -> End {
         let context = Rc::clone(&self.context);
         let (mut phase, mut last) = (context.phase.clone(), context.phase.clone());
+        let mut handover = context.phase.clone();
         loop {
             if let Err(end) = self.take_what_is_there().await {
                 // What is ready was owed before the end came.
@@ -327,7 +384,13 @@
                 return end;
             }
             let (used, spare) = (matches!(self.standing, Standing::Used), self.spare_until.is_some());
-            let reading = self.last.is_none() && self.owed.len() < MOST_OPEN;
+            let handing = phase.borrow().hands_over();
+            let movable = self.wire.read_buffer().len() <= MOST_UNREAD;
+            if handing && idle && movable {
+                return End::HandedOver;
+            }
+            // What has not been read the successor reads; of a command that is too large to move, the rest.
+            let reading = self.last.is_none() && self.owed.len() < MOST_OPEN && !(handing && movable);
             // A command that has begun to come is not cut off, up to the end of its time.
             let whole = self.wire.read_buffer().is_empty();
             let leaving = idle && (self.leaving == Some(Leaving::Cut) || self.leaving.is_some() && whole);
@@ -362,6 +425,7 @@
                     self.leaving = Some(Leaving::Cut);
                 }
                 () = sleep_until(quiet_until), if staying => self.out_of_time(),
+                _ = handover.wait_for(|phase| phase.hands_over()), if !handing => {}
                 // Between requests a connection is closed when the balancer stops; what came before is read first.
                 // Danger: a new one whose request is on its way would be closed in its face, so it has a while.
                 _ = phase.wait_for(|phase| phase.closes_idle(used)), if staying => self.leaving = Some(Leaving::Whole),
@@ -406,7 +470,7 @@
     /// A spare connection takes a place of its own as soon as one is free.
     fn is_spare(&mut self) -> bool {
         if self.place.spare {
-            if let Ok(permit) = Arc::clone(&self.places).try_acquire_owned() {
+            if let Ok(permit) = Arc::clone(&self.context.places).try_acquire_owned() {
                 self.place = Place { spare: false, _permit: permit };
                 self.spare_until = None;
             }
@@ -438,7 +502,8 @@
     /// Takes the commands in that have come already, so that their answers can go out together: a write for each is what
     /// a balancer that is behind can least afford.
     async fn take_what_is_there(&mut self) -> Result<(), End> {
-        while !self.owed.is_empty() && self.last.is_none() && self.owed.len() < MOST_OPEN {
+        let handing = self.context.phase.borrow().hands_over();
+        while !handing && !self.owed.is_empty() && self.last.is_none() && self.owed.len() < MOST_OPEN {
             let Some(command) = self.wire.next().now_or_never() else { return Ok(()) };
             self.hear(command).await?;
         }
--- a/crates/stairfront-balancer/src/counters.rs
+++ b/crates/stairfront-balancer/src/counters.rs
@@ -60,6 +60,8 @@
     decision_panics,
     client_connections_accepted,
     client_connections_open,
+    /// Handed over to the process that took over from this one.
+    client_connections_handed,
     /// Closed since they brought no whole command, or none for long.
     client_connections_idled,
     server_connections_opened,
--- a/crates/stairfront-balancer/src/engine.rs
+++ b/crates/stairfront-balancer/src/engine.rs
@@ -6,14 +6,14 @@
 use std::rc::Rc;
 
 use rustc_hash::FxHashMap;
-use stairfront_operations::Roll;
+use stairfront_operations::{Done, Order, Roll, Word};
 use stairfront_overload::Door;
 use stairfront_policy::interface::{
-    Action, CacheId, CacheMode, Event, ListNews, Load, Member, MemberState, Micros, Outcome, RequestId,
-    Settings, MS,
+    Action, CacheId, CacheMode, Event, Knowledge, ListNews, Load, Member, MemberState, Micros, Outcome,
+    RequestId, Settings, MS,
 };
 use stairfront_settings::Start;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio_util::time::DelayQueue;
 use tracing::{debug, info, warn};
 
@@ -21,10 +21,11 @@
 use crate::clock::{duration, Clock};
 use crate::cordon_record::CordonRecord;
 use crate::counters::Counters;
+use crate::handover::Snapshot;
 use crate::heartbeat::Vitals;
 use crate::limits::Memory;
 use crate::messages::{Answer, Arrival, AttemptEnd, AttemptId, Input, Job};
-use crate::orders::{Done, Order, Ordered};
+use crate::orders::Ordered;
 use crate::server_list::{cache_id, Line, ServerList};
 use crate::stages::admit::{NotAdmitted, Table};
 use crate::stages::route::{self, Decide};
@@ -97,19 +98,24 @@
     pub async fn run(
         mut self,
         known: ServerList,
+        inherited: Option<Knowledge>,
         mut inputs: mpsc::Receiver<Input>,
         mut orders: mpsc::Receiver<Ordered>,
     ) {
         // Before the list is known, so that nothing ever goes to a cache host that was taken out.
         self.restore_cordons();
         self.learn(known, true);
+        if let Some(known) = inherited {
+            info!("took over what the running process knew");
+            self.tell(Event::Inherited(&known));
+        }
         loop {
             tokio::select! {
                 biased;
                 // Ahead of all requests that wait: an answer is owed to operators in a second under any load.
-                Some(Ordered { order, done }) = orders.recv() => {
+                Some(Ordered { order, word, done }) = orders.recv() => {
                     // A caller that has left finds it done when it asks again.
-                    let _ = done.send(self.carry_out_order(&order));
+                    let _ = done.send(self.carry_out_order(&order, word));
                     self.settle();
                 }
                 due = poll_fn(|cx| self.timers.poll_expired(cx)), if !self.timers.is_empty() => {
@@ -132,6 +138,11 @@
                 self.arrived(arrival);
             }
             Input::ClientGone(id) => self.client_gone(id),
+            Input::Snapshot(to) => self.snapshot(to),
+            Input::TakeAll => {
+                self.pool.take_all(&mut self.ends);
+                self.time_waits();
+            }
             Input::Pool(news) => {
                 self.pool.hear(news, &mut self.ends);
                 self.time_waits();
@@ -144,6 +155,14 @@
         self.settle();
     }
 
+    fn snapshot(&mut self, to: oneshot::Sender<Snapshot>) {
+        let known = self.policy.knowledge(self.clock.now());
+        // Numbers and lists of them alone, which cannot fail; without it the successor learns by itself.
+        let knowledge = serde_json::to_vec(&known).unwrap_or_default();
+        // A successor that has left meanwhile is told of by its post.
+        let _ = to.send(Snapshot { knowledge, servers: self.pool.share() });
+    }
+
     fn restore_cordons(&mut self) {
         for name in self.record.read() {
             let cache = cache_id(&name);
@@ -154,12 +173,15 @@
         }
     }
 
-    fn carry_out_order(&mut self, order: &Order) -> Done {
+    fn carry_out_order(&mut self, order: &Order, word: Word) -> Done {
         let (name, on) = match order {
             Order::Cordon(name) => (name, true),
             Order::Uncordon(name) => (name, false),
         };
         let cache = cache_id(name);
+        if word == Word::Vouched {
+            self.roll.listed(cache);
+        }
         let changed = if on { self.roll.cordon(cache, name) } else { self.roll.uncordon(cache) };
         let Ok(changed) = changed else { return Done::Unknown };
         if changed {
--- /dev/null
+++ b/crates/stairfront-balancer/src/handover.rs
@@ -0,0 +1,317 @@
+//! Upgrades: a second process of the same balancer starts beside the running one and takes over from it, the listener
+//! for clients first, their connections when the old one is told to stop. Until the old one's end the two are one
+//! balancer: what operators ask of either holds at both, and they share one limit of descriptors.
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::os::fd::{AsFd, OwnedFd};
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rustc_hash::FxHashMap;
+use stairfront_handover::{Message, Parts, LARGEST_PART};
+use stairfront_operations::{Done, Order, Word};
+use stairfront_policy::interface::Knowledge;
+use tokio::sync::{mpsc, oneshot, watch, Semaphore};
+use tracing::{debug, info, warn};
+
+use crate::clock::{sleep, timeout};
+use crate::messages::Input;
+use crate::orders::Ordered;
+use crate::post::{Letterbox, Post};
+use crate::shutdown::Phase;
+
+/// What the old process may take to answer its successor, which has 6 s in all to say that it can serve.
+const ANSWER_LIMIT: Duration = Duration::from_millis(1500);
+/// An order is owed an answer in a second; the other process has this part of it.
+const RELAY_LIMIT: Duration = Duration::from_millis(300);
+/// Pause after a letterbox that could not be opened or heard.
+const PAUSE: Duration = Duration::from_millis(500);
+/// Most bytes read ahead on a connection that can be handed over.
+pub const MOST_UNREAD: usize = LARGEST_PART;
+/// Connections handed over that wait for their task.
+pub const MOST_HANDED: usize = 64;
+
+/// A client's connection from the old process.
+pub struct Handed {
+    pub socket: OwnedFd,
+    pub used: bool,
+    pub unread: Vec<u8>,
+}
+
+/// What the engine has to give to a successor.
+pub struct Snapshot {
+    pub knowledge: Vec<u8>,
+    /// Connections to servers that this process keeps.
+    pub servers: usize,
+}
+
+/// What a new process got from the old one.
+pub struct Predecessor {
+    post: Post,
+    /// Places of clients and connections to servers that are the old one's until its end.
+    pub clients: usize,
+    pub servers: usize,
+    pub knowledge: Option<Knowledge>,
+}
+
+/// Asks the process that serves now for its listener and what it knows; none where there is no such process, or it is
+/// silent, of another version, or listens elsewhere. Then the new one starts as if it were the first.
+pub async fn ask(path: &Path, name: &str, listen: SocketAddr) -> Option<(TcpListener, Predecessor)> {
+    // Nobody there: the usual start.
+    let post = Post::connect(path).ok()?;
+    match timeout(ANSWER_LIMIT, hear_out(post, name, listen)).await {
+        Ok(Ok(heard)) => Some(heard),
+        Ok(Err(problem)) => {
+            warn!("the running process hands nothing over: {problem}");
+            None
+        }
+        Err(_) => {
+            warn!("the running process does not answer; starting without it");
+            None
+        }
+    }
+}
+
+async fn hear_out(post: Post, name: &str, listen: SocketAddr) -> io::Result<(TcpListener, Predecessor)> {
+    let odd = |what: &str| io::Error::other(what.to_string());
+    post.send(&Message::Hello { name: name.to_string() }, None).await?;
+    let (clients, servers, listener) = match post.receive().await? {
+        Some((Message::Welcome { clients, servers }, Some(socket))) => {
+            (clients, servers, TcpListener::from(socket))
+        }
+        Some((message, _)) => {
+            return Err(odd(&format!("a welcome with a listener was due, not {message:?}")))
+        }
+        None => return Err(odd("it has ended")),
+    };
+    if listener.local_addr()? != listen {
+        return Err(odd("it listens at another address"));
+    }
+    listener.set_nonblocking(true)?;
+    let mut parts = Parts::default();
+    let knowledge = loop {
+        match post.receive().await? {
+            Some((Message::Knowledge { part, last }, _)) => {
+                if let Some(whole) = parts.take(&part, last).map_err(io::Error::other)? {
+                    break whole;
+                }
+            }
+            Some((message, _)) => return Err(odd(&format!("knowledge was due, not {message:?}"))),
+            None => return Err(odd("it has ended")),
+        }
+    };
+    let knowledge = serde_json::from_slice(&knowledge)
+        .map_err(|problem| warn!("what the running process knows is not readable here: {problem}"))
+        .ok();
+    Ok((listener, Predecessor { post, clients, servers, knowledge }))
+}
+
+/// One process's end of a post, while there is one.
+#[derive(Default)]
+pub struct Link {
+    post: RefCell<Option<Rc<Post>>>,
+    /// Orders that the other process has not answered, by number.
+    waiting: RefCell<FxHashMap<u32, oneshot::Sender<Done>>>,
+    next: Cell<u32>,
+}
+
+impl Link {
+    pub fn is_up(&self) -> bool {
+        self.post.borrow().is_some()
+    }
+
+    fn post(&self) -> Option<Rc<Post>> {
+        self.post.borrow().clone()
+    }
+
+    /// Has the other process carry an order out too; none where there is no other. One that does not answer in time has
+    /// not done it as far as anyone knows.
+    pub async fn relay(&self, order: &Order, word: Word) -> Option<Result<Done, ()>> {
+        let post = self.post()?;
+        let number = self.next.replace(self.next.get().wrapping_add(1));
+        let (done, is_done) = oneshot::channel();
+        self.waiting.borrow_mut().insert(number, done);
+        let asked = async {
+            post.send(&Message::Order { number, order: order.clone(), word }, None).await.map_err(|_| ())?;
+            is_done.await.map_err(|_| ())
+        };
+        let answer = timeout(RELAY_LIMIT, asked).await;
+        self.waiting.borrow_mut().remove(&number);
+        // Its end meanwhile leaves this process alone, which has done it.
+        if !self.is_up() {
+            return None;
+        }
+        Some(answer.unwrap_or(Err(())))
+    }
+
+    /// Hands a client's connection over. Danger: the descriptor here is closed only after the other side has its own, or
+    /// the connection would end in the client's face.
+    pub async fn hand_over(&self, handed: Handed) -> io::Result<()> {
+        let Handed { socket, used, unread } = handed;
+        let post = self.post().ok_or(io::ErrorKind::NotConnected)?;
+        post.send(&Message::Connection { used, unread }, Some(socket.as_fd())).await
+    }
+
+    /// Hears the other process until its end. `handed` takes the connections that come.
+    async fn keep(&self, post: Post, orders: &mpsc::Sender<Ordered>, handed: Option<&mpsc::Sender<Handed>>) {
+        let post = Rc::new(post);
+        self.post.replace(Some(Rc::clone(&post)));
+        loop {
+            let (message, beside) = match post.receive().await {
+                Ok(Some(received)) => received,
+                Ok(None) => break,
+                Err(problem) => {
+                    warn!("the other process says what cannot be read: {problem}");
+                    break;
+                }
+            };
+            match (message, beside, handed) {
+                (Message::Order { number, order, word }, ..) => {
+                    let (done, is_done) = oneshot::channel();
+                    if orders.send(Ordered { order, word, done }).await.is_err() {
+                        break;
+                    }
+                    let Ok(done) = is_done.await else { break };
+                    if post.send(&Message::Done { number, done }, None).await.is_err() {
+                        break;
+                    }
+                }
+                (Message::Done { number, done }, ..) => {
+                    if let Some(waiting) = self.waiting.borrow_mut().remove(&number) {
+                        // Who waited has given up meanwhile.
+                        let _ = waiting.send(done);
+                    }
+                }
+                (Message::Connection { used, unread }, Some(socket), Some(handed)) => {
+                    if handed.send(Handed { socket, used, unread }).await.is_err() {
+                        break;
+                    }
+                }
+                (message, ..) => debug!("not expected of the other process: {message:?}"),
+            }
+        }
+        self.post.replace(None);
+        self.waiting.borrow_mut().clear();
+    }
+}
+
+/// The new process's side: hears the old one until its end, then takes what it had kept.
+pub struct Succession {
+    pub predecessor: Predecessor,
+    pub link: Rc<Link>,
+    pub orders: mpsc::Sender<Ordered>,
+    pub handed: mpsc::Sender<Handed>,
+    pub inbox: mpsc::Sender<Input>,
+    pub places: Arc<Semaphore>,
+}
+
+impl Succession {
+    pub async fn run(self) {
+        let Succession { predecessor, link, orders, handed, inbox, places } = self;
+        let Predecessor { post, clients, .. } = predecessor;
+        // Each connection brings its place along; what is left comes at the end.
+        let (passed_on, mut passing) = mpsc::channel::<Handed>(1);
+        let (kept, own_places) = (Cell::new(clients), Arc::clone(&places));
+        let passing = async {
+            while let Some(one) = passing.recv().await {
+                if let Some(left) = kept.get().checked_sub(1) {
+                    kept.set(left);
+                    own_places.add_permits(1);
+                }
+                if handed.send(one).await.is_err() {
+                    return;
+                }
+            }
+        };
+        let keeping = async {
+            link.keep(post, &orders, Some(&passed_on)).await;
+            drop(passed_on);
+        };
+        tokio::join!(keeping, passing);
+        places.add_permits(kept.get());
+        info!("the old process has ended; all descriptors are this one's");
+        // The engine is gone only when the whole balancer ends.
+        let _ = inbox.send(Input::TakeAll).await;
+    }
+}
+
+/// The old process's side: waits for successors and welcomes them, one at a time.
+pub struct Attendant {
+    pub path: PathBuf,
+    pub name: String,
+    /// Another descriptor of the listener for clients.
+    pub listener: OwnedFd,
+    pub link: Rc<Link>,
+    pub orders: mpsc::Sender<Ordered>,
+    pub inbox: mpsc::Sender<Input>,
+    pub places: Arc<Semaphore>,
+    pub most_clients: usize,
+    pub ready: watch::Receiver<bool>,
+    pub phase: watch::Receiver<Phase>,
+}
+
+impl Attendant {
+    pub async fn run(mut self) {
+        // Danger: a process that can't serve yet would take the path from one that can.
+        if self.ready.wait_for(|ready| *ready).await.is_err() {
+            return;
+        }
+        let mut phase = self.phase.clone();
+        tokio::select! {
+            () = self.attend() => {}
+            // Told to stop without a successor: the listener must close with its other descriptor.
+            _ = phase.wait_for(|phase| *phase == Phase::Draining) => {}
+        }
+    }
+
+    async fn attend(&self) {
+        loop {
+            if let Err(problem) = self.attend_one().await {
+                warn!("no successor can be welcomed: {problem}");
+                sleep(PAUSE).await;
+            }
+        }
+    }
+
+    async fn attend_one(&self) -> io::Result<()> {
+        let post = Letterbox::open(&self.path)?.accept().await?;
+        let welcomed = timeout(ANSWER_LIMIT, self.welcome(&post)).await;
+        if let Err(problem) = welcomed.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into())) {
+            self.take_all().await;
+            return Err(problem);
+        }
+        info!("a successor has started and has the listener");
+        self.link.keep(post, &self.orders, None).await;
+        warn!("the successor has ended; all descriptors are this one's again");
+        self.take_all().await;
+        Ok(())
+    }
+
+    async fn take_all(&self) {
+        let _ = self.inbox.send(Input::TakeAll).await;
+    }
+
+    async fn welcome(&self, post: &Post) -> io::Result<()> {
+        match post.receive().await? {
+            Some((Message::Hello { name }, _)) if name == self.name => {}
+            Some((message, _)) => return Err(io::Error::other(format!("not a successor: {message:?}"))),
+            None => return Err(io::ErrorKind::UnexpectedEof.into()),
+        }
+        let (snapshot, taken) = oneshot::channel();
+        let gone = |_| io::Error::other("the engine has ended");
+        self.inbox
+            .send(Input::Snapshot(snapshot))
+            .await
+            .map_err(|_| io::Error::other("the engine has ended"))?;
+        let Snapshot { knowledge, servers } = taken.await.map_err(gone)?;
+        let clients = self.most_clients.saturating_sub(self.places.available_permits());
+        post.send(&Message::Welcome { clients, servers }, Some(self.listener.as_fd())).await?;
+        for message in Parts::of(&knowledge) {
+            post.send(&message, None).await?;
+        }
+        Ok(())
+    }
+}
--- a/crates/stairfront-balancer/src/messages.rs
+++ b/crates/stairfront-balancer/src/messages.rs
@@ -6,6 +6,7 @@
 use tokio::sync::{oneshot, OwnedSemaphorePermit};
 
 use crate::clock::Instant;
+use crate::handover::Snapshot;
 use crate::server_list::ServerList;
 
 /// The final answer to one request, or an immediate one to a command that needs no decision.
@@ -166,10 +167,13 @@
 }
 
 /// What the engine is told.
-#[derive(Debug)]
 pub enum Input {
     Arrived(Arrival),
     ClientGone(RequestId),
     Pool(PoolNews),
     List(ServerList),
+    /// A successor asks what this process knows; from then on it keeps a part of the descriptors alone.
+    Snapshot(oneshot::Sender<Snapshot>),
+    /// There is no other process of this balancer any more.
+    TakeAll,
 }
--- a/crates/stairfront-balancer/src/operators.rs
+++ b/crates/stairfront-balancer/src/operators.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
-use stairfront_operations::{Call, CallFault};
+use stairfront_operations::{Call, CallFault, Done, Order, Word};
 use stairfront_wire::budget::Budget;
 use stairfront_wire::http::HttpError;
 use stairfront_wire::http_server::{HttpServerCodec, Received, Reply};
@@ -19,7 +19,8 @@
 use tracing::{info, warn};
 
 use crate::clock::{sleep, timeout};
-use crate::orders::{Done, Order, Ordered};
+use crate::handover::Link;
+use crate::orders::Ordered;
 use crate::transport::{Listener, Stream};
 
 /// Callers that are spoken to at once; their descriptors are set aside (`limits.rs`).
@@ -38,6 +39,8 @@
 #[derive(Clone)]
 pub struct Desk {
     pub orders: mpsc::Sender<Ordered>,
+    /// Other processes of this balancer, during an upgrade.
+    pub links: [Rc<Link>; 2],
     /// This process can serve.
     pub ready: watch::Receiver<bool>,
 }
@@ -117,12 +120,7 @@
 
 /// Danger: a yes before the engine has it would have operators restart a cache host that still gets requests.
 async fn order(order: Order, desk: &Desk) -> Reply {
-    let (done, is_done) = oneshot::channel();
-    let told = async {
-        desk.orders.send(Ordered { order: order.clone(), done }).await.ok()?;
-        is_done.await.ok()
-    };
-    match timeout(ORDER_LIMIT, told).await.ok().flatten() {
+    match timeout(ORDER_LIMIT, everywhere(&order, desk)).await.ok().flatten() {
         Some(Done::Yes) => {
             info!("operators: {order:?}: yes");
             yes("done\n")
@@ -133,6 +131,29 @@
     }
 }
 
+/// Has this process and, during an upgrade, the other one carry an order out; none if one of them does not answer.
+async fn everywhere(order: &Order, desk: &Desk) -> Option<Done> {
+    let own = here(order, Word::Operators, desk).await?;
+    let word = if own == Done::Unknown { Word::Operators } else { Word::Vouched };
+    let mut all = own;
+    for link in &desk.links {
+        if let Some(answer) = link.relay(order, word).await {
+            all = all.and(answer.ok()?);
+        }
+    }
+    // The other one knows the name.
+    if own == Done::Unknown && all != Done::Unknown {
+        here(order, Word::Vouched, desk).await?;
+    }
+    Some(all)
+}
+
+async fn here(order: &Order, word: Word, desk: &Desk) -> Option<Done> {
+    let (done, is_done) = oneshot::channel();
+    desk.orders.send(Ordered { order: order.clone(), word, done }).await.ok()?;
+    is_done.await.ok()
+}
+
 fn yes(text: &'static str) -> Reply {
     reply(200, "OK", Bytes::from_static(text.as_bytes()))
 }
--- a/crates/stairfront-balancer/src/server.rs
+++ b/crates/stairfront-balancer/src/server.rs
@@ -3,11 +3,12 @@
 use std::io;
 use std::path::PathBuf;
 use std::rc::Rc;
+use std::sync::Arc;
 
 use stairfront_policy::interface::Settings;
 use stairfront_wire::budget::Budget;
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, watch, Semaphore};
 use tokio::task::{spawn_local, JoinHandle, LocalSet};
 use tracing::info;
 
@@ -19,14 +20,16 @@
 use crate::counters::Counters;
 use crate::discovery::Watch;
 use crate::engine::Engine;
+use crate::handover::{self, Attendant, Link, Predecessor, Succession, MOST_HANDED};
 use crate::heartbeat::{self, Vitals};
 use crate::operators::{self, Desk};
 use crate::orders;
+use crate::post;
 use crate::reload::{self, Reloads};
 use crate::shutdown::{watch_signals, Phase};
 use crate::stages::route::Decide;
 use crate::stages::take_in::Intake;
-use crate::transport::{Listener, Network, Tcp};
+use crate::transport::{self, Listener, Network, Tcp};
 
 /// Messages that may wait for the engine; senders wait beyond that. Each is handled in some microseconds.
 const INBOX: usize = 1024;
@@ -37,23 +40,38 @@
     runtime.block_on(LocalSet::new().run_until(async {
         // Caught before the first connection can come, and so before the first +PONG.
         let hangups = reload::catch_hangups()?;
-        let listener = TcpListener::bind(config.listen).await?;
-        let (phase, phases) = watch::channel(Phase::Running);
-        let (rung, rings) = mpsc::channel(1);
-        let (stopping, reloading) =
-            (spawn_local(watch_signals(phase)), spawn_local(reload::pass_on(hangups, rung)));
+        let folder = std::env::var_os("TMPDIR").map(PathBuf::from);
+        let post = folder.as_deref().map(|folder| post::path(folder, &config.name));
+        let inherited = match &post {
+            Some(path) => handover::ask(path, &config.name, config.listen).await,
+            None => None,
+        };
+        let (listener, predecessor) = match inherited {
+            Some((listener, predecessor)) => (TcpListener::from_std(listener)?, Some(predecessor)),
+            None => (transport::listen(config.listen)?, None),
+        };
         let operators = match config.operators {
-            Some(address) => Some(TcpListener::bind(address).await.map_err(|problem| {
+            Some(address) => Some(transport::listen(address).map_err(|problem| {
                 io::Error::new(problem.kind(), format!("ops: cannot listen on {address}: {problem}"))
             })?),
             None => None,
         };
-        let folder = std::env::var_os("TMPDIR").map(PathBuf::from);
+        let (phase, phases) = watch::channel(Phase::Running);
+        let (rung, rings) = mpsc::channel(1);
+        let successor = Rc::new(Link::default());
+        let has_successor = {
+            let successor = Rc::clone(&successor);
+            move || successor.is_up()
+        };
+        let (stopping, reloading) =
+            (spawn_local(watch_signals(phase, has_successor)), spawn_local(reload::pass_on(hangups, rung)));
         let around = Around {
             network: Tcp,
             listener,
             operators,
             folder,
+            predecessor,
+            successor,
             clock: Clock::start(),
             phase: phases,
             hangups: rings,
@@ -73,6 +91,9 @@
     pub operators: Option<L>,
     /// For what is to outlive this process; shared with the one that follows it.
     pub folder: Option<PathBuf>,
+    /// The process that this one takes over from, and the one that takes over from it.
+    pub predecessor: Option<Predecessor>,
+    pub successor: Rc<Link>,
     pub clock: Clock,
     pub phase: watch::Receiver<Phase>,
     pub hangups: mpsc::Receiver<()>,
@@ -85,17 +106,20 @@
     decider: impl FnOnce(Settings, u64) -> D,
     around: Around<N, L>,
 ) -> io::Result<()> {
-    let Around { network, listener, operators, folder, clock, phase, hangups } = around;
+    let Around { network, listener, operators, folder, predecessor, successor, clock, phase, hangups } =
+        around;
     let (known, start) = (std::mem::take(&mut config.known), config.start.clone());
     let (name, seed, sockets, memory) = (config.name.clone(), config.seed, config.sockets, config.memory);
     let (agent, agents) = watch::channel(config.discovery);
     let (inbox, inputs) = mpsc::channel(INBOX);
     let (ready, is_ready) = watch::channel(false);
     let (orders, ordered) = mpsc::channel(orders::MOST_WAITING);
-    let desk = Desk { orders, ready: is_ready.clone() };
     let counters = Rc::new(Counters::default());
+    let (clients_elsewhere, servers_elsewhere) =
+        predecessor.as_ref().map_or((0, 0), |old| (old.clients, old.servers));
     let limits = PoolLimits {
         connections: sockets.servers,
+        elsewhere: servers_elsewhere,
         connect_timeout: duration(start.settings.limits.connect_timeout),
         servers_idle_limit: duration(start.host.idle),
         memory,
@@ -106,19 +130,22 @@
         Watch::new(network, agents, start.names.clone(), known.index, inbox.clone(), Rc::clone(&counters));
     let door = heartbeat::door(&start.settings, clock, seed);
     let lists = inbox.clone();
+    let places = Arc::new(Semaphore::new(sockets.clients.saturating_sub(clients_elsewhere)));
     let context = Rc::new(Context {
-        inbox,
+        inbox: inbox.clone(),
         intake: Intake {
             names: start.names.clone(),
             classes: start.settings.classes.clone(),
             clock,
             counters: Rc::clone(&counters),
             door: Rc::clone(&door),
-            ready: is_ready,
+            ready: is_ready.clone(),
         },
         counters: Rc::clone(&counters),
-        phase,
+        phase: phase.clone(),
         crowd: Crowd::default(),
+        places: Arc::clone(&places),
+        successor: Rc::clone(&successor),
         budget: Budget::new(memory.commands),
         next_id: Cell::new(0),
     });
@@ -131,19 +158,45 @@
     let beating = heartbeat::beat(vitals);
     let mut watching =
         vec![spawn_local(beating), spawn_local(watch.run()), spawn_local(reloads.run(hangups))];
+    let before = Rc::new(Link::default());
     if let Some(listener) = operators {
         info!("operators call at {}", listener.local_address()?);
-        watching.push(spawn_local(operators::serve(listener, desk.clone())));
+        let links = [Rc::clone(&before), Rc::clone(&successor)];
+        let desk = Desk { orders: orders.clone(), links, ready: is_ready.clone() };
+        watching.push(spawn_local(operators::serve(listener, desk)));
+    }
+    if let Some(folder) = &folder {
+        let attendant = Attendant {
+            path: post::path(folder, &name),
+            name,
+            listener: listener.duplicate()?,
+            link: successor,
+            orders: orders.clone(),
+            inbox: inbox.clone(),
+            places: Arc::clone(&places),
+            most_clients: sockets.clients,
+            ready: is_ready,
+            phase,
+        };
+        watching.push(spawn_local(attendant.run()));
+    }
+    let (handed, connections) = mpsc::channel(MOST_HANDED);
+    let mut inherited = None;
+    if let Some(mut predecessor) = predecessor {
+        inherited = predecessor.knowledge.take();
+        let orders = orders.clone();
+        let succession = Succession { predecessor, link: before, orders, handed, inbox, places };
+        watching.push(spawn_local(succession.run()));
     }
-    let mut deciding = spawn_local(engine.run(known, inputs, ordered));
+    let mut deciding = spawn_local(engine.run(known, inherited, inputs, ordered));
     let ended = tokio::select! {
-        () = clients::serve(listener, context, sockets.clients) => Ok(()),
+        () = clients::serve(listener, context, sockets.clients, connections) => Ok(()),
         // Danger: without its engine a balancer would take requests and answer none.
         ended = &mut deciding => Err(io::Error::other(format!("the engine ended: {ended:?}"))),
     };
     watching.iter().for_each(JoinHandle::abort);
     deciding.abort();
-    drop(desk);
+    drop(orders);
     info!("stopped: {}", counters.to_string().trim_end().replace("\r\n", " "));
     ended
 }
--- a/crates/stairfront-balancer/src/shutdown.rs
+++ b/crates/stairfront-balancer/src/shutdown.rs
@@ -22,17 +22,23 @@
     Closing,
     /// Nothing is read any more; what is open is answered.
     Last,
+    /// A successor has the listener and gets the connections, each as soon as no request on it is open.
+    HandingOver,
 }
 
 impl Phase {
     pub fn listener_closed(self) -> bool {
-        matches!(self, Phase::Closing | Phase::Last)
+        matches!(self, Phase::Closing | Phase::Last | Phase::HandingOver)
+    }
+
+    pub fn hands_over(self) -> bool {
+        self == Phase::HandingOver
     }
 
     /// Whether a client connection between requests is closed; `used` if it has carried one before.
     pub fn closes_idle(self, used: bool) -> bool {
         match self {
-            Phase::Running => false,
+            Phase::Running | Phase::HandingOver => false,
             Phase::Draining => used,
             Phase::Closing | Phase::Last => true,
         }
@@ -40,13 +46,20 @@
 }
 
 /// Moves the phase on at SIGTERM (or SIGINT, for a person at a terminal).
-pub async fn watch_signals(phase: watch::Sender<Phase>) -> io::Result<()> {
+/// `has_successor` tells whether another process has the listener.
+pub async fn watch_signals(phase: watch::Sender<Phase>, has_successor: impl Fn() -> bool) -> io::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
     }
+    if has_successor() {
+        info!("told to stop: handing connections over between requests");
+        phase.send_replace(Phase::HandingOver);
+        phase.closed().await;
+        return Ok(());
+    }
     info!("told to stop: closing connections between requests");
     phase.send_replace(Phase::Draining);
     sleep(STILL_COMING).await;
--- a/crates/stairfront-balancer/src/stages/route.rs
+++ b/crates/stairfront-balancer/src/stages/route.rs
@@ -1,19 +1,27 @@
 //! Third stage: the decision module is told and asked.
 use std::panic::{catch_unwind, AssertUnwindSafe};
 
-use stairfront_policy::interface::{Action, Event, Micros};
+use stairfront_policy::interface::{Action, Event, Knowledge, Micros};
 use stairfront_policy::Policy;
 use tracing::error;
 
 /// What decides which server, whether to retry and what is refused: events and a time in, actions out.
 pub trait Decide: 'static {
     fn handle(&mut self, now: Micros, event: Event<'_>, actions: &mut Vec<Action>);
+    /// What a process that takes over from this one should know; nothing by default.
+    fn knowledge(&self, _now: Micros) -> Knowledge {
+        Knowledge::default()
+    }
 }
 
 impl Decide for Policy {
     fn handle(&mut self, now: Micros, event: Event<'_>, actions: &mut Vec<Action>) {
         Policy::handle(self, now, event, actions);
     }
+
+    fn knowledge(&self, now: Micros) -> Knowledge {
+        Policy::knowledge(self, now)
+    }
 }
 
 /// Hands one event over. Danger: a panic in a decision would end every request in flight; it is logged, what was
--- a/crates/stairfront-balancer/src/transport.rs
+++ b/crates/stairfront-balancer/src/transport.rs
@@ -6,12 +6,16 @@
 use std::io::ErrorKind;
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
+use std::os::fd::{AsFd, OwnedFd};
 
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tracing::debug;
 
+/// Connections that may wait to be accepted; as tokio's own listeners have it.
+const BACKLOG: u32 = 1024;
+
 /// What has come on a connection and was not read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Unread {
@@ -27,12 +31,30 @@
     fn unread(&self) -> Unread;
     /// Waits until something can be read or the connection has ended; reads nothing.
     fn arrival(&self) -> impl Future<Output = ()>;
+    /// Gives the connection up as a descriptor, for another process.
+    fn release(self) -> io::Result<OwnedFd>
+    where
+        Self: Sized,
+    {
+        Err(ErrorKind::Unsupported.into())
+    }
+    /// Takes a connection up that another process has given up.
+    fn adopt(_: OwnedFd) -> io::Result<Self>
+    where
+        Self: Sized,
+    {
+        Err(ErrorKind::Unsupported.into())
+    }
 }
 
 pub trait Listener: 'static {
     type Stream: Stream;
     fn accept(&self) -> impl Future<Output = io::Result<Self::Stream>>;
     fn local_address(&self) -> io::Result<SocketAddr>;
+    /// Another descriptor of it, for another process.
+    fn duplicate(&self) -> io::Result<OwnedFd> {
+        Err(ErrorKind::Unsupported.into())
+    }
 }
 
 pub trait Network: Clone + 'static {
@@ -71,6 +93,19 @@
     fn local_address(&self) -> io::Result<SocketAddr> {
         self.local_addr()
     }
+
+    fn duplicate(&self) -> io::Result<OwnedFd> {
+        self.as_fd().try_clone_to_owned()
+    }
+}
+
+/// Listens where another process may listen too: one that hands nothing over must not keep its successor from starting.
+pub fn listen(at: SocketAddr) -> io::Result<TcpListener> {
+    let socket = if at.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    socket.set_reuseaddr(true)?;
+    socket.set_reuseport(true)?;
+    socket.bind(at)?;
+    socket.listen(BACKLOG)
 }
 
 impl Stream for TcpStream {
@@ -86,6 +121,16 @@
         }
     }
 
+    fn release(self) -> io::Result<OwnedFd> {
+        self.into_std().map(OwnedFd::from)
+    }
+
+    fn adopt(socket: OwnedFd) -> io::Result<Self> {
+        let socket = std::net::TcpStream::from(socket);
+        socket.set_nonblocking(true)?;
+        TcpStream::from_std(socket)
+    }
+
     async fn arrival(&self) {
         // An error is an end, which the next read tells.
         let _ = self.peek(&mut [0]).await;
--- a/crates/stairfront-balancer/tests/common/mod.rs
+++ b/crates/stairfront-balancer/tests/common/mod.rs
@@ -292,6 +292,8 @@
             listener,
             operators: Some(door),
             folder: folder.map(Path::to_path_buf),
+            predecessor: None,
+            successor: Rc::default(),
             clock,
             phase: phases,
             hangups: rings,
--- a/crates/stairfront-balancer/tests/operators.rs
+++ b/crates/stairfront-balancer/tests/operators.rs
@@ -155,8 +155,8 @@
         assert_eq!(commands(&log, "one").len(), 0);
         assert_eq!(second.call("POST", "/admin/uncordon/s-1").await.0, 200);
         second.done.abort();
-        let files: Vec<_> =
-            std::fs::read_dir(folder.path()).unwrap().map(|file| file.unwrap().path()).collect();
+        let files = std::fs::read_dir(folder.path()).unwrap().map(|file| file.unwrap().path());
+        let files: Vec<_> = files.filter(|path| path.extension().is_some_and(|e| e == "json")).collect();
         assert_eq!(files.len(), 1, "{files:?}");
         assert_eq!(std::fs::read_to_string(&files[0]).unwrap(), r#"{"cordoned":[],"version":1}"#);
         std::fs::write(&files[0], r#"{"cordoned":["s-1"],"vers"#).unwrap();
--- a/crates/stairfront-balancer/tests/virtual_network.rs
+++ b/crates/stairfront-balancer/tests/virtual_network.rs
@@ -184,6 +184,8 @@
             listener: network.listen(at(1)),
             operators: None,
             folder: None,
+            predecessor: None,
+            successor: Rc::default(),
             clock: Clock::starting_at(0),
             phase: phases,
             hangups: rings,
--- a/crates/stairfront-baselines/src/lib.rs
+++ b/crates/stairfront-baselines/src/lib.rs
@@ -191,7 +191,7 @@
             }
             Event::Cordon { cache, on: true } => drop(self.cordoned.insert(cache)),
             Event::Cordon { cache, on: false } => drop(self.cordoned.remove(&cache)),
-            Event::Probed { .. } | Event::Peer { .. } => {}
+            Event::Probed { .. } | Event::Peer { .. } | Event::Inherited(_) => {}
         }
     }
 }
--- /dev/null
+++ b/crates/stairfront-operations/src/order.rs
@@ -0,0 +1,40 @@
+//! What operators have a balancer do, and what has become of it.
+use serde::{Deserialize, Serialize};
+
+/// Where an order comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Word {
+    /// From an operator, who may have mistaken a name.
+    Operators,
+    /// From another process of this balancer that knows the name: discovery may not have told it here yet.
+    Vouched,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Order {
+    /// Take a cache host out, by its name.
+    Cordon(String),
+    /// It may serve again.
+    Uncordon(String),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Done {
+    /// It holds, and is on record.
+    Yes,
+    /// Never listed, or the origin.
+    Unknown,
+    /// It holds in this process, but the record could not be written.
+    NotRecorded,
+}
+
+impl Done {
+    /// What has become of an order that two processes of one balancer were given.
+    pub fn and(self, other: Done) -> Done {
+        match (self, other) {
+            (Done::NotRecorded, _) | (_, Done::NotRecorded) => Done::NotRecorded,
+            (Done::Yes, _) | (_, Done::Yes) => Done::Yes,
+            (Done::Unknown, Done::Unknown) => Done::Unknown,
+        }
+    }
+}
--- a/crates/stairfront-policy/src/interface.rs
+++ b/crates/stairfront-policy/src/interface.rs
@@ -1,6 +1,8 @@
 //! What goes into and comes out of the decision module, in the project's own words.
 //! Nothing here knows a wire format; an adapter translates. All times are whole microseconds.
 
+pub use crate::knowledge::Knowledge;
+
 /// A point in time or a length of time, in microseconds. The clock has no meaningful start.
 pub type Micros = i64;
 
@@ -288,6 +290,8 @@
         from: u32,
         body: &'a [u8],
     },
+    /// What the process before this one knew; told after the first list, which goes before it.
+    Inherited(&'a Knowledge),
     /// Operators take a cache out, whatever the list says of it, or give it back after its restart.
     Cordon {
         cache: CacheId,
--- a/crates/stairfront-policy/src/measure.rs
+++ b/crates/stairfront-policy/src/measure.rs
@@ -1,4 +1,5 @@
 //! Arithmetic that the decisions lean on: fixed hashes, seeded random numbers, fading averages. Decides nothing.
+use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::interface::{Micros, SECOND};
@@ -26,7 +27,7 @@
 }
 
 /// Events a second, forgetting exponentially.
-#[derive(Clone, Copy, Default)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Rate {
     sum: f64,
     pub at: Micros,
@@ -44,7 +45,7 @@
 }
 
 /// An average whose samples count by number and, when they are rare, by age.
-#[derive(Clone, Copy, Default)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Average {
     pub value: f64,
     at: Micros,
--- a/crates/stairfront-policy/src/policy.rs
+++ b/crates/stairfront-policy/src/policy.rs
@@ -116,6 +116,7 @@
             }
             Event::Timer { token } => self.on_give_up(now, RequestId(token as u32), actions),
             Event::Cordon { cache, on } => self.on_cordon(now, cache, on),
+            Event::Inherited(known) => self.inherit(now, known),
             Event::Probed { .. } | Event::Peer { .. } => {}
         }
     }
@@ -184,7 +185,7 @@
         }
     }
 
-    fn learn(&mut self, now: Micros, listed: &Member) {
+    pub(crate) fn learn(&mut self, now: Micros, listed: &Member) {
         let line = &self.cordoned(listed);
         let origin = matches!(self.set.mode, CacheMode::Aside { origin } if origin == line.kind);
         let (mean, step) = (self.mean_keys(line.id), 1.0 / f64::from(self.set.balancers));
--- /dev/null
+++ b/crates/stairfront-policy/tests/inheritance.rs
@@ -0,0 +1,95 @@
+//! What a process takes over from the one before it, and what it must not.
+mod common;
+
+use std::collections::BTreeMap;
+
+use common::*;
+use stairfront_policy::interface::*;
+
+/// Where each key is served, in a balancer that has run for a while.
+fn long_running() -> (Rig, BTreeMap<u64, CacheId>) {
+    let mut rig = Rig::new(through(), &ready(0..6));
+    for round in 0..3 {
+        for key in 0..200 {
+            rig.now += 5 * MS;
+            rig.serve(key + round);
+        }
+    }
+    let served = (0..200).map(|key| (key, rig.serve(key))).collect();
+    (rig, served)
+}
+
+/// A process that has just started with this list and heard of what `before` knows.
+fn successor(before: &Rig, list: &[Member], after: Micros) -> Rig {
+    let known = before.policy.knowledge(before.now);
+    let mut rig = Rig::seeded(through(), list, 99);
+    rig.now = before.now + after;
+    rig.event(Event::Inherited(&known));
+    rig
+}
+
+#[test]
+fn keys_stay_where_they_were_placed() {
+    let (before, served) = long_running();
+    let mut next = successor(&before, &ready(0..6), 2 * SECOND);
+    let kept = served.iter().filter(|(key, cache)| next.serve(**key) == **cache).count();
+    // Alone it would place those with nearly even counts anew.
+    assert_eq!(kept, served.len());
+    assert_eq!(next.policy.knowledge(next.now).at, next.now);
+}
+
+#[test]
+fn a_list_that_says_draining_or_restarted_goes_before_what_was_known() {
+    let (before, served) = long_running();
+    let mut list = ready(0..6);
+    list[1].state = MemberState::Draining;
+    list[2].born = before.now - SECOND;
+    let mut next = successor(&before, &list, SECOND);
+    let (mut drained, mut restarted) = (0, 0);
+    for key in served.keys() {
+        let id = next.ask(*key);
+        next.now += 5 * MS;
+        if let Some(cache) = next.last_cache(id) {
+            next.settle(id, Outcome::Served);
+            drained += usize::from(cache == CacheId(1));
+            restarted += usize::from(cache == CacheId(2));
+        }
+    }
+    let before_restart = served.values().filter(|cache| **cache == CacheId(2)).count();
+    assert_eq!(drained, 0);
+    assert!(restarted < before_restart / 2, "{restarted} of {before_restart}: it came back empty and cold");
+}
+
+#[test]
+fn windows_that_are_old_are_not_believed() {
+    let (mut before, _) = long_running();
+    for key in 1_000..1_060 {
+        let id = before.ask(key);
+        if before.last_cache(id) == Some(CacheId(3)) {
+            before.settle(id, Outcome::ConnectFailed);
+        }
+    }
+    // All at once, so that a window is what limits them.
+    let uses = |rig: &mut Rig| {
+        let ids: Vec<RequestId> = (2_000..2_100).map(|key| rig.ask(key)).collect();
+        ids.iter().filter(|id| rig.last_cache(**id) == Some(CacheId(3))).count()
+    };
+    let soon = uses(&mut successor(&before, &ready(0..6), SECOND));
+    let late = uses(&mut successor(&before, &ready(0..6), 30 * SECOND));
+    assert!(soon < late, "{soon} soon after, {late} long after");
+}
+
+#[test]
+fn a_cache_called_back_from_a_cordon_is_still_cold_in_the_next_process() {
+    let (mut before, _) = long_running();
+    before.event(Event::Cordon { cache: CacheId(4), on: true });
+    before.event(Event::Cordon { cache: CacheId(4), on: false });
+    let mut next = successor(&before, &ready(0..6), SECOND);
+    let sent = |rig: &mut Rig| {
+        let ids: Vec<RequestId> = (5_000..5_200).map(|key| rig.ask(key)).collect();
+        ids.iter().filter(|id| rig.last_cache(**id) == Some(CacheId(4))).count()
+    };
+    let cold = sent(&mut next);
+    let warm = sent(&mut successor(&long_running().0, &ready(0..6), SECOND));
+    assert!(cold < warm, "{cold} cold, {warm} warm");
+}
--- a/crates/stairfront/tests/process.rs
+++ b/crates/stairfront/tests/process.rs
@@ -1,86 +1,21 @@
 //! The program as a process: signals, its log, its end.
 #[path = "../../stairfront-balancer/tests/common/mod.rs"]
 mod common;
+mod processes;
 
 use std::cell::Cell;
 use std::io::Read;
-use std::net::SocketAddr;
-use std::process::{Child, Command, Stdio};
 use std::rc::Rc;
-use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Instant;
 
 use common::{
     bulk, cache, command, config, get, hit, http, line, listing_agent as agent, ms, origin, quiet_agent, run,
     Client, Log, Step,
 };
+use processes::Process;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
-/// The program itself, with its log on a pipe.
-pub struct Process {
-    pub child: Child,
-    pub address: SocketAddr,
-    pub config: String,
-}
-
-/// A free port on a loopback address that no other test has. Danger: a port freed on the common one is given to the next
-/// connection, and one that is made to it before the process listens can be connected to itself.
-fn own_address() -> SocketAddr {
-    static NEXT: AtomicU8 = AtomicU8::new(1);
-    let [_, _, high, low] = std::process::id().to_be_bytes();
-    let ip = [127, 64 + high % 64, low, NEXT.fetch_add(1, Ordering::Relaxed)];
-    std::net::TcpListener::bind(SocketAddr::from((ip, 0))).unwrap().local_addr().unwrap()
-}
-
-impl Process {
-    pub async fn start(test: &str, agent: SocketAddr, host: SocketAddr) -> Self {
-        let address = own_address();
-        let path = format!("{}/{test}-{}.json", env!("CARGO_TARGET_TMPDIR"), std::process::id());
-        let text = config(address, agent, &[line("c", host, "box")], 1024).to_string();
-        std::fs::write(&path, text).unwrap();
-        let mut command = Command::new(env!("CARGO_BIN_EXE_stairfront"));
-        let child = command.env("ROUTER_CONFIG", &path).stderr(Stdio::piped()).spawn().unwrap();
-        let process = Process { child, address, config: path };
-        let mut probe = loop {
-            match Client::connect(address).await {
-                Ok(client) => break client,
-                Err(_) => sleep(ms(10)).await,
-            }
-        };
-        while probe.ask(&["PING"]).await != "+PONG\r\n" {
-            sleep(ms(10)).await;
-        }
-        process
-    }
-
-    /// Sends a signal such as `-TERM`.
-    pub fn signal(&self, name: &str) {
-        let pid = self.child.id().to_string();
-        assert!(Command::new("kill").arg(name).arg(pid).status().unwrap().success());
-    }
-
-    /// Waits for a good end.
-    pub async fn ended(&mut self) {
-        let status = loop {
-            match self.child.try_wait().unwrap() {
-                Some(status) => break status,
-                None => sleep(ms(10)).await,
-            }
-        };
-        assert!(status.success(), "{status}");
-    }
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        // Already over unless the test has failed.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        let _ = std::fs::remove_file(&self.config);
-    }
-}
-
 fn slow(wait: u64) -> impl Fn(usize, &[String]) -> Step {
     move |_, words| match hit(&words[1]) {
         Step::Say(bytes) => Step::After(ms(wait), bytes),
