--- a/crates/stairfront-balancer/src/caches.rs
+++ b/crates/stairfront-balancer/src/caches.rs
@@ -103,8 +103,8 @@
                 inbox,
                 counters,
                 report,
-                connect_timeout,
-                idle_limit,
+                connect_timeout: Cell::new(connect_timeout),
+                idle_limit: Cell::new(idle_limit),
                 largest_value,
                 budget,
             }),
@@ -154,6 +154,12 @@
         self.hosts.remove(&cache);
     }
 
+    /// Other times from now on; a connection that stands idle keeps the limit that it began with.
+    pub fn retune(&self, connect_timeout: Duration, servers_idle_limit: Duration) {
+        self.common.connect_timeout.set(connect_timeout);
+        self.common.idle_limit.set(servers_idle_limit.mul_f64(IDLE_PART));
+    }
+
     /// Leaves half of the connections to a successor; more, if so many are in use, stay here. Returns how many stay.
     pub fn share(&mut self) -> usize {
         let in_use = self.connections.values().filter(|c| c.idle_since.is_none()).count();
@@ -204,7 +210,7 @@
         if self.connections.len() < self.most {
             self.open(job);
         } else {
-            self.new_waits.push((job.attempt, job.connect_limit(self.common.connect_timeout)));
+            self.new_waits.push((job.attempt, job.connect_limit(self.common.connect_timeout.get())));
             self.waiting.push_back(job);
             self.make_room();
         }
--- a/crates/stairfront-balancer/src/clients.rs
+++ b/crates/stairfront-balancer/src/clients.rs
@@ -64,6 +64,8 @@
     pub crowd: Crowd,
     /// Places of client connections that are free.
     pub places: Arc<Semaphore>,
+    /// Places that the old process keeps until it hands over their connections or ends.
+    pub elsewhere: Cell<usize>,
     /// The process that takes over, once there is one.
     pub successor: Rc<Link>,
     /// For commands that are not whole yet.
@@ -130,7 +132,49 @@
 /// What a connection holds of the limit on sockets, given back as it ends.
 struct Place {
     spare: bool,
-    _permit: OwnedSemaphorePermit,
+    _hold: Hold,
+}
+
+#[allow(dead_code)]
+enum Hold {
+    Permit(OwnedSemaphorePermit),
+    Brought(Brought),
+}
+
+/// A place that a connection has brought from the old process, and leaves here when it ends. Danger: it would wait behind
+/// new connections for a place that was its own, and its client with it.
+struct Brought(Arc<Semaphore>);
+
+impl Drop for Brought {
+    fn drop(&mut self) {
+        self.0.add_permits(1);
+    }
+}
+
+/// Takes connections from the old process for as long as any come.
+async fn adopt<T: Stream>(mut handed: mpsc::Receiver<Handed>, context: Rc<Context>, tasks: TaskTracker) {
+    while let Some(one) = handed.recv().await {
+        let hold = match context.elsewhere.get().checked_sub(1) {
+            Some(left) => {
+                context.elsewhere.set(left);
+                Hold::Brought(Brought(Arc::clone(&context.places)))
+            }
+            // Accepted there after the count was told.
+            None => match Arc::clone(&context.places).acquire_owned().await {
+                Ok(permit) => Hold::Permit(permit),
+                Err(_) => return,
+            },
+        };
+        match Came::<T>::adopt(one) {
+            Ok(came) => {
+                let place = Place { spare: false, _hold: hold };
+                spawn_local(tasks.track_future(run_connection(came, Rc::clone(&context), place)));
+            }
+            Err(problem) => warn!("a connection of the old process is lost: {problem}"),
+        }
+    }
+    // What the old one has kept to its end.
+    context.places.add_permits(context.elsewhere.take());
 }
 
 /// Accepts until shutdown says that no more come, then waits for all connections to end. `handed` brings connections
@@ -139,25 +183,25 @@
     listener: L,
     context: Rc<Context>,
     most: usize,
-    mut handed: mpsc::Receiver<Handed>,
+    handed: mpsc::Receiver<Handed>,
 ) {
     let (places, spares) = (Arc::clone(&context.places), Arc::new(Semaphore::new(MOST_SPARE)));
     let tasks = TaskTracker::new();
     let mut phase = context.phase.clone();
     let mut patience = PLACE_WAIT;
+    let adopting = spawn_local(adopt::<L::Stream>(handed, Rc::clone(&context), tasks.clone()));
     // A successor accepts all that come from now on.
     while !phase.borrow().hands_over() {
         let accepted = tokio::select! {
             biased;
-            // They have waited already, and bring their places along.
-            Some(one) = handed.recv() => Came::adopt(one),
             accepted = listener.accept() => accepted.map(Came::new),
             _ = phase.wait_for(|phase| phase.listener_closed()) => break,
         };
         match accepted {
             Ok(came) => {
                 context.counters.client_connections_accepted.add();
-                if places.available_permits() < most / FEW_PLACES {
+                // Those that the old process keeps come back soon.
+                if places.available_permits() + context.elsewhere.get() < most / FEW_PLACES {
                     context.crowd.ring();
                     context.crowd.take_back();
                 }
@@ -174,6 +218,7 @@
         }
     }
     drop(listener);
+    adopting.abort();
     tasks.close();
     tasks.wait().await;
 }
@@ -204,7 +249,7 @@
     crowd: &Crowd,
     patience: Duration,
 ) -> Result<Place, AcquireError> {
-    let own = |permit| Place { spare: false, _permit: permit };
+    let own = |permit| Place { spare: false, _hold: Hold::Permit(permit) };
     if let Ok(permit) = Arc::clone(places).try_acquire_owned() {
         return Ok(own(permit));
     }
@@ -217,7 +262,9 @@
     tokio::select! {
         biased;
         permit = Arc::clone(places).acquire_owned() => permit.map(own),
-        permit = Arc::clone(spares).acquire_owned() => permit.map(|permit| Place { spare: true, _permit: permit }),
+        permit = Arc::clone(spares).acquire_owned() => {
+            permit.map(|permit| Place { spare: true, _hold: Hold::Permit(permit) })
+        }
     }
 }
 
@@ -471,7 +518,7 @@
     fn is_spare(&mut self) -> bool {
         if self.place.spare {
             if let Ok(permit) = Arc::clone(&self.context.places).try_acquire_owned() {
-                self.place = Place { spare: false, _permit: permit };
+                self.place = Place { spare: false, _hold: Hold::Permit(permit) };
                 self.spare_until = None;
             }
         }
--- a/crates/stairfront-balancer/src/config.rs
+++ b/crates/stairfront-balancer/src/config.rs
@@ -6,7 +6,7 @@
 
 use serde::Deserialize;
 use serde_json::Value;
-use stairfront_settings::Start;
+use stairfront_settings::{Start, NOT_RETUNED};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::limits::{Memory, Sockets, MOST_SOCKETS};
@@ -210,8 +210,51 @@
     pub fn needs_restart(&self, new: &Config) -> Vec<String> {
         let mut paths = Vec::new();
         differing(String::new(), &self.text, &new.text, &mut paths);
+        paths.retain(|path| match path.strip_prefix("settings.") {
+            Some(key) => NOT_RETUNED.contains(&key.split('.').next().unwrap_or_default()),
+            None => true,
+        });
         paths
     }
+
+    /// Danger: a file that lacks a key which this one has was cut or lost in editing; taken over it would have that key
+    /// at its default, which nobody has asked for. A TOML file is written by hand and may leave out what it likes.
+    pub fn is_followed_by(&self, new: Config) -> Result<Config, ConfigError> {
+        let lacking = if self.path.ends_with(".toml") { None } else { lacking("", &self.text, &new.text) };
+        match lacking {
+            Some(key) => {
+                let problem = "missing, though the configuration in use has it".to_string();
+                Err(ConfigError::Key { path: new.path, key, problem })
+            }
+            None => Ok(new),
+        }
+    }
+}
+
+/// Keys that go with others' values: a class that is safe to repeat has none of them.
+const OPTIONAL: [&str; 2] = ["group", "key_ttl"];
+
+/// The first key, as a path, that `old` has and `new` lacks. Of lists, the keys that all entries had.
+fn lacking(path: &str, old: &Value, new: &Value) -> Option<String> {
+    match (old, new) {
+        (Value::Object(olds), Value::Object(news)) => olds.iter().find_map(|(key, old)| {
+            let path = if path.is_empty() { key.clone() } else { format!("{path}.{key}") };
+            match news.get(key) {
+                Some(new) => lacking(&path, old, new),
+                None => Some(path).filter(|_| !OPTIONAL.contains(&key.as_str())),
+            }
+        }),
+        (Value::Array(olds), Value::Array(news)) => {
+            let common = olds
+                .first()?
+                .as_object()?
+                .iter()
+                .filter(|(key, _)| olds.iter().all(|old| old.get(key).is_some()));
+            let common: Value = common.map(|(key, _)| (key.clone(), Value::Null)).collect();
+            news.iter().enumerate().find_map(|(i, new)| lacking(&format!("{path}[{i}]"), &common, new))
+        }
+        _ => None,
+    }
 }
 
 /// Paths of the keys in which two values differ, down to those that hold no further keys.
--- a/crates/stairfront-balancer/src/connection.rs
+++ b/crates/stairfront-balancer/src/connection.rs
@@ -34,8 +34,8 @@
     pub inbox: mpsc::Sender<Input>,
     pub counters: Rc<Counters>,
     pub report: Vec<String>,
-    pub connect_timeout: Duration,
-    pub idle_limit: Duration,
+    pub connect_timeout: Cell<Duration>,
+    pub idle_limit: Cell<Duration>,
     pub largest_value: usize,
     /// For replies that are not whole yet.
     pub budget: Rc<Budget>,
@@ -98,7 +98,7 @@
     }
 
     async fn connect<S: Speech>(&self, job: &mut Job) -> Result<Framed<N::Stream, S>, Outcome> {
-        let limit = job.connect_limit(self.common.connect_timeout);
+        let limit = job.connect_limit(self.common.connect_timeout.get());
         tokio::select! {
             biased;
             () = cancelled(&mut job.cancel) => Err(Outcome::Cancelled),
@@ -118,7 +118,7 @@
             biased;
             // The end of the connection, or bytes that nobody asked for: either way it is of no more use.
             () = wire.get_ref().arrival() => None,
-            job = timeout(self.common.idle_limit, self.jobs.recv()) => job.ok().flatten(),
+            job = timeout(self.common.idle_limit.get(), self.jobs.recv()) => job.ok().flatten(),
         }
     }
 
--- a/crates/stairfront-balancer/src/engine.rs
+++ b/crates/stairfront-balancer/src/engine.rs
@@ -12,7 +12,7 @@
     Action, CacheId, CacheMode, Event, Knowledge, ListNews, Load, Member, MemberState, Micros, Outcome,
     RequestId, Settings, MS,
 };
-use stairfront_settings::Start;
+use stairfront_settings::{Retuned, Start};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio_util::time::DelayQueue;
 use tracing::{debug, info, warn};
@@ -22,7 +22,7 @@
 use crate::cordon_record::CordonRecord;
 use crate::counters::Counters;
 use crate::handover::Snapshot;
-use crate::heartbeat::Vitals;
+use crate::heartbeat::{door_settings, Vitals};
 use crate::limits::Memory;
 use crate::messages::{Answer, Arrival, AttemptEnd, AttemptId, Input, Job};
 use crate::orders::Ordered;
@@ -30,6 +30,7 @@
 use crate::stages::admit::{NotAdmitted, Table};
 use crate::stages::route::{self, Decide};
 use crate::stages::send::Sending;
+use crate::terms::Terms;
 use crate::transport::Network;
 
 enum Due {
@@ -39,6 +40,16 @@
     Socket(AttemptId),
 }
 
+/// What the engine has in common with other tasks, or with the process after this one.
+pub struct Shared {
+    pub vitals: Vitals,
+    /// Told once there is a list to serve from.
+    pub ready: watch::Sender<bool>,
+    pub record: CordonRecord,
+    /// What the clients' tasks read commands against.
+    pub terms: Rc<RefCell<Terms>>,
+}
+
 pub struct Engine<D, N: Network> {
     policy: D,
     clock: Clock,
@@ -56,6 +67,7 @@
     /// Every cache host ever listed, and who is taken out.
     roll: Roll,
     record: CordonRecord,
+    terms: Rc<RefCell<Terms>>,
     /// Ends of attempts that the module has not heard yet.
     ends: VecDeque<AttemptEnd>,
     actions: Vec<Action>,
@@ -68,11 +80,9 @@
         decider: impl FnOnce(Settings) -> D,
         memory: Memory,
         pool: Pool<N>,
-        vitals: Vitals,
-        ready: watch::Sender<bool>,
-        record: CordonRecord,
+        shared: Shared,
     ) -> Self {
-        let Vitals { clock, door, counters } = vitals;
+        let Shared { vitals: Vitals { clock, door, counters }, ready, record, terms } = shared;
         let Start { mut settings, host, .. } = start;
         // The agent is watched at no cost from the start, whatever the simulator's discovery would ask for.
         settings.discovery = stairfront_policy::interface::Discovery::Push;
@@ -89,6 +99,7 @@
             servers: FxHashMap::default(),
             roll: Roll::default(),
             record,
+            terms,
             ends: VecDeque::new(),
             actions: Vec::new(),
             policy: decider(settings),
@@ -138,6 +149,7 @@
                 self.arrived(arrival);
             }
             Input::ClientGone(id) => self.client_gone(id),
+            Input::Retune(retuned) => self.retune(&retuned),
             Input::Snapshot(to) => self.snapshot(to),
             Input::TakeAll => {
                 self.pool.take_all(&mut self.ends);
@@ -155,6 +167,20 @@
         self.settle();
     }
 
+    /// Takes other settings over in one step, between two requests: the module's and all that follow from them.
+    fn retune(&mut self, retuned: &Retuned) {
+        let Retuned { start: Start { settings, host, .. }, tenants, .. } = retuned;
+        let mut settings = settings.clone();
+        // The agent is watched at no cost, as at the start.
+        settings.discovery = stairfront_policy::interface::Discovery::Push;
+        self.most_attempts = settings.limits.most_attempts;
+        self.table.set_most(host.open_requests);
+        self.pool.retune(duration(settings.limits.connect_timeout), duration(host.idle));
+        self.door.borrow_mut().retune(&door_settings(&settings, 0));
+        self.tell(Event::Retuned { settings: &settings, tenants });
+        *self.terms.borrow_mut() = Terms::retuned(self.clock.now(), retuned);
+    }
+
     fn snapshot(&mut self, to: oneshot::Sender<Snapshot>) {
         let known = self.policy.knowledge(self.clock.now());
         // Numbers and lists of them alone, which cannot fail; without it the successor learns by itself.
@@ -211,7 +237,7 @@
     }
 
     fn arrived(&mut self, arrival: Arrival) {
-        match self.table.admit(arrival) {
+        match self.table.admit(arrival, self.most_attempts) {
             Ok(request) => {
                 self.counters.taken_in.add();
                 self.tell(Event::Request(request));
@@ -316,7 +342,7 @@
     }
 
     fn send(&mut self, id: RequestId, cache: CacheId, timeout: Micros) {
-        let sending = self.table.send(id, cache, timeout, self.most_attempts);
+        let sending = self.table.send(id, cache, timeout);
         self.carry(sending);
     }
 
--- a/crates/stairfront-balancer/src/handover.rs
+++ b/crates/stairfront-balancer/src/handover.rs
@@ -205,33 +205,12 @@
     pub orders: mpsc::Sender<Ordered>,
     pub handed: mpsc::Sender<Handed>,
     pub inbox: mpsc::Sender<Input>,
-    pub places: Arc<Semaphore>,
 }
 
 impl Succession {
     pub async fn run(self) {
-        let Succession { predecessor, link, orders, handed, inbox, places } = self;
-        let Predecessor { post, clients, .. } = predecessor;
-        // Each connection brings its place along; what is left comes at the end.
-        let (passed_on, mut passing) = mpsc::channel::<Handed>(1);
-        let (kept, own_places) = (Cell::new(clients), Arc::clone(&places));
-        let passing = async {
-            while let Some(one) = passing.recv().await {
-                if let Some(left) = kept.get().checked_sub(1) {
-                    kept.set(left);
-                    own_places.add_permits(1);
-                }
-                if handed.send(one).await.is_err() {
-                    return;
-                }
-            }
-        };
-        let keeping = async {
-            link.keep(post, &orders, Some(&passed_on)).await;
-            drop(passed_on);
-        };
-        tokio::join!(keeping, passing);
-        places.add_permits(kept.get());
+        let Succession { predecessor, link, orders, handed, inbox } = self;
+        link.keep(predecessor.post, &orders, Some(&handed)).await;
         info!("the old process has ended; all descriptors are this one's");
         // The engine is gone only when the whole balancer ends.
         let _ = inbox.send(Input::TakeAll).await;
--- a/crates/stairfront-balancer/src/heartbeat.rs
+++ b/crates/stairfront-balancer/src/heartbeat.rs
@@ -23,15 +23,19 @@
 
 /// The door of a balancer with these settings.
 pub fn door(set: &Settings, clock: Clock, seed: u64) -> Rc<RefCell<Door>> {
+    Rc::new(RefCell::new(Door::new(clock.now(), door_settings(set, seed))))
+}
+
+/// What the settings say to the door; a door that is there keeps its seed.
+pub fn door_settings(set: &Settings, seed: u64) -> DoorSettings {
     let aim = set.classes.iter().map(|class| class.aim).min().unwrap_or(MOST_TARGET * AIM_PART);
-    let settings = DoorSettings {
+    DoorSettings {
         target: (aim / AIM_PART).clamp(LEAST_TARGET, MOST_TARGET),
         quotas: set.tenants.iter().map(|tenant| tenant.quota_per_s).collect(),
         worths: set.classes.iter().map(|class| class.worth).collect(),
         most_advice_ms: set.limits.max_retry_after as f64 / MS as f64,
         seed,
-    };
-    Rc::new(RefCell::new(Door::new(clock.now(), settings)))
+    }
 }
 
 /// What a balancer knows of itself.
--- a/crates/stairfront-balancer/src/lib.rs
+++ b/crates/stairfront-balancer/src/lib.rs
@@ -28,4 +28,5 @@
 pub mod server_list;
 pub mod shutdown;
 pub mod stages;
+pub mod terms;
 pub mod transport;
--- a/crates/stairfront-balancer/src/messages.rs
+++ b/crates/stairfront-balancer/src/messages.rs
@@ -3,6 +3,7 @@
 
 use bytes::Bytes;
 use stairfront_policy::interface::{CacheId, Load, Micros, Note, Outcome, Request, RequestId};
+use stairfront_settings::Retuned;
 use tokio::sync::{oneshot, OwnedSemaphorePermit};
 
 use crate::clock::Instant;
@@ -174,6 +175,8 @@
     List(ServerList),
     /// A successor asks what this process knows; from then on it keeps a part of the descriptors alone.
     Snapshot(oneshot::Sender<Snapshot>),
+    /// Other settings, all at once.
+    Retune(Box<Retuned>),
     /// There is no other process of this balancer any more.
     TakeAll,
 }
--- a/crates/stairfront-balancer/src/reload.rs
+++ b/crates/stairfront-balancer/src/reload.rs
@@ -1,9 +1,11 @@
 //! A new configuration while the balancer runs: on SIGHUP the file is read again, by the same way as at the start.
-//! The address of discovery takes effect at once; what takes a restart is named in the log.
+//! The address of discovery and the settings take effect at once, whole or not at all; what takes a restart is named in
+//! the log.
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use stairfront_settings::Start;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::{mpsc, watch};
 use tracing::{info, warn};
@@ -28,15 +30,29 @@
 
 /// What of the configuration can change under way.
 pub struct Reloads {
-    pub current: Config,
+    /// What this process was started with, and the address of discovery in use.
+    current: Config,
+    /// The settings in use, and the classes among them that the file has no more.
+    in_use: Start,
+    retired: Vec<usize>,
     /// Tells the watch on discovery where the agent is.
-    pub agent: watch::Sender<Option<SocketAddr>>,
-    /// Takes the list of a file that names no agent.
-    pub inbox: mpsc::Sender<Input>,
-    pub counters: Rc<Counters>,
+    agent: watch::Sender<Option<SocketAddr>>,
+    /// Takes new settings, and the list of a file that names no agent.
+    inbox: mpsc::Sender<Input>,
+    counters: Rc<Counters>,
 }
 
 impl Reloads {
+    pub fn new(
+        current: Config,
+        agent: watch::Sender<Option<SocketAddr>>,
+        inbox: mpsc::Sender<Input>,
+        counters: Rc<Counters>,
+    ) -> Self {
+        let in_use = current.start.clone();
+        Reloads { current, in_use, retired: Vec::new(), agent, inbox, counters }
+    }
+
     pub async fn run(mut self, mut hangups: mpsc::Receiver<()>) {
         while hangups.recv().await.is_some() {
             self.reload().await;
@@ -47,7 +63,8 @@
 
     /// Danger: half a file, or one with a slip in it, would take a serving balancer down. It keeps what it has.
     async fn reload(&mut self) {
-        let new = match Config::from_file(&self.current.path) {
+        let read = Config::from_file(&self.current.path).and_then(|new| self.current.is_followed_by(new));
+        let new = match read {
             Ok(new) => new,
             Err(problem) => {
                 warn!("told to read the configuration again, the old one stays: {problem}");
@@ -61,6 +78,7 @@
         if !waiting.is_empty() {
             warn!("changed, but taken over only at a restart: {}", waiting.join(", "));
         }
+        self.retune(&new).await;
         self.agent.send_if_modified(|agent| std::mem::replace(agent, new.discovery) != new.discovery);
         if new.discovery.is_none() {
             // The engine is gone only when the whole balancer ends.
@@ -69,4 +87,20 @@
         // Compared with what this process was started with, so that a key changed back is not named.
         self.current.discovery = new.discovery;
     }
+
+    async fn retune(&mut self, new: &Config) {
+        let retuned = new.start.clone().following(&self.in_use, &self.retired);
+        if retuned.start == self.in_use && retuned.retired == self.retired {
+            return;
+        }
+        let dropped: Vec<&str> =
+            retuned.retired.iter().map(|i| retuned.start.names.classes[*i].as_str()).collect();
+        info!(
+            "new settings are in use, {} classes; dropped: {}",
+            retuned.start.names.classes.len(),
+            dropped.join(", ")
+        );
+        (self.in_use, self.retired) = (retuned.start.clone(), retuned.retired.clone());
+        let _ = self.inbox.send(Input::Retune(Box::new(retuned))).await;
+    }
 }
--- a/crates/stairfront-balancer/src/server.rs
+++ b/crates/stairfront-balancer/src/server.rs
@@ -1,5 +1,5 @@
 //! Puts the parts together on one single-threaded runtime.
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -19,7 +19,7 @@
 use crate::cordon_record::CordonRecord;
 use crate::counters::Counters;
 use crate::discovery::Watch;
-use crate::engine::Engine;
+use crate::engine::{Engine, Shared};
 use crate::handover::{self, Attendant, Link, Predecessor, Succession, MOST_HANDED};
 use crate::heartbeat::{self, Vitals};
 use crate::operators::{self, Desk};
@@ -29,6 +29,7 @@
 use crate::shutdown::{watch_signals, Phase};
 use crate::stages::route::Decide;
 use crate::stages::take_in::Intake;
+use crate::terms::Terms;
 use crate::transport::{self, Listener, Network, Tcp};
 
 /// Messages that may wait for the engine; senders wait beyond that. Each is handled in some microseconds.
@@ -130,12 +131,12 @@
         Watch::new(network, agents, start.names.clone(), known.index, inbox.clone(), Rc::clone(&counters));
     let door = heartbeat::door(&start.settings, clock, seed);
     let lists = inbox.clone();
+    let terms = Rc::new(RefCell::new(Terms::of(&start)));
     let places = Arc::new(Semaphore::new(sockets.clients.saturating_sub(clients_elsewhere)));
     let context = Rc::new(Context {
         inbox: inbox.clone(),
         intake: Intake {
-            names: start.names.clone(),
-            classes: start.settings.classes.clone(),
+            terms: Rc::clone(&terms),
             clock,
             counters: Rc::clone(&counters),
             door: Rc::clone(&door),
@@ -145,6 +146,7 @@
         phase: phase.clone(),
         crowd: Crowd::default(),
         places: Arc::clone(&places),
+        elsewhere: Cell::new(clients_elsewhere),
         successor: Rc::clone(&successor),
         budget: Budget::new(memory.commands),
         next_id: Cell::new(0),
@@ -152,9 +154,10 @@
     let decider = |settings| decider(settings, seed);
     let vitals = Vitals { clock, door, counters: Rc::clone(&counters) };
     let record = CordonRecord::within(folder.as_deref(), &name);
-    let engine = Engine::new(start, decider, memory, pool, vitals.clone(), ready, record);
+    let shared = Shared { vitals: vitals.clone(), ready, record, terms };
+    let engine = Engine::new(start, decider, memory, pool, shared);
     info!("{name} serves on {} with {} known servers", listener.local_address()?, known.lines.len());
-    let reloads = Reloads { current: config, agent, inbox: lists, counters: Rc::clone(&counters) };
+    let reloads = Reloads::new(config, agent, lists, Rc::clone(&counters));
     let beating = heartbeat::beat(vitals);
     let mut watching =
         vec![spawn_local(beating), spawn_local(watch.run()), spawn_local(reloads.run(hangups))];
@@ -185,7 +188,7 @@
     if let Some(mut predecessor) = predecessor {
         inherited = predecessor.knowledge.take();
         let orders = orders.clone();
-        let succession = Succession { predecessor, link: before, orders, handed, inbox, places };
+        let succession = Succession { predecessor, link: before, orders, handed, inbox };
         watching.push(spawn_local(succession.run()));
     }
     let mut deciding = spawn_local(engine.run(known, inherited, inputs, ordered));
--- a/crates/stairfront-balancer/src/stages/admit.rs
+++ b/crates/stairfront-balancer/src/stages/admit.rs
@@ -30,6 +30,8 @@
     /// None once answered, or when the client has left.
     pub answer: Option<oneshot::Sender<Given>>,
     pub sent: u8,
+    /// How often it may be sent, as when it was taken.
+    pub most: u8,
     pub out: Vec<Out>,
     pub deferred: Option<Deferred>,
 }
@@ -66,8 +68,13 @@
         }
     }
 
-    /// Enters a request, or answers it at once.
-    pub fn admit(&mut self, arrival: Arrival) -> Result<Request, NotAdmitted> {
+    /// Another limit on open requests; those beyond it stay.
+    pub fn set_most(&mut self, most: usize) {
+        self.most = most;
+    }
+
+    /// Enters a request that may be sent so often, or answers it at once.
+    pub fn admit(&mut self, arrival: Arrival, most_attempts: u8) -> Result<Request, NotAdmitted> {
         let Arrival { request, command, answer, .. } = arrival;
         let bytes = command.bytes();
         let problem = if self.ids.contains(&command.id) {
@@ -86,7 +93,14 @@
         }
         self.ids.insert(command.id.clone());
         self.bytes += bytes;
-        let open = Open { command, answer: Some(answer), sent: 0, out: Vec::new(), deferred: None };
+        let open = Open {
+            command,
+            answer: Some(answer),
+            sent: 0,
+            most: most_attempts,
+            out: Vec::new(),
+            deferred: None,
+        };
         self.open.insert(request.id, open);
         Ok(request)
     }
--- a/crates/stairfront-balancer/src/stages/send.rs
+++ b/crates/stairfront-balancer/src/stages/send.rs
@@ -15,14 +15,14 @@
 }
 
 impl Table {
-    pub fn send(&mut self, request: RequestId, cache: CacheId, timeout: Micros, most: u8) -> Sending {
+    pub fn send(&mut self, request: RequestId, cache: CacheId, timeout: Micros) -> Sending {
         let Some(open) = self.open.get_mut(&request) else {
             let attempt = AttemptId { request, number: 0 };
             return Sending::Ended(moot(attempt, cache));
         };
         let number = open.sent;
         open.sent = open.sent.saturating_add(1);
-        if open.answer.is_none() || number >= most || timeout < 0 {
+        if open.answer.is_none() || number >= open.most || timeout < 0 {
             return Sending::Ended(moot(AttemptId { request, number }, cache));
         }
         // Danger: two attempts of one request must not be out at once, and a cancelled one is out until its
--- a/crates/stairfront-balancer/src/stages/take_in.rs
+++ b/crates/stairfront-balancer/src/stages/take_in.rs
@@ -4,14 +4,14 @@
 
 use bytes::Bytes;
 use stairfront_overload::{Arrival, Door, Verdict};
-use stairfront_policy::interface::{Class, ClassId, Key, Micros, Request, RequestId, TenantId, MS};
-use stairfront_settings::Names;
+use stairfront_policy::interface::{ClassId, Key, Micros, Request, RequestId, TenantId, MS};
 use tokio::sync::watch;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::clock::Clock;
 use crate::counters::Counters;
 use crate::messages::{Answer, Command, Verb};
+use crate::terms::Terms;
 
 /// Longest key, id or list of names and values. They go on in an HTTP head, which servers bound.
 const LONGEST_WORD: usize = 1024;
@@ -25,8 +25,8 @@
 
 /// What a command is read against.
 pub struct Intake {
-    pub names: Names,
-    pub classes: Vec<Class>,
+    /// The engine replaces them as it replaces its own settings.
+    pub terms: Rc<RefCell<Terms>>,
     pub clock: Clock,
     pub counters: Rc<Counters>,
     /// Says what is taken while this balancer itself is behind.
@@ -102,8 +102,8 @@
 }
 
 /// Asked before the key is hashed or anything is entered, so that what is turned away costs little more than its reading.
-fn knock(intake: &Intake, class: u8, tenant: TenantId, retry: bool) -> Result<(), Turned> {
-    let arrival = Arrival { tenant: usize::try_from(tenant.0).ok(), class: usize::from(class), retry };
+fn knock(intake: &Intake, class: ClassId, tenant: TenantId, retry: bool) -> Result<(), Turned> {
+    let arrival = Arrival { tenant: usize::try_from(tenant.0).ok(), class: usize::from(class.0), retry };
     match intake.door.borrow_mut().ask(arrival) {
         Verdict::Take => Ok(()),
         Verdict::Refuse { after_ms } => Err(Turned::Shed { after_ms }),
@@ -111,7 +111,7 @@
 }
 
 fn request(command: &Command, intake: &Intake) -> Result<Request, Turned> {
-    let now = intake.clock.now();
+    let (now, terms) = (intake.clock.now(), intake.terms.borrow());
     let (mut class, mut tenant, mut wait, mut repeat) = (None, TenantId(u32::MAX), None, false);
     let mut told = [0; 2];
     for pair in command.info.split(|b| *b == b',') {
@@ -119,12 +119,8 @@
         told[0] += usize::from(pair.starts_with(b"c="));
         told[1] += usize::from(pair.starts_with(b"d="));
         match pair {
-            [b'c', b'=', name @ ..] => class = position(&intake.names.classes, name),
-            // A tenant that the settings do not know has no share; it is not mixed up with another's.
-            [b't', b'=', name @ ..] => {
-                let known = position(&intake.names.tenants, name).and_then(|i| u32::try_from(i).ok());
-                tenant = TenantId(known.unwrap_or(u32::MAX));
-            }
+            [b'c', b'=', name @ ..] => class = terms.class(now, name),
+            [b't', b'=', name @ ..] => tenant = terms.tenant(name),
             [b'd', b'=', ms @ ..] => wait = Some(milliseconds(ms).ok_or(BAD_COMMAND)?),
             [b'r', b'=', mark @ ..] => repeat = mark == b"1",
             _ => {}
@@ -133,25 +129,20 @@
     if told.iter().any(|times| *times > 1) {
         return Err(BAD_COMMAND.into());
     }
-    let class = class.and_then(|i| u8::try_from(i).ok()).ok_or(UNKNOWN_CLASS)?;
-    let deadline = intake.classes.get(usize::from(class)).map(|c| c.deadline).ok_or(UNKNOWN_CLASS)?;
+    let (class, rules) = class.ok_or(UNKNOWN_CLASS)?;
     knock(intake, class, tenant, repeat)?;
     Ok(Request {
         id: RequestId(0),
-        class: ClassId(class),
+        class,
         tenant,
         key: Some(Key(xxh3_64(&command.key))),
         // No client waits longer than its class allows, whatever it says.
-        expires: now + wait.unwrap_or(deadline).min(deadline),
+        expires: now + wait.unwrap_or(rules.deadline).min(rules.deadline),
         write: command.verb == Verb::Set,
         repeat,
     })
 }
 
-fn position(names: &[String], name: &[u8]) -> Option<usize> {
-    names.iter().position(|known| known.as_bytes() == name)
-}
-
 /// Whole or fractional milliseconds.
 fn milliseconds(text: &[u8]) -> Option<Micros> {
     // Danger: infinity parses as a number, and so does a sign.
--- a/crates/stairfront-balancer/tests/reload.rs
+++ b/crates/stairfront-balancer/tests/reload.rs
@@ -3,7 +3,10 @@
 
 use std::net::SocketAddr;
 
-use common::{bulk, cache, commands, config, hit, line, listing_agent as agent, ms, run, Balancer, Log};
+use common::{
+    bulk, cache, commands, config, hit, line, listing_agent as agent, ms, quiet_agent, run, Balancer, Client,
+    Log, Step,
+};
 use serde_json::{json, Value};
 use stairfront_balancer::config::Config;
 use tokio::net::TcpListener;
@@ -101,9 +104,121 @@
     changed["seed"] = "77".into();
     changed["limits"]["memory_mb"] = 64.into();
     changed["settings"]["profiles"][0]["aim"] = 700.0.into();
-    changed["settings"]["rules"].as_object_mut().unwrap().remove("fall");
+    changed["settings"]["areas"] = json!(["z", "y"]);
     let read = |text: &Value| Config::from_text("config.json", &text.to_string()).unwrap();
     let paths = read(&text).needs_restart(&read(&changed));
-    assert_eq!(paths, ["limits.memory_mb", "settings.profiles", "settings.rules.fall"]);
+    assert_eq!(paths, ["limits.memory_mb", "settings.areas"]);
     assert_eq!(read(&text).needs_restart(&read(&text)), [""; 0]);
 }
+
+/// A class of its own, for the settings.
+fn class(name: &str, semantics: &str, deadline: f64) -> Value {
+    json!({"name": name, "semantics": semantics, "aim": deadline / 2.0, "deadline": deadline})
+}
+
+async fn as_class(client: &mut Client, name: &str, id: &str) -> String {
+    client.ask(&["C.GET", "k", id, &format!("c={name},t=acme,d=900")]).await
+}
+
+#[test]
+fn a_class_added_is_served_by_its_own_rules_and_one_dropped_is_not_for_long() {
+    run(async {
+        let (log, file) = (Log::default(), File::new("classes"));
+        let host = cache("cache", &log, |_, words| match words[1] == "slow" {
+            true => Step::Silence,
+            false => hit("v"),
+        });
+        let host = host.await;
+        let (balancer, mut text) = serving(&file, quiet_agent(&log).await, &[line("c", host, "box")]).await;
+        let mut client = balancer.client().await;
+        let unknown = "-ERR unknown class\r\n";
+        assert_eq!(as_class(&mut client, "late", "1").await, unknown);
+        text["settings"]["profiles"] =
+            json!([class("late", "free", 200.0), text["settings"]["profiles"][0].clone()]);
+        retuned(&balancer, &file, &text).await;
+        assert_eq!(as_class(&mut client, "late", "2").await, bulk("v"));
+        assert_eq!(as_class(&mut client, "read", "3").await, bulk("v"));
+        // Its own deadline: well before the 900 ms that the client would wait.
+        let asked = std::time::Instant::now();
+        assert!(client.ask(&["C.GET", "slow", "4", "c=late,t=acme,d=900"]).await.starts_with('-'));
+        assert!(asked.elapsed() < ms(400), "{:?}", asked.elapsed());
+        text["settings"]["profiles"].as_array_mut().unwrap().remove(0);
+        retuned(&balancer, &file, &text).await;
+        assert_eq!(as_class(&mut client, "late", "5").await, bulk("v"), "clients hear of it later");
+        sleep(ms(2100)).await;
+        assert_eq!(as_class(&mut client, "late", "6").await, unknown);
+        assert_eq!(as_class(&mut client, "read", "7").await, bulk("v"));
+    });
+}
+
+/// Has a file taken over.
+async fn retuned(balancer: &Balancer, file: &File, text: &Value) {
+    let count = |info: String| info.split("reloads:").nth(1).unwrap().split('\r').next().unwrap().to_string();
+    let before = count(info(balancer).await);
+    file.write(text);
+    balancer.hangups.send(()).await.unwrap();
+    while count(info(balancer).await) == before {
+        sleep(ms(5)).await;
+    }
+}
+
+#[test]
+fn a_broken_file_leaves_the_old_settings_whole() {
+    run(async {
+        let (log, file) = (Log::default(), File::new("broken"));
+        let host = cache("cache", &log, |_, _| hit("v")).await;
+        let (balancer, text) = serving(&file, quiet_agent(&log).await, &[line("c", host, "box")]).await;
+        let mut good = text.clone();
+        good["settings"]["profiles"] = json!([text["settings"]["profiles"][0], class("new", "free", 900.0)]);
+        let whole = good.to_string();
+        let mut broken =
+            vec![String::new(), " ".into(), whole[..whole.len() / 2].into(), whole[..whole.len() - 1].into()];
+        let mut with = |path: &str, value: Option<Value>| {
+            let mut text = good.clone();
+            let (parent, key) = path.rsplit_once('/').unwrap();
+            let parent = text.pointer_mut(parent).unwrap();
+            match (value, parent) {
+                (Some(value), parent) => parent[key] = value,
+                (None, parent) => drop(parent.as_object_mut().unwrap().remove(key).unwrap()),
+            }
+            broken.push(text.to_string());
+        };
+        with("/settings/profiles/1/deadline", Some(0.into()));
+        with("/settings/profiles/1/deadline", Some((-5.0).into()));
+        with("/settings/caps/most_tries", Some(0.into()));
+        with("/settings/caps/most_tries", Some((-1).into()));
+        for key in [
+            "/settings",
+            "/listen",
+            "/limits",
+            "/settings/profiles",
+            "/settings/caps",
+            "/settings/rules",
+            "/settings/tenants",
+            "/settings/caps/most_tries",
+            "/settings/profiles/1/deadline",
+            "/settings/profiles/0/semantics",
+            "/settings/rules/cold_from",
+            "/settings/profiles/1/name",
+        ] {
+            with(key, None);
+        }
+        let mut client = balancer.client().await;
+        for (i, text) in broken.iter().enumerate() {
+            std::fs::write(&file.0, text).unwrap();
+            balancer.hangups.send(()).await.unwrap();
+            while !info(&balancer).await.contains(&format!("reloads_faulty:{}\r\n", i + 1)) {
+                assert!(info(&balancer).await.contains("reloads:0\r\n"), "taken over: {text}");
+                sleep(ms(2)).await;
+            }
+            assert_eq!(
+                as_class(&mut client, "new", &format!("n{i}")).await,
+                "-ERR unknown class\r\n",
+                "{text}"
+            );
+            assert_eq!(as_class(&mut client, "read", &format!("r{i}")).await, bulk("v"), "{text}");
+        }
+        retuned(&balancer, &file, &good).await;
+        assert_eq!(as_class(&mut client, "new", "last").await, bulk("v"));
+    });
+}
--- a/crates/stairfront-balancer/tests/stages.rs
+++ b/crates/stairfront-balancer/tests/stages.rs
@@ -1,4 +1,5 @@
 //! The stages on the table of open requests, without sockets.
+use std::cell::RefCell;
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -10,10 +11,11 @@
 use stairfront_balancer::stages::admit::{NotAdmitted, Table};
 use stairfront_balancer::stages::send::Sending;
 use stairfront_balancer::stages::take_in::{take_in, Intake, Taken};
+use stairfront_balancer::terms::Terms;
 use stairfront_policy::interface::{
     CacheId, Class, ClassId, Limits, Outcome, Request, RequestId, Semantics, Settings, TenantId, MS,
 };
-use stairfront_settings::Names;
+use stairfront_settings::{HostLimits, Names, Start};
 use tokio::sync::{oneshot, watch};
 use tokio::time::Instant;
 
@@ -47,12 +49,12 @@
 
 fn admitted(table: &mut Table, id: u32) -> oneshot::Receiver<Given> {
     let (arrival, receiver) = arrive(id, 1);
-    assert!(table.admit(arrival).is_ok());
+    assert!(table.admit(arrival, MOST).is_ok());
     receiver
 }
 
 fn sent(table: &mut Table, id: u32) -> stairfront_balancer::messages::Job {
-    match table.send(RequestId(id), CACHE, 500 * MS, MOST) {
+    match table.send(RequestId(id), CACHE, 500 * MS) {
         Sending::Job(job) => job,
         _ => panic!("not sent"),
     }
@@ -63,7 +65,7 @@
     let mut table = Table::new(1, Memory::of(64));
     let _first = admitted(&mut table, 1);
     let (arrival, mut receiver) = arrive(2, 1);
-    assert!(table.admit(arrival).is_err());
+    assert!(table.admit(arrival, MOST).is_err());
     assert_eq!(receiver.try_recv().unwrap().answer, Answer::Busy { after_ms: None });
 }
 
@@ -71,7 +73,7 @@
 fn open_requests_hold_no_more_bytes_than_memory_allows_and_give_them_back() {
     let mut table = Table::new(usize::MAX, Memory::of(64));
     let mut admitted = 0;
-    while table.admit(arrive(admitted, 64 * 1024).0).is_ok() {
+    while table.admit(arrive(admitted, 64 * 1024).0, MOST).is_ok() {
         admitted += 1;
     }
     assert!((60..64).contains(&admitted), "{admitted} values of 64 KiB in 4 MiB");
@@ -134,7 +136,7 @@
     assert!(table.answer(RequestId(1), Answer::Busy { after_ms: Some(5) }));
     table.book(RequestId(1));
     assert_eq!(table.open.len(), 1);
-    match table.send(RequestId(1), CACHE, 500 * MS, MOST) {
+    match table.send(RequestId(1), CACHE, 500 * MS) {
         Sending::Ended(end) => assert_eq!(end.verdict.outcome, Outcome::Moot),
         _ => panic!("sent after the answer"),
     }
@@ -152,7 +154,7 @@
         table.relay(&end(1, number, Outcome::Full));
     }
     for id in [1, 7] {
-        let sending = table.send(RequestId(id), CACHE, 500 * MS, MOST);
+        let sending = table.send(RequestId(id), CACHE, 500 * MS);
         assert!(matches!(sending, Sending::Ended(end) if end.verdict.outcome == Outcome::Moot));
     }
 }
@@ -165,7 +167,7 @@
     assert!(first.cancel.try_recv().is_err());
     table.cancel(RequestId(1), 0);
     assert!(first.cancel.try_recv().is_ok(), "its connection is told to end");
-    assert!(matches!(table.send(RequestId(1), CACHE, 500 * MS, MOST), Sending::Deferred));
+    assert!(matches!(table.send(RequestId(1), CACHE, 500 * MS), Sending::Deferred));
     assert!(table.send_deferred(RequestId(1)).is_none(), "it is still out");
     assert!(!table.relay(&end(1, 0, Outcome::Cancelled)).closed);
     match table.send_deferred(RequestId(1)) {
@@ -180,7 +182,7 @@
     let _receiver = admitted(&mut table, 1);
     let _job = sent(&mut table, 1);
     table.cancel(RequestId(1), 0);
-    assert!(matches!(table.send(RequestId(1), CACHE, 500 * MS, MOST), Sending::Deferred));
+    assert!(matches!(table.send(RequestId(1), CACHE, 500 * MS), Sending::Deferred));
     assert!(table.answer(RequestId(1), Answer::Failed));
     table.relay(&end(1, 0, Outcome::Cancelled));
     match table.send_deferred(RequestId(1)) {
@@ -223,15 +225,15 @@
     let _job = sent(&mut table, 1);
     let (mut again, mut receiver) = arrive(1, 1);
     again.request.id = RequestId(2);
-    assert_eq!(table.admit(again), Err(NotAdmitted::IdOpen));
+    assert_eq!(table.admit(again, MOST), Err(NotAdmitted::IdOpen));
     assert!(matches!(receiver.try_recv().unwrap().answer, Answer::Error(_)));
     // Answered, it is still out at a server.
     assert!(table.answer(RequestId(1), Answer::Failed));
     table.book(RequestId(1));
-    assert_eq!(table.admit(arrive(1, 1).0), Err(NotAdmitted::IdOpen));
+    assert_eq!(table.admit(arrive(1, 1).0, MOST), Err(NotAdmitted::IdOpen));
     table.relay(&end(1, 0, Outcome::TimedOut));
     table.book(RequestId(1));
-    assert!(table.admit(arrive(1, 1).0).is_ok());
+    assert!(table.admit(arrive(1, 1).0, MOST).is_ok());
 }
 
 #[test]
@@ -249,11 +251,13 @@
         limits: Limits { max_retry_after: 1500 * MS, ..Limits::default() },
         ..Settings::default()
     };
+    let names = Names { classes: vec!["read".to_string()], ..Names::default() };
+    let host = HostLimits { open_requests: 10, idle: MS };
+    let start = Start { settings: settings.clone(), names, host };
     let (_ready, is_ready) = watch::channel(true);
     let door = heartbeat::door(&settings, clock, 1);
     let intake = Intake {
-        names: Names { classes: vec!["read".to_string()], ..Names::default() },
-        classes: settings.classes.clone(),
+        terms: Rc::new(RefCell::new(Terms::of(&start))),
         clock,
         counters: Rc::default(),
         door: Rc::clone(&door),
--- a/crates/stairfront-baselines/src/lib.rs
+++ b/crates/stairfront-baselines/src/lib.rs
@@ -189,6 +189,7 @@
                     self.give_up(id, actions);
                 }
             }
+            Event::Retuned { settings, .. } => self.set = settings.clone(),
             Event::Cordon { cache, on: true } => drop(self.cordoned.insert(cache)),
             Event::Cordon { cache, on: false } => drop(self.cordoned.remove(&cache)),
             Event::Probed { .. } | Event::Peer { .. } | Event::Inherited(_) => {}
--- a/crates/stairfront-lab/src/load.rs
+++ b/crates/stairfront-lab/src/load.rs
@@ -222,10 +222,14 @@
         for i in 0..share(this.plan.habits.idle) {
             spawn_local(Rc::clone(&this).stand_idle(i));
         }
-        for i in 0..share(this.plan.habits.slow_readers) {
-            spawn_local(Rc::clone(&this).read_slowly(i, source));
-        }
+        let slow = 0..share(this.plan.habits.slow_readers);
+        let slow: Vec<_> = slow.map(|i| spawn_local(Rc::clone(&this).read_slowly(i, source))).collect();
         Rc::clone(&this).drive().await;
+        // Danger: what they still wait for would count as never answered if they had no time to say that they leave.
+        for reader in slow {
+            // It ends with the plan, and fails only by a panic, which has been shown.
+            let _ = reader.await;
+        }
         this.tally.replace(Tally::new(0, 1, 0, 0))
     }
 
--- a/crates/stairfront-overload/src/controller.rs
+++ b/crates/stairfront-overload/src/controller.rs
@@ -36,6 +36,11 @@
         Controller { target: target.max(1), part: 1.0, calm: 0, before: 0 }
     }
 
+    /// Another target from now on; what is taken stays as it is.
+    pub fn set_target(&mut self, target: Micros) {
+        self.target = target.max(1);
+    }
+
     /// Part of the requests to take, at most 1.
     pub fn part(&self) -> f64 {
         self.part
--- a/crates/stairfront-overload/src/door.rs
+++ b/crates/stairfront-overload/src/door.rs
@@ -61,6 +61,13 @@
         }
     }
 
+    /// Other settings from now on; what was measured and counted stays.
+    pub fn retune(&mut self, set: &DoorSettings) {
+        self.controller.set_target(set.target);
+        self.worth.retune(&set.quotas, &set.worths);
+        self.most_advice_ms = set.most_advice_ms;
+    }
+
     /// A message was handled so long after it was sent.
     pub fn message(&mut self, late: Micros) {
         self.messages.handled(late);
--- a/crates/stairfront-overload/src/worth.rs
+++ b/crates/stairfront-overload/src/worth.rs
@@ -35,17 +35,27 @@
 impl Worth {
     /// `quotas`: what each tenant is entitled to, in any unit; `worths`: what a request of each class is worth.
     pub fn new(quotas: &[f64], worths: &[f64]) -> Self {
-        let sum: f64 = quotas.iter().sum::<f64>().max(1e-9);
-        let rank = |worth: &f64| worths.iter().filter(|other| *other > worth).count().min(OF_A_KIND - 1);
-        Worth {
-            quotas: quotas.iter().map(|quota| quota / sum).collect(),
-            ranks: worths.iter().map(rank).collect(),
-            came: vec![0.0; quotas.len()],
+        let mut worth = Worth {
+            quotas: Vec::new(),
+            ranks: Vec::new(),
+            came: Vec::new(),
             all: 0.0,
             levels: [0.0; LEVELS],
-            excess: vec![1.0; quotas.len()],
+            excess: Vec::new(),
             looked_at: 0,
-        }
+        };
+        worth.retune(quotas, worths);
+        worth
+    }
+
+    /// Other quotas and worths from now on. A tenant at another position is counted anew within half a second.
+    pub fn retune(&mut self, quotas: &[f64], worths: &[f64]) {
+        let sum: f64 = quotas.iter().sum::<f64>().max(1e-9);
+        let rank = |worth: &f64| worths.iter().filter(|other| *other > worth).count().min(OF_A_KIND - 1);
+        self.quotas = quotas.iter().map(|quota| quota / sum).collect();
+        self.ranks = worths.iter().map(rank).collect();
+        self.came.resize(quotas.len(), 0.0);
+        self.excess.resize(quotas.len(), 1.0);
     }
 
     /// Counts a request and says how worthy it is. `draw`, between 0 and 1, tells which of a tenant's requests are those
--- a/crates/stairfront-policy/src/interface.rs
+++ b/crates/stairfront-policy/src/interface.rs
@@ -63,7 +63,7 @@
     }
 }
 
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Class {
     pub semantics: Semantics,
     pub aim: Micros,
@@ -292,6 +292,12 @@
     },
     /// What the process before this one knew; told after the first list, which goes before it.
     Inherited(&'a Knowledge),
+    /// Other settings from now on. Classes keep their positions; `tenants` tells for each of the new ones which position
+    /// it had before. What is open keeps the class and the number of attempts that it was taken with.
+    Retuned {
+        settings: &'a Settings,
+        tenants: &'a [Option<usize>],
+    },
     /// Operators take a cache out, whatever the list says of it, or give it back after its restart.
     Cordon {
         cache: CacheId,
--- a/crates/stairfront-policy/src/policy.rs
+++ b/crates/stairfront-policy/src/policy.rs
@@ -117,10 +117,24 @@
             Event::Timer { token } => self.on_give_up(now, RequestId(token as u32), actions),
             Event::Cordon { cache, on } => self.on_cordon(now, cache, on),
             Event::Inherited(known) => self.inherit(now, known),
+            Event::Retuned { settings, tenants } => self.on_retuned(settings, tenants),
             Event::Probed { .. } | Event::Peer { .. } => {}
         }
     }
 
+    /// Danger: an open request that took on the rules of a changed class could have its effect twice. What is
+    /// open keeps its own; windows, placements and what tenants used lately stay.
+    fn on_retuned(&mut self, set: &Settings, tenants: &[Option<usize>]) {
+        let quotas: f64 = set.tenants.iter().map(|t| t.quota_per_s).sum();
+        let parts = set.tenants.iter().zip(tenants).map(|(tenant, before)| {
+            let used = before.and_then(|before| self.tenant_parts.get(before).copied());
+            used.unwrap_or(tenant.quota_per_s / quotas.max(1e-9))
+        });
+        self.tenant_parts = parts.collect();
+        self.usual_left.resize(set.classes.len(), Majority::default());
+        self.set = set.clone();
+    }
+
     fn on_list(&mut self, now: Micros, news: ListNews<'_>, actions: &mut Vec<Action>) {
         let lines = match news {
             ListNews::Failed => {
@@ -309,7 +323,7 @@
         let p = self.pending.get(&id)?;
         let (key, tried) = (p.request.key.unwrap_or(Key(u64::from(id.0))), p.tried);
         // What is worth more than another class is refused last: before that it may use twice the window.
-        let worth = self.class(&p.request).map_or(0.0, |c| c.worth);
+        let worth = p.class.worth;
         let (favoured, mut resort) = (self.set.classes.iter().any(|c| c.worth < worth), None);
         let placed = self.place(now, key)?;
         let (found, n) = self.candidates(key);
@@ -440,8 +454,12 @@
         // Danger: a short origin holds up caches with fetches that fail, and with them what they still hold.
         let held = request.key.and_then(|k| self.table.get(&k)).is_some_and(|entry| entry.held);
         let miss = !held && now < self.origin_short_until && self.random.unit() > SHORT_ADMIT;
-        let (aim_at, stage) = (self.aim_at(now, &request), Stage::Cache);
-        let p = Pending { request, aim_at, stage, sent: 0, out: None, ran: None, tried: [None; 2] };
+        let Some(class) = self.set.classes.get(usize::from(request.class.0)).copied() else {
+            return actions.push(Action::Fail { id: request.id });
+        };
+        let (aim_at, most) = (self.aim_at(now, &request, &class), self.set.limits.most_attempts);
+        let (stage, out, ran, tried) = (Stage::Cache, None, None, [None; 2]);
+        let p = Pending { request, class, most, aim_at, stage, sent: 0, out, ran, tried };
         let give_up = self.give_up_at(&p);
         self.pending.insert(request.id, p);
         if miss || give_up <= now || self.shed(now, &request, actions) {
@@ -451,18 +469,13 @@
         self.dispatch(now, request.id, actions);
     }
 
-    fn class(&self, request: &Request) -> Option<&Class> {
-        self.set.classes.get(usize::from(request.class.0))
-    }
-
     fn aside(&self) -> bool {
         matches!(self.set.mode, CacheMode::Aside { .. })
     }
 
     /// When an answer stops being in time; a client's repeat, with other time left, counts from the first.
-    fn aim_at(&mut self, now: Micros, request: &Request) -> Micros {
+    fn aim_at(&mut self, now: Micros, request: &Request, class: &Class) -> Micros {
         let (left, slack) = (request.expires - now, 4 * self.set.tick);
-        let Some(class) = self.class(request) else { return request.expires };
         let (aim, deadline) = (class.aim, class.deadline);
         let usual = self.usual_left[usize::from(request.class.0)].vote(left, slack, USUAL_VOTES);
         let spent = if usual { 0 } else { (deadline - left).max(0) };
@@ -473,8 +486,7 @@
     /// A fetch goes on past the aim: its value is stored for the next reader only while its own waits.
     fn give_up_at(&self, p: &Pending) -> Micros {
         let last = p.request.expires - 2 * self.set.tick;
-        let late_earns = self.class(&p.request).is_some_and(|c| c.late_worth > 0.0);
-        last.min(if late_earns || p.stage == Stage::Fetch { last } else { p.aim_at })
+        last.min(if p.class.late_worth > 0.0 || p.stage == Stage::Fetch { last } else { p.aim_at })
     }
 
     fn dispatch(&mut self, now: Micros, id: RequestId, actions: &mut Vec<Action>) {
@@ -504,8 +516,7 @@
     /// where answers get lost and cores idle: waiting takes all the time that another attempt would need.
     fn send(&mut self, now: Micros, id: RequestId, to: CacheId, actions: &mut Vec<Action>) {
         let Some(tokens) = self.servers.get(&to).map(|s| self.cold_tokens(s, now)) else { return };
-        let class = self.pending.get(&id).and_then(|p| self.class(&p.request));
-        let cut = self.set.limits.may_cancel && class.is_some_and(|c| c.semantics == Semantics::Free);
+        let may_cut = self.set.limits.may_cancel;
         let (Some(p), Some(server)) = (self.pending.get_mut(&id), self.servers.get_mut(&to)) else { return };
         (server.cold_tokens, server.cold_at) = ((tokens - 1.0).max(0.0), now);
         server.inflight += 1;
@@ -517,6 +528,7 @@
         let timeout = (p.request.expires - 2 * self.set.tick - now).max(self.set.tick);
         actions.push(Action::Send { id, cache: to, timeout });
         let delay = (p.aim_at - now) / 2;
+        let cut = may_cut && p.class.semantics == Semantics::Free;
         if cut && server.silent.value > SILENT_PART && server.busy < BUSY && delay as f64 > server.pace.value
         {
             actions.push(Action::Timer { delay, token: u64::from(p.sent) << 32 | u64::from(id.0) });
@@ -552,7 +564,7 @@
 
     fn carry_on(&mut self, now: Micros, id: RequestId, outcome: Outcome, actions: &mut Vec<Action>) {
         let Some(p) = self.pending.get(&id) else { return };
-        if p.sent >= self.set.limits.most_attempts || self.give_up_at(p) <= now + self.set.tick {
+        if p.sent >= p.most || self.give_up_at(p) <= now + self.set.tick {
             return self.finish(now, id, actions);
         }
         if outcome == Outcome::Miss && self.aside() {
@@ -611,25 +623,25 @@
 
     fn may_send(&self, now: Micros, id: RequestId, to: CacheId) -> bool {
         let (Some(p), Some(server)) = (self.pending.get(&id), self.servers.get(&to)) else { return false };
-        if p.out.is_some() || p.sent >= self.set.limits.most_attempts {
+        if p.out.is_some() || p.sent >= p.most {
             return false;
         }
         let Some(ran) = p.ran else { return true };
-        match self.class(&p.request).map(|c| c.semantics) {
-            Some(Semantics::Free) => true,
+        match p.class.semantics {
+            Semantics::Free => true,
             // Danger: a keyed request outside its group or window would take effect twice.
-            Some(Semantics::Guarded { group, key_ttl }) => {
+            Semantics::Guarded { group, key_ttl } => {
                 group.holds_both((server.member.zone, server.member.cell), (ran.zone, ran.cell))
                     && now + self.set.tick < ran.at + key_ttl
             }
-            Some(Semantics::SingleShot) | None => false,
+            Semantics::SingleShot => false,
         }
     }
 
     /// Danger: a refusal tells the client that a repeat is harmless.
     fn may_refuse(&self, p: &Pending) -> bool {
-        match self.class(&p.request).map(|c| c.semantics) {
-            Some(Semantics::Free | Semantics::Guarded { group: Group::All, .. }) => true,
+        match p.class.semantics {
+            Semantics::Free | Semantics::Guarded { group: Group::All, .. } => true,
             _ => p.ran.is_none() && p.out.is_none(),
         }
     }
@@ -671,8 +683,8 @@
 
     fn observe(&mut self, now: Micros, s: &Settled, actions: &mut Vec<Action>) {
         let shortest = self.set.classes.iter().map(|c| c.aim).min().unwrap_or(SECOND);
-        let class = self.pending.get(&s.id).and_then(|p| self.class(&p.request));
-        let (goal, aside) = (GOAL * class.map_or(shortest, |c| c.aim) as f64, self.aside());
+        let aim = self.pending.get(&s.id).map_or(shortest, |p| p.class.aim);
+        let (goal, aside) = (GOAL * aim as f64, self.aside());
         let rare = self.gap() > goal / GOAL;
         let Some(server) = self.servers.get_mut(&s.cache) else { return };
         let (before, error, again) = (server.window, s.outcome == Outcome::Errored, s.attempt > 0);
--- a/crates/stairfront-policy/src/state.rs
+++ b/crates/stairfront-policy/src/state.rs
@@ -79,6 +79,9 @@
 
 pub struct Pending {
     pub request: Request,
+    /// What its class says and how often it may be sent, as when it was taken.
+    pub class: Class,
+    pub most: u8,
     pub aim_at: Micros,
     pub stage: Stage,
     pub sent: u8,
--- a/crates/stairfront-settings/src/lib.rs
+++ b/crates/stairfront-settings/src/lib.rs
@@ -1,6 +1,10 @@
 //! The settings that a balancer is started with, on the simulator's wire and on sockets alike: read, checked and
 //! given defaults here and nowhere else. Unknown keys are ignored; absent optional ones get their documented
 //! default; an error names the key at fault.
+mod retune;
+
+pub use retune::{Retuned, NOT_RETUNED};
+
 use serde::Deserialize;
 use stairfront_policy::interface::{
     CacheMode, Class, Discovery, Group, Kind, Limits, Micros, ReportField, Rules, Semantics, Settings,
@@ -33,6 +37,9 @@
     pub report: Vec<String>,
 }
 
+/// For each tenant, the position that it had in the settings before, if it was there.
+pub type Tenants = Vec<Option<usize>>;
+
 /// Limits that a host of the module keeps by itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HostLimits {
@@ -307,6 +314,7 @@
             time("caps.connect_timeout", self.caps.connect_timeout),
             positive("caps.keepalive", self.caps.keepalive),
             must(self.caps.open_cap > 0, "caps.open_cap", "must be above 0"),
+            must(self.caps.most_tries > 0, "caps.most_tries", "must be above 0"),
             time("rules.answer_slack", rules.answer_slack),
             time("rules.ask_every", rules.ask_every),
             time("rules.stop_sending_within", rules.stop_sending_within),
@@ -364,7 +372,7 @@
 impl RawCaps {
     fn limits(&self) -> Limits {
         Limits {
-            most_attempts: self.most_tries.max(1),
+            most_attempts: self.most_tries,
             may_duplicate: self.may_duplicate,
             may_cancel: self.cancel,
             may_probe: self.probes,
--- a/crates/stairfront-settings/tests/settings.rs
+++ b/crates/stairfront-settings/tests/settings.rs
@@ -52,13 +52,14 @@
 
 #[test]
 fn an_error_names_the_key() {
-    let cases: [(&str, Value, &str); 9] = [
+    let cases: [(&str, Value, &str); 10] = [
         ("/profiles/0/aim", "soon".into(), "profiles[0].aim: "),
         ("/profiles/0/aim", 0.into(), "profiles[0].aim: must be a time in milliseconds above 0"),
         ("/profiles/0/deadline", 1e12.into(), "profiles[0].deadline: "),
         ("/profiles/0/semantics", "odd".into(), "profiles[0].semantics: unknown word \"odd\""),
         ("/caps", json!({"keepalive": 0}), "caps.keepalive: "),
         ("/caps", json!({"open_cap": 0}), "caps.open_cap: must be above 0"),
+        ("/caps", json!({"most_tries": 0}), "caps.most_tries: must be above 0"),
         ("/rules", json!({"fall": -1}), "rules.fall: "),
         ("/tenants", json!([{"quota_rps": -1.0}]), "tenants[0].quota_rps: "),
         ("/family_info", json!({"mode": "aside"}), "family_info.origin_kind: "),
@@ -74,3 +75,35 @@
     }
     assert!(Start::from_text("{\"profiles\":").is_err());
 }
+
+fn with_classes(names: &[&str]) -> Start {
+    let class = |name: &&str| json!({"name": name, "semantics": "free", "aim": 750.0, "deadline": 1500.0});
+    let mut text = least();
+    text["profiles"] = names.iter().map(class).collect();
+    text["tenants"] = names.iter().map(|name| json!({"name": name, "quota_rps": 1.0})).collect();
+    Start::from_value(text).unwrap()
+}
+
+#[test]
+fn classes_keep_their_positions_from_one_retune_to_the_next() {
+    let mut retired = Vec::new();
+    let mut in_use = with_classes(&["a", "b"]);
+    let steps: [(&[&str], &[&str], &[usize]); 5] = [
+        // Order in the file does not matter.
+        (&["c", "b", "a"], &["a", "b", "c"], &[]),
+        (&["a", "c"], &["a", "b", "c"], &[1]),
+        // The place of one just dropped may still be named; that of one dropped before is free.
+        (&["a", "d"], &["a", "d", "c"], &[2]),
+        (&["a", "c"], &["a", "d", "c"], &[1]),
+        (&["a", "e", "f"], &["a", "e", "c", "f"], &[2]),
+    ];
+    for (file, wanted, dropped) in steps {
+        let retuned = with_classes(file).following(&in_use, &retired);
+        assert_eq!(retuned.start.names.classes, wanted, "{file:?}");
+        assert_eq!(retuned.retired, dropped, "{file:?}");
+        assert_eq!(retuned.start.settings.classes.len(), wanted.len());
+        let was = |name: &&str| in_use.names.tenants.iter().position(|known| known == name);
+        assert_eq!(retuned.tenants, file.iter().map(was).collect::<Vec<_>>());
+        (in_use, retired) = (retuned.start, retuned.retired);
+    }
+}
--- a/crates/stairfront/tests/process.rs
+++ b/crates/stairfront/tests/process.rs
@@ -99,7 +99,7 @@
         let mut process = Process::start("sighup", before, one).await;
         let mut client = Client::connect(process.address).await.unwrap();
         assert_eq!(client.get("k", "1", 900).await, bulk("one"));
-        std::fs::write(&process.config, config(process.address, after, &[], 1024).to_string()).unwrap();
+        process.rewrite(config(process.address, after, &[], 1024));
         process.signal("-HUP");
         process.signal("-HUP");
         sleep(ms(100)).await;
--- a/crates/stairfront/tests/processes/mod.rs
+++ b/crates/stairfront/tests/processes/mod.rs
@@ -80,6 +80,12 @@
         }
     }
 
+    /// Puts another configuration in the place of its own.
+    pub fn rewrite(&self, mut text: Value) {
+        text["ops"] = self.operators.to_string().into();
+        std::fs::write(&self.config, text.to_string()).unwrap();
+    }
+
     /// Sends a signal such as `-TERM`.
     pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
