Answers above 64 KiB pass in pieces as their clients read, at two pieces held for each

Need: values up to 4 MiB; a server's value above 1 MiB, or a 32nd of the memory, was an error before (limits.rs, resp.rs), and what was within it was held whole before its first byte went out. A slow head was closed at 2.2 s from the connection, not from its start. Change: readers that yield parts (wire/part.rs), an attempt that ends with the head of a large value, back-pressure from client to server over a channel of two pieces, the last line break only after a good tail; 2.7 s for a whole command, and a client in the middle of its head makes no room for others.

--- a/crates/stairfront-balancer/src/cache_host.rs
+++ b/crates/stairfront-balancer/src/cache_host.rs
@@ -6,7 +6,8 @@
 use bytes::BytesMut;
 use stairfront_policy::interface::{Load, Note, Outcome};
 use stairfront_wire::budget::Budget;
-use stairfront_wire::resp::{put_bulk, put_number, ReplyReader, RespError, Value};
+use stairfront_wire::part::Part;
+use stairfront_wire::resp::{put_bulk, put_number, PartReader, RespError, Value};
 use tokio_util::codec::{Decoder, Encoder};
 
 use crate::connection::Speech;
@@ -18,19 +19,19 @@
 
 /// Commands out, replies in.
 #[derive(Debug)]
-pub struct CacheCodec(ReplyReader);
+pub struct CacheCodec(PartReader);
 
 impl CacheCodec {
     pub fn new(largest_value: usize, budget: &Rc<Budget>) -> Self {
-        CacheCodec(ReplyReader::new(largest_value, budget))
+        CacheCodec(PartReader::new(largest_value, budget))
     }
 }
 
 impl Decoder for CacheCodec {
-    type Item = Value;
+    type Item = Part<Value>;
     type Error = RespError;
 
-    fn decode(&mut self, src: &mut BytesMut) -> Result<Option<Value>, RespError> {
+    fn decode(&mut self, src: &mut BytesMut) -> Result<Option<Part<Value>>, RespError> {
         self.0.decode(src)
     }
 }
@@ -58,6 +59,8 @@
 }
 
 impl Speech for CacheCodec {
+    type Reply = Value;
+
     fn new(_: SocketAddr, largest_value: usize, budget: &Rc<Budget>) -> Self {
         CacheCodec::new(largest_value, budget)
     }
--- a/crates/stairfront-balancer/src/caches.rs
+++ b/crates/stairfront-balancer/src/caches.rs
@@ -228,9 +228,10 @@
     pub fn hear(&mut self, news: PoolNews, ends: &mut impl Extend<AttemptEnd>) {
         match news {
             PoolNews::Idle { connection, end } => {
-                ends.extend([end]);
+                ends.extend(end);
                 self.keep(connection);
             }
+            PoolNews::Begun { end } => ends.extend([end]),
             PoolNews::Closed { connection, end, unsent } => {
                 ends.extend(end);
                 if let Some(connection) = self.connections.remove(&connection) {
--- a/crates/stairfront-balancer/src/clients.rs
+++ b/crates/stairfront-balancer/src/clients.rs
@@ -11,8 +11,8 @@
 use futures_util::{FutureExt, SinkExt, StreamExt};
 use stairfront_policy::interface::RequestId;
 use stairfront_wire::budget::Budget;
-use stairfront_wire::resp::{put_bulk, put_line, shrink, CommandReader, RespError};
-use tokio::io::AsyncReadExt;
+use stairfront_wire::resp::{put_bulk, put_line, put_number, shrink, CommandReader, RespError};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::sync::{mpsc, oneshot, watch, AcquireError, Notify, OwnedSemaphorePermit, Semaphore};
 use tokio::task::{spawn_local, yield_now};
 use tokio_util::codec::{Decoder, Encoder, Framed, FramedParts};
@@ -23,7 +23,7 @@
 use crate::counters::Counters;
 use crate::handover::{Handed, Link, MOST_UNREAD};
 use crate::limits::MOST_SPARE;
-use crate::messages::{Answer, Arrival, Given, Input};
+use crate::messages::{Answer, Arrival, Given, Input, Piece};
 use crate::shutdown::Phase;
 use crate::stages::take_in::{self, Intake, Taken};
 use crate::transport::{Listener, Stream, Unread};
@@ -31,15 +31,18 @@
 /// Commands of one connection that may be open at once; reading waits beyond that. Few, so that one client that sends
 /// hundreds at once does not fill the servers.
 const MOST_OPEN: usize = 16;
-/// A connection on which nothing is open may be closed after 2 s, and one that has brought no whole command must be
+/// A client may take 2 s for the head of a command, and one that has brought no whole command must be closed or told
 /// within 3 s.
-const SILENT_LIMIT: Duration = Duration::from_millis(2200);
+const SILENT_LIMIT: Duration = Duration::from_millis(2700);
 /// The same for one that has carried commands: its client likely has more, and a new connection costs both sides.
 const IDLE_LIMIT: Duration = Duration::from_secs(10);
 /// A new connection does not have to make room for so long: its first command is on its way.
 const NEW_LIMIT: Duration = Duration::from_millis(200);
 /// A client that reads nothing for so long is gone: longer than any deadline.
 const WRITE_LIMIT: Duration = Duration::from_secs(5);
+/// The same in the middle of a large value, which a client may take in with pauses.
+const LARGE_WRITE_LIMIT: Duration = Duration::from_secs(10);
+const UNREAD: RespError = RespError::Malformed("client does not read");
 /// How long the end of a connection waits for the client to have read the last answer.
 const LINGER: Duration = Duration::from_secs(1);
 /// What is read meanwhile at full speed, and the pause after each further piece. Danger: a client that goes on sending
@@ -299,6 +302,7 @@
     fn encode(&mut self, answer: Answer, dst: &mut BytesMut) -> Result<(), RespError> {
         match answer {
             Answer::Value(value) => put_bulk(dst, &value),
+            Answer::Large(length) => put_number(dst, b'$', length),
             Answer::Busy { after_ms: Some(ms) } => put_line(dst, b'-', format!("BUSY {ms}").as_bytes()),
             Answer::Busy { after_ms: None } => put_line(dst, b'-', b"BUSY"),
             Answer::Failed => put_line(dst, b'-', b"ERR failed"),
@@ -467,7 +471,8 @@
                 () = context.crowd.idle.notified(), if staying && used && !spare => {
                     self.leaving = Some(Leaving::Whole);
                 }
-                () = context.crowd.silent.notified(), if staying && !spare
+                // One that has begun a command is on its way to be used.
+                () = context.crowd.silent.notified(), if staying && !spare && whole
                     && matches!(self.standing, Standing::Silent(_)) => {
                     self.leaving = Some(Leaving::Cut);
                 }
@@ -558,13 +563,26 @@
     }
 
     /// Writes the given answer and those behind it that are there, in one go.
-    async fn write_ready(&mut self, given: Option<Given>) -> Result<(), RespError> {
+    async fn write_ready(&mut self, mut given: Option<Given>) -> Result<(), RespError> {
+        while let Some(large) = self.write_some(given.take()).await? {
+            self.write_large(large).await?;
+        }
+        Ok(())
+    }
+
+    /// The same up to a large value, whose pieces are returned once its head is written.
+    async fn write_some(&mut self, given: Option<Given>) -> Result<Option<mpsc::Receiver<Piece>>, RespError> {
+        let mut large = None;
         let written = async {
             let (mut next, mut rooms) = (given, Vec::new());
-            while let Some(Given { answer, room }) = next.take().or_else(|| self.ready()) {
-                // What large values take is given back once they are written.
+            while let Some(Given { answer, room, pieces }) = next.take().or_else(|| self.ready()) {
+                // What values take is given back once they are written.
                 rooms.extend(room);
                 self.wire.feed(answer).await?;
+                if let Some(pieces) = pieces {
+                    large = Some(pieces);
+                    break;
+                }
             }
             if self.wire.write_buffer().is_empty() {
                 return Ok(());
@@ -575,7 +593,33 @@
             Ok(())
         };
         let limited = timeout(WRITE_LIMIT, written).await;
-        limited.unwrap_or(Err(RespError::Malformed("client does not read")))
+        limited.unwrap_or(Err(UNREAD))?;
+        Ok(large)
+    }
+
+    /// Writes a large value piece by piece, as its client reads: the server's connection waits meanwhile. Broken off, it
+    /// ends the connection, so that the client can tell that it is not whole.
+    async fn write_large(&mut self, mut pieces: mpsc::Receiver<Piece>) -> Result<(), RespError> {
+        self.context.counters.streams.add();
+        loop {
+            match pieces.recv().await {
+                Some(Piece::Bytes(bytes)) => self.write_piece(bytes).await?,
+                Some(Piece::End) => return self.write_piece(Bytes::from_static(b"\r\n")).await,
+                None => return Err(RespError::Malformed("a large value was not brought to its end")),
+            }
+        }
+    }
+
+    /// A slow client is served for as long as it reads at all.
+    async fn write_piece(&mut self, mut bytes: Bytes) -> Result<(), RespError> {
+        while !bytes.is_empty() {
+            let written = timeout(LARGE_WRITE_LIMIT, self.wire.get_mut().write_buf(&mut bytes)).await;
+            if written.map_err(|_| UNREAD)?? == 0 {
+                return Err(UNREAD);
+            }
+        }
+        self.quiet_since = Instant::now();
+        Ok(())
     }
 
     /// The answer to the command that is first in turn, if it is there.
--- a/crates/stairfront-balancer/src/connection.rs
+++ b/crates/stairfront-balancer/src/connection.rs
@@ -9,6 +9,7 @@
 use futures_util::{SinkExt, StreamExt};
 use stairfront_policy::interface::Outcome;
 use stairfront_wire::budget::Budget;
+use stairfront_wire::part::Part;
 use stairfront_wire::resp::shrink;
 use tokio::sync::{mpsc, oneshot};
 use tokio_util::codec::{Decoder, Encoder, Framed};
@@ -16,14 +17,23 @@
 
 use crate::clock::{sleep_until, timeout, timeout_at, Instant};
 use crate::counters::Counters;
-use crate::messages::{AttemptEnd, ConnectionId, Input, Job, Outgoing, PoolNews, Verdict};
+use crate::messages::{AttemptEnd, ConnectionId, Input, Job, Outgoing, Piece, PoolNews, Rest, Verdict};
 use crate::transport::{Network, Stream, Unread};
 
+/// Pieces of a large value that wait for its client; each has some kilobytes.
+const MOST_PIECES: usize = 2;
+/// A server that brings no byte of a value that it has begun for so long is gone: longer than any deadline, and than any
+/// pause that was seen.
+const STALL_LIMIT: Duration = Duration::from_secs(10);
+
 /// How one kind of server is spoken to.
-pub trait Speech: Decoder<Item: Debug> + Encoder<Outgoing, Error = <Self as Decoder>::Error> + Sized {
+pub trait Speech:
+    Decoder<Item = Part<Self::Reply>> + Encoder<Outgoing, Error = <Self as Decoder>::Error> + Sized
+{
+    type Reply: Debug;
     fn new(address: SocketAddr, largest_value: usize, budget: &Rc<Budget>) -> Self;
     /// What a reply means, and whether the connection can carry another request.
-    fn verdict(reply: Self::Item, report: &[String]) -> (Verdict, bool);
+    fn verdict(reply: Self::Reply, report: &[String]) -> (Verdict, bool);
     /// Whether what came could not be read, or nothing more could come.
     fn is_malformed(error: &<Self as Decoder>::Error) -> bool;
 }
@@ -67,8 +77,16 @@
                 drop(wire);
                 return self.closed(Some(job.end(Verdict::bare(Outcome::Moot))), None).await;
             }
-            let (verdict, reusable) = exchange(&mut wire, &mut job, &self.common.report).await;
-            let end = job.end(verdict);
+            let (end, reusable) = match exchange(&mut wire, &mut job, &self.common.report).await {
+                Exchanged::Over(verdict, reusable) => (Some(job.end(verdict)), reusable),
+                Exchanged::Begun(verdict, length) => {
+                    let (pieces, coming) = mpsc::channel(MOST_PIECES);
+                    let rest = Some(Rest { length, pieces: coming });
+                    let end = AttemptEnd { rest, ..job.end(verdict) };
+                    self.tell(PoolNews::Begun { end }).await;
+                    (None, pass_on(&mut wire, &pieces, &self.common).await)
+                }
+            };
             let surplus = reusable && !is_quiet(&wire);
             if surplus {
                 self.common.counters.server_connections_surplus.add();
@@ -77,7 +95,7 @@
                 // Danger: late bytes must never reach another request, and the attempt must be over for the
                 // server before another one is sent. So the socket is closed before the end is told.
                 drop(wire);
-                return self.closed(Some(end), None).await;
+                return self.closed(end, None).await;
             }
             self.tell(PoolNews::Idle { connection: self.id, end }).await;
             let next = self.next_job(&mut wire).await;
@@ -143,12 +161,60 @@
     }
 }
 
-/// One command and its reply; whether the connection can be used again.
+/// What became of a command.
+enum Exchanged {
+    /// The attempt is over; whether the connection can be used again.
+    Over(Verdict, bool),
+    /// A value of so many bytes has begun to come.
+    Begun(Verdict, usize),
+}
+
+/// Passes a large value on as it comes; whether the connection can be used again. Danger: read ahead of its client, values
+/// together far over the memory limit would be held. What is not wanted yet stays with the server.
+async fn pass_on<T: Stream, S: Speech, N>(
+    wire: &mut Framed<T, S>,
+    pieces: &mpsc::Sender<Piece>,
+    common: &Common<N>,
+) -> bool
+where
+    <S as Decoder>::Error: std::fmt::Display + 'static,
+{
+    loop {
+        let part = match timeout(STALL_LIMIT, wire.next()).await {
+            Ok(Some(Ok(part))) => part,
+            Ok(Some(Err(problem))) => {
+                debug!("a large value broke: {problem}");
+                break;
+            }
+            Ok(None) | Err(_) => break,
+        };
+        let (piece, reusable) = match part {
+            Part::Piece(bytes) => (Piece::Bytes(bytes), None),
+            Part::Done(reply) => match S::verdict(reply, &common.report) {
+                (Verdict { outcome: Outcome::Served, .. }, reusable) => (Piece::End, Some(reusable)),
+                // What stands behind the value belongs to no answer: the value may be wrong as well.
+                _ => break,
+            },
+            Part::Whole(_) | Part::Begun(..) => break,
+        };
+        // The client has left, or reads nothing.
+        if pieces.send(piece).await.is_err() {
+            return false;
+        }
+        if let Some(reusable) = reusable {
+            return reusable;
+        }
+    }
+    common.counters.streams_broken.add();
+    false
+}
+
+/// One command and what comes back.
 async fn exchange<T: Stream, S: Speech>(
     wire: &mut Framed<T, S>,
     job: &mut Job,
     report: &[String],
-) -> (Verdict, bool)
+) -> Exchanged
 where
     <S as Decoder>::Error: std::fmt::Display + 'static,
 {
@@ -158,18 +224,29 @@
     let talk = async {
         if let Err(problem) = wire.send(outgoing).await {
             debug!("request not written: {problem}");
-            return (Verdict::bare(Outcome::ConnectFailed), false);
+            return Exchanged::Over(Verdict::bare(Outcome::ConnectFailed), false);
         }
         written = true;
         shrink(wire.write_buffer_mut());
         match wire.next().await {
-            Some(Ok(reply)) => S::verdict(reply, report),
+            Some(Ok(Part::Whole(reply))) => {
+                let (verdict, reusable) = S::verdict(reply, report);
+                Exchanged::Over(verdict, reusable)
+            }
+            Some(Ok(Part::Begun(length, reply))) => {
+                let (verdict, _) = S::verdict(reply, report);
+                Exchanged::Begun(Verdict { value: None, ..verdict }, length)
+            }
+            // No reader yields these first.
+            Some(Ok(Part::Piece(_) | Part::Done(_))) => {
+                Exchanged::Over(Verdict::bare(Outcome::Spoilt), false)
+            }
             Some(Err(problem)) => {
                 debug!("reply not read: {problem}");
                 let outcome = if S::is_malformed(&problem) { Outcome::Spoilt } else { Outcome::Reset };
-                (Verdict::bare(outcome), false)
+                Exchanged::Over(Verdict::bare(outcome), false)
             }
-            None => (Verdict::bare(Outcome::Reset), false),
+            None => Exchanged::Over(Verdict::bare(Outcome::Reset), false),
         }
     };
     let outcome = tokio::select! {
@@ -180,5 +257,5 @@
     };
     // What was never written whole never ran.
     let outcome = if !written && outcome == Outcome::TimedOut { Outcome::ConnectFailed } else { outcome };
-    (Verdict::bare(outcome), false)
+    Exchanged::Over(Verdict::bare(outcome), false)
 }
--- a/crates/stairfront-balancer/src/counters.rs
+++ b/crates/stairfront-balancer/src/counters.rs
@@ -50,6 +50,9 @@
     attempts_spoilt,
     attempts_cancelled,
     attempts_moot,
+    /// Large values passed on in pieces, and those that could not be brought to their end.
+    streams,
+    streams_broken,
     lists_heard,
     lists_failed,
     /// New configurations taken over, and those with a fault, which changed nothing.
--- a/crates/stairfront-balancer/src/engine.rs
+++ b/crates/stairfront-balancer/src/engine.rs
@@ -266,12 +266,12 @@
 
     /// Tells the module of every attempt that has ended, also of those that its own actions end at once.
     fn settle(&mut self) {
-        while let Some(end) = self.ends.pop_front() {
+        while let Some(mut end) = self.ends.pop_front() {
             let id = end.attempt.request;
             self.counters.ended(end.verdict.outcome);
             self.log_attempt(&end);
             let open = self.is_open(id);
-            let settled = self.table.relay(&end);
+            let settled = self.table.relay(&mut end);
             if open && settled.closed {
                 self.counters.served.add();
             }
--- a/crates/stairfront-balancer/src/limits.rs
+++ b/crates/stairfront-balancer/src/limits.rs
@@ -54,12 +54,17 @@
     pub const FEWEST_MB: usize = 16;
     /// Where no limit is told.
     pub const USUAL_MB: usize = 192;
-    /// Values are said to have 64 KiB at most, and servers were seen to send 400 KB. More than this is noise.
-    const LARGEST_VALUE: usize = MIB;
+    /// Values have 4 MiB at most; more is noise. Above 64 KiB they are passed on as they come.
+    const LARGEST_VALUE: usize = 4 * MIB;
 
     pub fn of(limit_mb: usize) -> Self {
         let part = limit_mb.max(Self::FEWEST_MB) * MIB / 8;
-        let largest_value = (part / 4).min(Self::LARGEST_VALUE);
-        Memory { requests: part / 2, answers: part, commands: part / 2, replies: part, largest_value }
+        Memory {
+            requests: part / 2,
+            answers: part,
+            commands: part / 2,
+            replies: part,
+            largest_value: Self::LARGEST_VALUE,
+        }
     }
 }
--- a/crates/stairfront-balancer/src/messages.rs
+++ b/crates/stairfront-balancer/src/messages.rs
@@ -4,7 +4,7 @@
 use bytes::Bytes;
 use stairfront_policy::interface::{CacheId, Load, Micros, Note, Outcome, Request, RequestId};
 use stairfront_settings::Retuned;
-use tokio::sync::{oneshot, OwnedSemaphorePermit};
+use tokio::sync::{mpsc, oneshot, OwnedSemaphorePermit};
 
 use crate::clock::Instant;
 use crate::handover::Snapshot;
@@ -15,6 +15,8 @@
 pub enum Answer {
     /// The value or the write's receipt, as a server gave it.
     Value(Bytes),
+    /// The head of a value of so many bytes, which follow.
+    Large(usize),
     /// Refused; the client may come back after so many milliseconds, where a time is told.
     Busy {
         after_ms: Option<u64>,
@@ -33,11 +35,13 @@
 pub struct Given {
     pub answer: Answer,
     pub room: Option<OwnedSemaphorePermit>,
+    /// The pieces of a large one.
+    pub pieces: Option<mpsc::Receiver<Piece>>,
 }
 
 impl From<Answer> for Given {
     fn from(answer: Answer) -> Self {
-        Given { answer, room: None }
+        Given { answer, room: None, pieces: None }
     }
 }
 
@@ -113,7 +117,7 @@
     pub outcome: Outcome,
     pub note: Note,
     pub load: Load,
-    /// Present if and only if served.
+    /// Present if and only if served; a large one follows the end of its attempt in pieces.
     pub value: Option<Bytes>,
 }
 
@@ -129,6 +133,23 @@
     pub cache: CacheId,
     pub begun: Instant,
     pub verdict: Verdict,
+    /// A large value, which has begun to come: for the attempt that is its end.
+    pub rest: Option<Rest>,
+}
+
+/// A large value on its way.
+#[derive(Debug)]
+pub struct Rest {
+    pub length: usize,
+    /// Ends without `Piece::End` if the value can't be brought to its end.
+    pub pieces: mpsc::Receiver<Piece>,
+}
+
+#[derive(Debug)]
+pub enum Piece {
+    Bytes(Bytes),
+    /// All have come, and the reply was good to its last byte.
+    End,
 }
 
 /// One attempt on its way to one server.
@@ -153,7 +174,7 @@
     }
 
     pub fn end(&self, verdict: Verdict) -> AttemptEnd {
-        AttemptEnd { attempt: self.attempt, cache: self.cache, begun: self.begun, verdict }
+        AttemptEnd { attempt: self.attempt, cache: self.cache, begun: self.begun, verdict, rest: None }
     }
 }
 
@@ -163,8 +184,19 @@
 /// What a connection's task tells the pool. The socket is closed before `Closed` is told.
 #[derive(Debug)]
 pub enum PoolNews {
-    Idle { connection: ConnectionId, end: AttemptEnd },
-    Closed { connection: ConnectionId, end: Option<AttemptEnd>, unsent: Option<Box<Job>> },
+    Idle {
+        connection: ConnectionId,
+        end: Option<AttemptEnd>,
+    },
+    /// The attempt has ended with a large value; the connection is in use until all of it has come.
+    Begun {
+        end: AttemptEnd,
+    },
+    Closed {
+        connection: ConnectionId,
+        end: Option<AttemptEnd>,
+        unsent: Option<Box<Job>>,
+    },
 }
 
 /// What the engine is told.
--- a/crates/stairfront-balancer/src/origin.rs
+++ b/crates/stairfront-balancer/src/origin.rs
@@ -1,5 +1,6 @@
 //! How the origin is spoken to: HTTP/1.1, one request at a time on a connection.
 use std::fmt::Write as _;
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -7,6 +8,7 @@
 use stairfront_policy::interface::{Load, Note, Outcome};
 use stairfront_wire::budget::Budget;
 use stairfront_wire::http::{HttpCodec, HttpError, Request, Response};
+use stairfront_wire::part::Part;
 use tokio_util::codec::{Decoder, Encoder};
 
 use crate::connection::Speech;
@@ -20,14 +22,20 @@
 }
 
 impl Decoder for OriginCodec {
-    type Item = Response;
+    type Item = Part<Response>;
     type Error = HttpError;
 
-    fn decode(&mut self, src: &mut BytesMut) -> Result<Option<Response>, HttpError> {
-        self.http.decode(src)
+    fn decode(&mut self, src: &mut BytesMut) -> Result<Option<Part<Response>>, HttpError> {
+        self.http.next_part(src)
     }
-    fn decode_eof(&mut self, src: &mut BytesMut) -> Result<Option<Response>, HttpError> {
-        self.http.decode_eof(src)
+
+    fn decode_eof(&mut self, src: &mut BytesMut) -> Result<Option<Part<Response>>, HttpError> {
+        match self.http.next_part(src)? {
+            None if self.http.is_within() || !src.is_empty() => {
+                Err(io::Error::from(io::ErrorKind::UnexpectedEof).into())
+            }
+            part => Ok(part),
+        }
     }
 }
 
@@ -65,6 +73,8 @@
 }
 
 impl Speech for OriginCodec {
+    type Reply = Response;
+
     fn new(address: SocketAddr, largest_value: usize, budget: &Rc<Budget>) -> Self {
         OriginCodec { http: HttpCodec::new(largest_value, budget), host: Bytes::from(address.to_string()) }
     }
--- a/crates/stairfront-balancer/src/stages/relay.rs
+++ b/crates/stairfront-balancer/src/stages/relay.rs
@@ -5,7 +5,7 @@
 use stairfront_policy::interface::{RequestId, Settled};
 
 use crate::clock::micros;
-use crate::messages::{Answer, AttemptEnd, Given};
+use crate::messages::{Answer, AttemptEnd, Given, Rest};
 use crate::stages::admit::Table;
 
 impl Table {
@@ -20,13 +20,13 @@
     fn with_room(&self, value: &Bytes) -> Given {
         let bytes = u32::try_from(value.len()).unwrap_or(u32::MAX);
         match Arc::clone(&self.room).try_acquire_many_owned(bytes) {
-            Ok(room) => Given { answer: Answer::Value(value.clone()), room: Some(room) },
+            Ok(room) => Given { room: Some(room), ..Given::from(Answer::Value(value.clone())) },
             Err(_) => Given::from(Answer::Failed),
         }
     }
 
     /// What the decision module hears; the first value goes to the client and ends the request.
-    pub fn relay(&mut self, end: &AttemptEnd) -> Settled {
+    pub fn relay(&mut self, end: &mut AttemptEnd) -> Settled {
         let id = end.attempt.request;
         if let Some(open) = self.open.get_mut(&id) {
             open.out.retain(|out| out.number != end.attempt.number);
@@ -34,6 +34,10 @@
         if let Some(value) = &end.verdict.value {
             self.answer(id, self.with_room(value));
         }
+        if let Some(Rest { length, pieces }) = end.rest.take() {
+            // Where nobody waits for it any more, its connection sees that and ends.
+            self.answer(id, Given { pieces: Some(pieces), ..Given::from(Answer::Large(length)) });
+        }
         Settled {
             id,
             attempt: end.attempt.number,
--- a/crates/stairfront-balancer/src/stages/send.rs
+++ b/crates/stairfront-balancer/src/stages/send.rs
@@ -68,5 +68,5 @@
 }
 
 fn moot(attempt: AttemptId, cache: CacheId) -> AttemptEnd {
-    AttemptEnd { attempt, cache, begun: Instant::now(), verdict: Verdict::bare(Outcome::Moot) }
+    AttemptEnd { attempt, cache, begun: Instant::now(), verdict: Verdict::bare(Outcome::Moot), rest: None }
 }
--- a/crates/stairfront-balancer/tests/common/mod.rs
+++ b/crates/stairfront-balancer/tests/common/mod.rs
@@ -65,6 +65,8 @@
     Silence,
     /// Ends the connection without an answer.
     End,
+    /// Says a part of an answer and ends the connection.
+    Cut(Vec<u8>),
 }
 
 pub fn hit(value: &str) -> Step {
@@ -148,6 +150,10 @@
                 }
                 Step::Silence => {}
                 Step::End => break 'connection,
+                Step::Cut(bytes) => {
+                    socket.write_all(&bytes).await.unwrap_or_default();
+                    break 'connection;
+                }
             }
         }
         match socket.read(&mut chunk).await {
--- /dev/null
+++ b/crates/stairfront-balancer/tests/large_values.rs
@@ -0,0 +1,174 @@
+//! Values too large to be held: passed on as they come, broken off so that the client can tell, never sent twice.
+mod common;
+
+use std::time::Instant;
+
+use common::*;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::time::sleep;
+
+const LARGE: usize = 4 << 20;
+
+/// Bytes in which every place is told apart from its neighbours.
+fn value() -> String {
+    (0..LARGE).map(|i| char::from(b'a' + (i % 23) as u8)).collect()
+}
+
+/// Without the end of a reply: what a test puts there.
+fn begun(value: &str) -> Vec<u8> {
+    format!("*3\r\n${}\r\n{value}", value.len()).into_bytes()
+}
+
+async fn with_cache(log: &Log, script: impl Fn(usize, &[String]) -> Step + 'static) -> Balancer {
+    let host = cache("cache", log, script).await;
+    Balancer::start(quiet_agent(log).await, &[line("c", host, "box")]).await
+}
+
+#[test]
+fn a_large_value_passes_unchanged_and_the_connection_goes_on() {
+    run(async {
+        let (log, value) = (Log::default(), value());
+        let reply = value.clone();
+        let balancer =
+            with_cache(&log, move |_, words| hit(if words[1] == "k" { &reply } else { "small" })).await;
+        let mut client = balancer.client().await;
+        for id in ["1", "2"] {
+            assert!(client.get("k", id, 1000).await == bulk(&value), "not what the cache said");
+            assert_eq!(client.get("other", &format!("s{id}"), 1000).await, bulk("small"));
+        }
+        assert_eq!(count(&log, &Seen::Opened("cache")), 1, "the server's connection is kept");
+        // Two at once on one connection: in order, and none within the other.
+        client.send(&[get("k", "3", 1000), get("other", "4", 1000), get("k", "5", 1000)].concat()).await;
+        assert!(client.answer().await.unwrap() == bulk(&value));
+        assert_eq!(client.answer().await.unwrap(), bulk("small"));
+        assert!(client.answer().await.unwrap() == bulk(&value));
+    });
+}
+
+#[test]
+fn a_large_value_of_the_origin_passes_by_its_length_and_in_chunks() {
+    run(async {
+        let (log, value) = (Log::default(), value());
+        let host = cache("cache", &log, |_, _| miss()).await;
+        let reply = value.clone();
+        let origin = origin("db", &log, move |_, words| match words[0].starts_with("GET /sized ") {
+            true => http(200, "", &reply),
+            false => {
+                let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+                let chunks = reply.as_bytes()[..100_000].chunks(3_000);
+                let chunk = |c: &[u8]| [format!("{:x}\r\n", c.len()).as_bytes(), c, b"\r\n"].concat();
+                let body: Vec<u8> = chunks.flat_map(chunk).collect();
+                Step::Say([head.as_bytes(), &body, b"0\r\n\r\n"].concat())
+            }
+        })
+        .await;
+        let lines = [line("c", host, "box"), line("db", origin, "origin")];
+        let balancer = Balancer::start(quiet_agent(&log).await, &lines).await;
+        let mut client = balancer.client().await;
+        assert!(client.get("sized", "1", 1000).await == bulk(&value));
+        assert!(client.get("chunked", "2", 1000).await == bulk(&value[..100_000]));
+    });
+}
+
+#[test]
+fn only_the_first_bytes_are_due_by_the_deadline() {
+    run(async {
+        let log = Log::default();
+        let value = value();
+        let (first, rest) = (begun(&value)[..1000].to_vec(), begun(&value)[1000..].to_vec());
+        let balancer = with_cache(&log, move |_, _| {
+            Step::Twice(first.clone(), ms(700), [&rest[..], b"\r\n$3\r\nhit\r\n$-1\r\n"].concat())
+        })
+        .await;
+        let mut client = balancer.client().await;
+        let asked = Instant::now();
+        client.send(&get("k", "1", 300)).await;
+        let mut head = [0; 500];
+        client.socket.read_exact(&mut head).await.unwrap();
+        assert!(asked.elapsed() < ms(300), "the first bytes wait: {:?}", asked.elapsed());
+        let mut got = head.len();
+        let mut piece = vec![0; 65536];
+        while got < bulk(&value).len() {
+            let n = client.socket.read(&mut piece).await.unwrap();
+            assert!(n > 0, "cut off after {got} bytes");
+            got += n;
+        }
+        assert!(asked.elapsed() >= ms(700));
+        assert_eq!(commands(&log, "cache").len(), 1);
+    });
+}
+
+#[test]
+fn a_value_that_breaks_ends_its_clients_connection_and_is_not_asked_for_again() {
+    run(async {
+        let value = value();
+        // Broken by its end, by what stands behind it, by a length that does not fit.
+        let tails: [&[u8]; 3] = [b"", b"xx$3\r\nhit\r\n$-1\r\n", b"\r\n-ERR failed\r\n:1\r\n"];
+        for (i, tail) in tails.into_iter().enumerate() {
+            let log = Log::default();
+            let length = if i == 0 { value.len() / 2 } else { begun(&value).len() };
+            let reply = [&begun(&value)[..length], tail].concat();
+            let host = cache("cache", &log, move |_, _| match i {
+                0 => Step::Cut(reply.clone()),
+                _ => Step::Say(reply.clone()),
+            });
+            let host = host.await;
+            let other = cache("other", &log, |_, _| hit("whole")).await;
+            let lines = [line("c", host, "box"), line("o", other, "box")];
+            let balancer = Balancer::start(quiet_agent(&log).await, &lines).await;
+            let mut key = 0;
+            // One that the breaking cache has.
+            let mut client = loop {
+                let mut client = balancer.client().await;
+                client.send(&get(&format!("k{key}"), &format!("{i}-{key}"), 900)).await;
+                let mut first = [0; 2];
+                client.socket.read_exact(&mut first).await.unwrap();
+                if &first != b"$5" {
+                    break client;
+                }
+                key += 1;
+            };
+            let mut all = Vec::new();
+            let _ = client.socket.read_to_end(&mut all).await;
+            assert!(i > 0 || all.len() < value.len());
+            assert!(!all.ends_with(b"\r\n"), "it looks whole");
+            assert_eq!(commands(&log, "cache").len(), 1, "asked for again");
+            sleep(ms(20)).await;
+            assert_eq!(count(&log, &Seen::Ended("cache")), 1, "the connection is of no further use");
+        }
+    });
+}
+
+#[test]
+fn a_client_that_leaves_in_the_middle_ends_the_transfer() {
+    run(async {
+        let (log, value) = (Log::default(), value());
+        let reply = value.clone();
+        let balancer = with_cache(&log, move |_, _| hit(&reply)).await;
+        let mut client = balancer.client().await;
+        client.send(&get("k", "1", 900)).await;
+        client.socket.read_exact(&mut [0; 1000]).await.unwrap();
+        drop(client);
+        while count(&log, &Seen::Ended("cache")) == 0 {
+            sleep(ms(5)).await;
+        }
+        let mut next = balancer.client().await;
+        assert!(next.get("k", "2", 900).await == bulk(&value));
+    });
+}
+
+#[test]
+fn a_head_may_take_two_seconds() {
+    run(async {
+        let log = Log::default();
+        let balancer = with_cache(&log, |_, _| hit("v")).await;
+        let mut client = balancer.client().await;
+        sleep(ms(300)).await;
+        let bytes = get("k", "1", 900);
+        for byte in &bytes {
+            client.socket.write_all(&[*byte]).await.unwrap();
+            sleep(ms(2000) / bytes.len() as u32).await;
+        }
+        assert_eq!(client.answer().await.unwrap(), bulk("v"));
+    });
+}
--- a/crates/stairfront-wire/src/http.rs
+++ b/crates/stairfront-wire/src/http.rs
@@ -6,6 +6,7 @@
 use tokio_util::codec::{Decoder, Encoder};
 
 use crate::budget::{Budget, Claim};
+use crate::part::{Part, LARGEST_WHOLE};
 use crate::resp::cut_frame;
 
 pub(crate) const MOST_HEADERS: usize = 48;
@@ -57,11 +58,13 @@
     head: Option<(Response, Body)>,
     /// Interim answers since the last real one.
     interim: u32,
+    /// A large body under way, and how much of it is still to come.
+    large: Option<(Response, usize)>,
 }
 
 impl HttpCodec {
     pub fn new(largest_body: usize, budget: &Rc<Budget>) -> Self {
-        HttpCodec { largest_body, claim: Claim::new(budget), head: None, interim: 0 }
+        HttpCodec { largest_body, claim: Claim::new(budget), head: None, interim: 0, large: None }
     }
 
     fn read_head(&self, src: &mut BytesMut) -> Result<Option<(Response, Body)>, HttpError> {
@@ -184,7 +187,8 @@
         }
     }
 
-    fn next(&mut self, src: &mut BytesMut) -> Result<Option<Response>, HttpError> {
+    /// The head of the next real answer, unless it stands read already.
+    fn find_head(&mut self, src: &mut BytesMut) -> Result<(), HttpError> {
         while self.head.is_none() && !src.is_empty() {
             let Some((response, body)) = self.read_head(src)? else { break };
             if response.status >= 200 {
@@ -196,8 +200,42 @@
                 self.interim += 1;
             }
         }
+        Ok(())
+    }
+
+    fn next(&mut self, src: &mut BytesMut) -> Result<Option<Response>, HttpError> {
+        self.find_head(src)?;
         self.read_body(src)
     }
+
+    /// The same for bodies that may be too large to be held: a good answer whose length is told and above
+    /// `LARGEST_WHOLE` comes in pieces. One in chunks has no length before its end, and comes whole.
+    pub fn next_part(&mut self, src: &mut BytesMut) -> Result<Option<Part<Response>>, HttpError> {
+        match self.large.take() {
+            Some((response, 0)) => return Ok(Some(Part::Done(response))),
+            Some((response, left)) => {
+                let piece = src.split_to(left.min(src.len())).freeze();
+                self.large = Some((response, left - piece.len()));
+                return Ok(Some(piece).filter(|piece| !piece.is_empty()).map(Part::Piece));
+            }
+            None => self.find_head(src)?,
+        }
+        match self.head.take() {
+            Some((response, Body::Sized(length))) if response.status == 200 && length > LARGEST_WHOLE => {
+                self.large = Some((response.clone(), length));
+                Ok(Some(Part::Begun(length, response)))
+            }
+            head => {
+                self.head = head;
+                Ok(self.read_body(src)?.map(Part::Whole))
+            }
+        }
+    }
+
+    /// Whether an answer has begun and is not over.
+    pub fn is_within(&self) -> bool {
+        self.head.is_some() || self.large.is_some()
+    }
 }
 
 impl Decoder for HttpCodec {
--- a/crates/stairfront-wire/src/resp.rs
+++ b/crates/stairfront-wire/src/resp.rs
@@ -3,10 +3,11 @@
 use std::ops::Range;
 use std::rc::Rc;
 
-use bytes::{BufMut, Bytes, BytesMut};
+use bytes::{Buf, BufMut, Bytes, BytesMut};
 use tokio_util::codec::Decoder;
 
 use crate::budget::{Budget, Claim};
+use crate::part::{Part, LARGEST_WHOLE};
 
 /// The protocol's limit on values that clients send; other bulk strings of theirs are held to it too.
 pub const LARGEST_BULK: usize = 64 * 1024;
@@ -281,3 +282,111 @@
         decode_value(src, self.largest_value, &mut self.claim)
     }
 }
+
+/// Reads replies of cache hosts. `largest_value` bounds a value in bytes; above `LARGEST_WHOLE` it comes in pieces, where it
+/// stands first in an array of three.
+#[derive(Debug)]
+pub struct PartReader {
+    largest_value: usize,
+    claim: Claim,
+    at: At,
+}
+
+/// Where a reader stands.
+#[derive(Clone, Copy, Debug)]
+enum At {
+    Reply,
+    /// So many bytes of a large value are still to come.
+    Value(usize),
+    /// Behind one: the end of its line, and two more values.
+    Behind,
+}
+
+/// How a reply with a large value begins, up to its length.
+const LARGE_HEAD: &[u8] = b"*3\r\n$";
+
+impl PartReader {
+    pub fn new(largest_value: usize, budget: &Rc<Budget>) -> Self {
+        PartReader { largest_value, claim: Claim::new(budget), at: At::Reply }
+    }
+
+    /// The length of a large value, if the next reply brings one; its head is then taken off.
+    fn large(&self, src: &mut BytesMut) -> Result<Option<usize>, RespError> {
+        if !src.starts_with(LARGE_HEAD) {
+            return Ok(None);
+        }
+        let mut parser = Parser { bytes: src, at: LARGE_HEAD.len(), largest_bulk: self.largest_value };
+        let length = parser.line().and_then(|line| parser.length(line, self.largest_value));
+        let head = parser.at;
+        match length {
+            Ok(Some(length)) if length > LARGEST_WHOLE => {
+                src.advance(head);
+                Ok(Some(length))
+            }
+            // A small one, or none: read as a whole, and so is what is not yet there.
+            Ok(_) | Err(Stop::Need(_)) => Ok(None),
+            Err(Stop::Broken(problem)) => Err(RespError::Malformed(problem)),
+        }
+    }
+
+    fn piece(src: &mut BytesMut, left: usize) -> Bytes {
+        let length = left.min(src.len());
+        src.split_to(length).freeze()
+    }
+
+    /// What stands behind a large value, as the reply that it belongs to.
+    fn behind(src: &mut BytesMut) -> Result<Option<Value>, RespError> {
+        if src.len() < 2 {
+            return Ok(None);
+        }
+        if &src[..2] != b"\r\n" {
+            return Err(RespError::Malformed("bulk string does not end in CRLF"));
+        }
+        let mut parser = Parser { bytes: src, at: 2, largest_bulk: LONGEST_LINE };
+        match parser.value(1).and_then(|first| Ok((first, parser.value(1)?))) {
+            Ok((first, second)) => {
+                let end = parser.at;
+                let frame = cut_frame(src, end);
+                Ok(Some(large_reply(first.cut(&frame), second.cut(&frame))))
+            }
+            Err(Stop::Need(whole)) if whole <= FRAME_MARGIN => Ok(None),
+            Err(Stop::Need(_)) => Err(RespError::Malformed("message too large")),
+            Err(Stop::Broken(problem)) => Err(RespError::Malformed(problem)),
+        }
+    }
+}
+
+/// A reply whose value came in pieces, and stands empty in it.
+fn large_reply(first: Value, second: Value) -> Value {
+    Value::Array(vec![Value::Bulk(Bytes::new()), first, second])
+}
+
+impl Decoder for PartReader {
+    type Item = Part<Value>;
+    type Error = RespError;
+
+    fn decode(&mut self, src: &mut BytesMut) -> Result<Option<Part<Value>>, RespError> {
+        match self.at {
+            At::Reply => match self.large(src)? {
+                Some(length) => {
+                    self.at = At::Value(length);
+                    Ok(Some(Part::Begun(length, large_reply(Value::Null, Value::Null))))
+                }
+                None => Ok(decode_value(src, LARGEST_WHOLE, &mut self.claim)?.map(Part::Whole)),
+            },
+            At::Value(_) if src.is_empty() => Ok(None),
+            At::Value(left) => {
+                let piece = Self::piece(src, left);
+                self.at = if piece.len() == left { At::Behind } else { At::Value(left - piece.len()) };
+                Ok(Some(Part::Piece(piece)))
+            }
+            At::Behind => {
+                let reply = Self::behind(src)?;
+                if reply.is_some() {
+                    self.at = At::Reply;
+                }
+                Ok(reply.map(Part::Done))
+            }
+        }
+    }
+}
--- a/crates/stairfront-wire/tests/codecs.rs
+++ b/crates/stairfront-wire/tests/codecs.rs
@@ -4,7 +4,10 @@
 use stairfront_wire::budget::Budget;
 use stairfront_wire::http::{self, HttpCodec};
 use stairfront_wire::http_server::{HttpServerCodec, Reply};
-use stairfront_wire::resp::{CommandReader, ReplyReader, Value, LARGEST_BULK, ROOMY_BUFFER};
+use stairfront_wire::part::{Part, LARGEST_WHOLE};
+use stairfront_wire::resp::{
+    CommandReader, PartReader, ReplyReader, RespError, Value, LARGEST_BULK, ROOMY_BUFFER,
+};
 use tokio_util::codec::{Decoder, Encoder};
 
 const PLENTY: usize = 1 << 24;
@@ -199,3 +202,96 @@
     assert!(server().encode(reply("a\r\nY: b"), &mut BytesMut::new()).is_err());
     assert!(server().encode(reply("a"), &mut BytesMut::new()).is_ok());
 }
+
+fn part_codec() -> PartReader {
+    PartReader::new(4 << 20, &Budget::new(PLENTY))
+}
+
+/// The HTTP reader as a decoder of parts.
+struct HttpParts(HttpCodec);
+
+impl Decoder for HttpParts {
+    type Item = Part<http::Response>;
+    type Error = http::HttpError;
+    fn decode(&mut self, src: &mut BytesMut) -> Result<Option<Self::Item>, Self::Error> {
+        self.0.next_part(src)
+    }
+}
+
+/// A row of parts with the pieces of each value put together.
+fn joined<R>(parts: Vec<Part<R>>) -> Vec<Part<R>> {
+    let mut out: Vec<Part<R>> = Vec::new();
+    for part in parts {
+        match (out.last_mut(), part) {
+            (Some(Part::Piece(before)), Part::Piece(piece)) => {
+                *before = Bytes::from([&before[..], &piece].concat())
+            }
+            (_, part) => out.push(part),
+        }
+    }
+    out
+}
+
+#[test]
+fn large_values_come_in_pieces_however_the_input_is_split() {
+    let value = "v".repeat(LARGEST_WHOLE + 1);
+    let small = "*3\r\n$1\r\ns\r\n$3\r\nhit\r\n$-1\r\n";
+    let large = format!("*3\r\n${}\r\n{value}\r\n$4\r\nmiss\r\n$10\r\nutil=0.500\r\n", value.len());
+    let input = format!("{small}{large}{small}");
+    let word = |text: &str| Value::Bulk(Bytes::copy_from_slice(text.as_bytes()));
+    let whole = || Part::Whole(Value::Array(vec![word("s"), word("hit"), Value::Null]));
+    let wanted = [
+        whole(),
+        Part::Begun(value.len(), Value::Array(vec![word(""), Value::Null, Value::Null])),
+        Part::Piece(Bytes::from(value.clone())),
+        Part::Done(Value::Array(vec![word(""), word("miss"), word("util=0.500")])),
+        whole(),
+    ];
+    // Every place in the heads and behind the value, and some within it.
+    let (start, end) = (small.len(), input.len());
+    let cuts = (0..start + 40).chain((start + 40..end - 100).step_by(4001)).chain(end - 100..=end);
+    for at in cuts {
+        assert_eq!(joined(split(part_codec(), input.as_bytes(), at)), wanted, "split at {at}");
+    }
+}
+
+#[test]
+fn large_bodies_come_in_pieces_however_the_input_is_split() {
+    let value = "v".repeat(LARGEST_WHOLE + 1);
+    let head = format!("HTTP/1.1 200 OK\r\nServer-Load: util=1\r\nContent-Length: {}\r\n\r\n", value.len());
+    let small = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\ns";
+    let input = format!("{head}{value}{small}");
+    let cuts = (0..head.len() + 10).chain(head.len() + value.len() - 10..=input.len());
+    for at in cuts {
+        let out = joined(split(HttpParts(http_codec(4 << 20)), input.as_bytes(), at));
+        let [Part::Begun(length, begun), Part::Piece(piece), Part::Done(done), Part::Whole(last)] = &out[..]
+        else {
+            panic!("split at {at}: {} parts", out.len());
+        };
+        assert_eq!(
+            (*length, piece.len(), begun, &last.body[..]),
+            (value.len(), value.len(), done, &b"s"[..])
+        );
+        assert_eq!(begun.load.as_deref(), Some(&b"util=1"[..]));
+    }
+}
+
+#[test]
+fn what_stands_wrong_behind_a_large_value_is_an_error() {
+    let value = "v".repeat(LARGEST_WHOLE + 1);
+    for tail in ["xx", "\r\n$3\r\nhit\r\nnonsense", "\r\n$99999\r\n", "\r\n*1\r\n*1\r\n:1\r\n$-1\r\n"] {
+        let (mut codec, mut fault) = (part_codec(), None);
+        let mut buffer = BytesMut::from(format!("*3\r\n${}\r\n{value}{tail}", value.len()).as_bytes());
+        while fault.is_none() {
+            match codec.decode(&mut buffer) {
+                Ok(Some(Part::Done(reply))) => panic!("{tail:?} passed as {reply:?}"),
+                Ok(Some(_)) => {}
+                Ok(None) => panic!("{tail:?} is not noticed"),
+                Err(problem) => fault = Some(problem),
+            }
+        }
+        assert!(matches!(fault, Some(RespError::Malformed(_))), "{tail:?}");
+    }
+    let beyond = format!("*3\r\n${}\r\n", (4 << 20) + 1);
+    assert!(part_codec().decode(&mut BytesMut::from(beyond.as_str())).is_err());
+}
