Writes up to 4 MiB wait unread for room; refused calls to discovery back off apart

Need: values up to 4 MiB are written too; above 64 KiB a command was broken input. And a 503 of discovery had this balancer ask for the whole list, at fixed pauses (discovery.rs), as every other one. Change: the last word of a five-word command may have 4 MiB, with a claim for all of it before more is read (NoRoom, nothing lost), kept until the request is booked; written behind its command without a copy.

--- a/crates/stairfront-balancer/src/cache_host.rs
+++ b/crates/stairfront-balancer/src/cache_host.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use bytes::BytesMut;
+use bytes::{Bytes, BytesMut};
 use stairfront_policy::interface::{Load, Note, Outcome};
 use stairfront_wire::budget::Budget;
 use stairfront_wire::part::Part;
@@ -45,14 +45,17 @@
             Verb::Get => (&b"C.GET"[..], 4),
             Verb::Set => (&b"C.SET"[..], 4 + usize::from(command.value.is_some())),
         };
-        dst.reserve(command.bytes() + 64);
+        let apart = outgoing.apart().map_or(0, Bytes::len);
+        dst.reserve(command.bytes() - apart + 64);
         put_number(dst, b'*', words);
         put_bulk(dst, verb);
         put_bulk(dst, &command.key);
         put_bulk(dst, &command.id);
         put_bulk(dst, &outgoing.info());
-        if let (Verb::Set, Some(value)) = (command.verb, &command.value) {
-            put_bulk(dst, value);
+        match (command.verb, &command.value) {
+            (Verb::Set, Some(value)) if apart > 0 => put_number(dst, b'$', value.len()),
+            (Verb::Set, Some(value)) => put_bulk(dst, value),
+            _ => {}
         }
         Ok(())
     }
@@ -60,6 +63,7 @@
 
 impl Speech for CacheCodec {
     type Reply = Value;
+    const BEHIND: &'static [u8] = b"\r\n";
 
     fn new(_: SocketAddr, largest_value: usize, budget: &Rc<Budget>) -> Self {
         CacheCodec::new(largest_value, budget)
--- a/crates/stairfront-balancer/src/clients.rs
+++ b/crates/stairfront-balancer/src/clients.rs
@@ -10,7 +10,7 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::{FutureExt, SinkExt, StreamExt};
 use stairfront_policy::interface::RequestId;
-use stairfront_wire::budget::Budget;
+use stairfront_wire::budget::{Budget, Claim};
 use stairfront_wire::resp::{put_bulk, put_line, put_number, shrink, CommandReader, RespError};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::sync::{mpsc, oneshot, watch, AcquireError, Notify, OwnedSemaphorePermit, Semaphore};
@@ -40,6 +40,11 @@
 const NEW_LIMIT: Duration = Duration::from_millis(200);
 /// A client that reads nothing for so long is gone: longer than any deadline.
 const WRITE_LIMIT: Duration = Duration::from_secs(5);
+/// Between two looks at whether there is room for a large command.
+const ROOM_PAUSE: Duration = Duration::from_millis(20);
+/// What of a large value has to come in the time of a head. Danger: less would let a few bytes now and then hold the room of
+/// others for ever.
+const LEAST_PROGRESS: usize = 64 * 1024;
 /// The same in the middle of a large value, which a client may take in with pauses.
 const LARGE_WRITE_LIMIT: Duration = Duration::from_secs(10);
 const UNREAD: RespError = RespError::Malformed("client does not read");
@@ -73,6 +78,8 @@
     pub successor: Rc<Link>,
     /// For commands that are not whole yet.
     pub budget: Rc<Budget>,
+    /// The same for those with a large value.
+    pub large: Rc<Budget>,
     pub next_id: Cell<u32>,
 }
 
@@ -282,8 +289,9 @@
 pub struct ClientCodec(CommandReader);
 
 impl ClientCodec {
-    pub fn new(budget: &Rc<Budget>) -> Self {
-        ClientCodec(CommandReader::new(budget))
+    /// `budget` is for usual commands that are not whole yet, `large` for those with a large value.
+    pub fn new(budget: &Rc<Budget>, large: &Rc<Budget>) -> Self {
+        ClientCodec(CommandReader::new(budget, large))
     }
 }
 
@@ -328,6 +336,10 @@
     quiet_since: Instant,
     /// Since when a command has been known to be incomplete.
     half_since: Option<Instant>,
+    /// How much of a command had come when its time was last looked at.
+    half_read: usize,
+    /// A large command waits for room for so many bytes.
+    no_room: Option<usize>,
     place: Place,
     /// Until when a spare connection may wait for its next command.
     spare_until: Option<Instant>,
@@ -365,7 +377,7 @@
 async fn run_connection<T: Stream>(came: Came<T>, context: Rc<Context>, place: Place) {
     context.counters.client_connections_open.add();
     let Came { socket, used, unread } = came;
-    let mut parts = FramedParts::new::<Answer>(socket, ClientCodec::new(&context.budget));
+    let mut parts = FramedParts::new::<Answer>(socket, ClientCodec::new(&context.budget, &context.large));
     parts.read_buf = BytesMut::with_capacity(READ_BUFFER.max(unread.len()));
     parts.read_buf.extend_from_slice(&unread);
     parts.write_buf = BytesMut::new();
@@ -380,6 +392,8 @@
         standing: if used { Standing::Used } else { Standing::New },
         quiet_since: Instant::now(),
         half_since: None,
+        half_read: 0,
+        no_room: None,
         place,
         spare_until,
     };
@@ -441,7 +455,12 @@
                 return End::HandedOver;
             }
             // What has not been read the successor reads; of a command that is too large to move, the rest.
-            let reading = self.last.is_none() && self.owed.len() < MOST_OPEN && !(handing && movable);
+            let waiting = self.no_room.is_some_and(|bytes| context.large.left() < bytes);
+            let reading =
+                self.last.is_none() && self.owed.len() < MOST_OPEN && !(handing && movable) && !waiting;
+            if !waiting {
+                self.no_room = None;
+            }
             // A command that has begun to come is not cut off, up to the end of its time.
             let whole = self.wire.read_buffer().is_empty();
             let leaving = idle && (self.leaving == Some(Leaving::Cut) || self.leaving.is_some() && whole);
@@ -460,6 +479,8 @@
                         return End::Gone;
                     }
                 }
+                // What its client has not sent yet stays with it.
+                () = sleep(ROOM_PAUSE), if waiting => {}
                 // Danger: a request may be in the kernel unseen, and closing would lose it. By the time this is
                 // polled again the sockets have been looked at, and the read above comes first.
                 () = yield_now(), if leaving => {
@@ -506,7 +527,15 @@
     /// Danger: connections that bring nothing, half a command or one request in a day are never closed by their
     /// clients, and fill the places.
     fn out_of_time(&mut self) {
-        let half = !self.wire.read_buffer().is_empty();
+        let (read, before) = (self.wire.read_buffer().len(), self.half_read);
+        self.half_read = read;
+        // A large value takes as long as it takes, while it goes on coming or waits for room here.
+        if read >= before + LEAST_PROGRESS || self.no_room.is_some() {
+            self.quiet_since = Instant::now();
+            self.half_since = self.half_since.map(|_| Instant::now());
+            return;
+        }
+        let half = read > 0;
         match (&self.standing, self.half_since) {
             _ if self.spare_until.is_some() => self.leaving = Some(Leaving::Whole),
             (Standing::New, _) => self.standing = Standing::Silent(Silent::new(&self.context.crowd)),
@@ -539,7 +568,10 @@
     /// Books what the wire gave: a command, or its end.
     async fn hear(&mut self, command: Option<Result<Vec<Bytes>, RespError>>) -> Result<(), End> {
         match command {
-            Some(Ok(words)) => self.take(words).await.map_err(|_| End::Gone),
+            Some(Ok(words)) => {
+                let room = self.wire.codec_mut().0.take_room();
+                self.take(words, room).await.map_err(|_| End::Gone)
+            }
             Some(Err(RespError::Malformed(problem))) => {
                 debug!("malformed input: {problem}");
                 self.context.counters.malformed.add();
@@ -547,6 +579,12 @@
                 self.last = Some(End::Said);
                 Ok(())
             }
+            Some(Err(RespError::NoRoom(bytes))) => {
+                self.no_room = Some(bytes);
+                // A reader that has told a fault ends once before it goes on.
+                let _ = self.wire.next().now_or_never();
+                Ok(())
+            }
             Some(Err(RespError::Io(_))) | None => Err(End::Gone),
         }
     }
@@ -640,11 +678,16 @@
     }
 
     /// Takes a command in; fails only when the balancer itself ends.
-    async fn take(&mut self, words: Vec<Bytes>) -> Result<(), mpsc::error::SendError<Input>> {
+    async fn take(
+        &mut self,
+        words: Vec<Bytes>,
+        room: Option<Claim>,
+    ) -> Result<(), mpsc::error::SendError<Input>> {
         let spare = self.is_spare();
         let context = &self.context;
         self.standing = Standing::Used;
         (self.leaving, self.half_since, self.quiet_since) = (None, None, Instant::now());
+        self.half_read = 0;
         let owed = match take_in::take_in(words, &context.intake) {
             // Danger: closed right after its answer, it would be closed in the face of the client's next request.
             Taken::Request { .. } if spare => {
@@ -656,7 +699,7 @@
                 request.id = context.new_id();
                 let (answer, receiver) = oneshot::channel();
                 let came = context.intake.clock.now();
-                context.inbox.send(Input::Arrived(Arrival { request, came, command, answer })).await?;
+                context.inbox.send(Input::Arrived(Arrival { request, came, command, room, answer })).await?;
                 Owed::Awaited(request.id, receiver)
             }
             Taken::Answered(answer) => Owed::Ready(answer),
--- a/crates/stairfront-balancer/src/config.rs
+++ b/crates/stairfront-balancer/src/config.rs
@@ -78,8 +78,8 @@
 impl Config {
     pub fn from_environment() -> Result<Self, ConfigError> {
         let mut config = Self::from_file(&env::var(CONFIG).map_err(|_| ConfigError::NoPath)?)?;
-        // The file's own word goes first: it is what SIGHUP compares.
-        if let (None, Ok(address)) = (config.operators, env::var(OPERATORS)) {
+        // It goes before the file, so that two processes can share one during an upgrade.
+        if let Ok(address) = env::var(OPERATORS) {
             config.operators = Some(address.parse().map_err(|_| ConfigError::Operators { address })?);
         }
         Ok(config)
--- a/crates/stairfront-balancer/src/connection.rs
+++ b/crates/stairfront-balancer/src/connection.rs
@@ -6,11 +6,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Buf;
 use futures_util::{SinkExt, StreamExt};
 use stairfront_policy::interface::Outcome;
 use stairfront_wire::budget::Budget;
 use stairfront_wire::part::Part;
 use stairfront_wire::resp::shrink;
+use tokio::io::AsyncWriteExt;
 use tokio::sync::{mpsc, oneshot};
 use tokio_util::codec::{Decoder, Encoder, Framed};
 use tracing::debug;
@@ -31,6 +33,8 @@
     Decoder<Item = Part<Self::Reply>> + Encoder<Outgoing, Error = <Self as Decoder>::Error> + Sized
 {
     type Reply: Debug;
+    /// What stands behind a value that was written apart from its command.
+    const BEHIND: &'static [u8];
     fn new(address: SocketAddr, largest_value: usize, budget: &Rc<Budget>) -> Self;
     /// What a reply means, and whether the connection can carry another request.
     fn verdict(reply: Self::Reply, report: &[String]) -> (Verdict, bool);
@@ -222,7 +226,17 @@
     let outgoing = Outgoing { command: job.command.clone(), left_ms: left.as_millis() as u64 };
     let mut written = false;
     let talk = async {
-        if let Err(problem) = wire.send(outgoing).await {
+        let apart = outgoing.apart().cloned();
+        let sent = async {
+            wire.send(outgoing).await?;
+            if let Some(value) = apart {
+                let socket = wire.get_mut();
+                socket.write_all_buf(&mut Buf::chain(value, S::BEHIND)).await?;
+                socket.flush().await?;
+            }
+            Ok::<(), <S as Encoder<Outgoing>>::Error>(())
+        };
+        if let Err(problem) = sent.await {
             debug!("request not written: {problem}");
             return Exchanged::Over(Verdict::bare(Outcome::ConnectFailed), false);
         }
--- a/crates/stairfront-balancer/src/discovery.rs
+++ b/crates/stairfront-balancer/src/discovery.rs
@@ -8,10 +8,11 @@
 use futures_util::{SinkExt, StreamExt};
 use stairfront_settings::Names;
 use stairfront_wire::budget::Budget;
-use stairfront_wire::http::{HttpCodec, HttpError, Request};
+use stairfront_wire::http::{Body, HttpCodec, HttpError, Request};
 use tokio::sync::{mpsc, watch};
 use tokio_util::codec::Framed;
 use tracing::{info, warn};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::clock::{sleep, timeout};
 use crate::counters::Counters;
@@ -24,10 +25,15 @@
 const HOLD: Duration = Duration::from_secs(50);
 /// What an answer may take beyond the hold before the agent counts as dead: it is on this machine.
 const ANSWER_LIMIT: Duration = Duration::from_secs(1);
-/// Pause after a failed call. A watch goes on only if the next call comes within 200 ms.
+/// Pause after a failed call; each further one in a row doubles it. Half of each is drawn. Danger: balancers that were
+/// started together would call together, be turned away together, and come back together.
 const RETRY: Duration = Duration::from_millis(100);
-/// Pause after a list that made no sense, before the whole list is asked for.
-const BAD_LIST_PAUSE: Duration = Duration::from_millis(500);
+/// The longest where nobody answers: the agent is on this machine, and its calls cost nobody else anything.
+const LONGEST_RETRY: Duration = Duration::from_millis(400);
+/// Pause after a refusal, or a list that made no sense.
+const REFUSED_PAUSE: Duration = Duration::from_millis(500);
+/// The longest after refusals. What discovery has to tell counts as told some seconds later, heard or not.
+const LONGEST_REFUSED: Duration = Duration::from_millis(1600);
 /// Some thousand servers.
 const LARGEST_LIST: usize = 2 * 1024 * 1024;
 /// One line in the log for so many failed calls in a row.
@@ -69,6 +75,8 @@
     /// How long the next call may be held: not at all until one was answered, so that a start or a return of the
     /// agent does not wait for news to come.
     hold: Duration,
+    /// This balancer's own random numbers.
+    draws: u64,
     counters: Rc<Counters>,
 }
 
@@ -78,6 +86,7 @@
         agents: watch::Receiver<Option<SocketAddr>>,
         names: Names,
         known: u64,
+        seed: u64,
         inbox: mpsc::Sender<Input>,
         counters: Rc<Counters>,
     ) -> Self {
@@ -89,6 +98,7 @@
             wire: None,
             index: Some(known),
             hold: Duration::ZERO,
+            draws: seed,
             counters,
         }
     }
@@ -135,18 +145,31 @@
                     self.counters.lists_failed.add();
                     self.wire = None;
                     self.hold = Duration::ZERO;
-                    let bad =
-                        matches!(problem, CallError::Json(_) | CallError::List(_) | CallError::Status(_));
-                    if bad {
+                    let (first, longest) = match problem {
+                        // Turned away: it has told nothing, and the list in hand stands. Danger: balancers that ask for
+                        // the whole list instead are turned away all the more.
+                        CallError::Status(429 | 503) => (REFUSED_PAUSE, LONGEST_REFUSED),
                         // What it was to tell is not known: only the whole list mends that.
-                        self.index = None;
-                    }
-                    sleep(if bad { BAD_LIST_PAUSE } else { RETRY }).await;
+                        CallError::Json(_) | CallError::List(_) | CallError::Status(_) => {
+                            self.index = None;
+                            (REFUSED_PAUSE, LONGEST_REFUSED)
+                        }
+                        _ => (RETRY, LONGEST_RETRY),
+                    };
+                    sleep(self.pause(first, longest, failures)).await;
                 }
             }
         }
     }
 
+    /// The pause after so many failures in a row: half of it fixed, half by this balancer's own draw.
+    fn pause(&mut self, first: Duration, longest: Duration, failures: u32) -> Duration {
+        self.draws = self.draws.wrapping_add(1);
+        let draw = xxh3_64(&self.draws.to_le_bytes()) as f64 / u64::MAX as f64;
+        let whole = first.saturating_mul(1 << failures.saturating_sub(1).min(8)).min(longest);
+        whole.mul_f64(0.5 + draw / 2.0)
+    }
+
     async fn call(&mut self, address: SocketAddr) -> Result<ServerList, CallError> {
         let wire = match &mut self.wire {
             Some(wire) => wire,
@@ -164,7 +187,7 @@
             None => ("/api/targets".to_string(), ANSWER_LIMIT),
         };
         let host = Bytes::from(address.to_string());
-        wire.send(Request { method: "GET", target, headers: vec![("Host", host)], body: None }).await?;
+        wire.send(Request { method: "GET", target, headers: vec![("Host", host)], body: Body::None }).await?;
         let answer = timeout(limit, wire.next()).await.map_err(|_| CallError::Late)?;
         let response = answer.ok_or(CallError::Ended)??;
         if response.last {
--- a/crates/stairfront-balancer/src/limits.rs
+++ b/crates/stairfront-balancer/src/limits.rs
@@ -1,5 +1,7 @@
 //! What the configuration's limits leave for each use: descriptors and memory.
 
+use stairfront_wire::resp::LARGEST_VALUE;
+
 use crate::operators::MOST_CALLERS;
 
 /// Connections of clients beyond their places, which are turned away; they take descriptors of the reserve.
@@ -34,8 +36,8 @@
     }
 }
 
-/// What may be held of each kind. Together less than half of the limit: buffers that grow are copied, written values
-/// stand in a write buffer as well, and the program itself takes some megabytes.
+/// What may be held of each kind. Together about half of the limit: buffers that grow are copied, written values stand in
+/// a write buffer as well, and the program itself takes some megabytes. One large write has room from 32 MB on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Memory {
     /// Keys and values of open requests.
@@ -44,6 +46,8 @@
     pub answers: usize,
     /// Commands of clients that are not whole yet.
     pub commands: usize,
+    /// Commands with a large value, from their head to the end of their request.
+    pub large_commands: usize,
     /// Replies of servers that are not whole yet.
     pub replies: usize,
     /// The largest value that is taken from a server.
@@ -54,17 +58,19 @@
     pub const FEWEST_MB: usize = 16;
     /// Where no limit is told.
     pub const USUAL_MB: usize = 192;
-    /// Values have 4 MiB at most; more is noise. Above 64 KiB they are passed on as they come.
-    const LARGEST_VALUE: usize = 4 * MIB;
+    /// A command with the largest value, and what stands round it.
+    const LARGE: usize = LARGEST_VALUE + 16 * 1024;
 
     pub fn of(limit_mb: usize) -> Self {
         let part = limit_mb.max(Self::FEWEST_MB) * MIB / 8;
+        let large = Self::LARGE.min(part + part / 4);
         Memory {
             requests: part / 2,
             answers: part,
-            commands: part / 2,
+            commands: part / 4,
+            large_commands: part.max(large),
             replies: part,
-            largest_value: Self::LARGEST_VALUE,
+            largest_value: LARGEST_VALUE,
         }
     }
 }
--- a/crates/stairfront-balancer/src/messages.rs
+++ b/crates/stairfront-balancer/src/messages.rs
@@ -4,6 +4,8 @@
 use bytes::Bytes;
 use stairfront_policy::interface::{CacheId, Load, Micros, Note, Outcome, Request, RequestId};
 use stairfront_settings::Retuned;
+use stairfront_wire::budget::Claim;
+use stairfront_wire::part::LARGEST_WHOLE;
 use tokio::sync::{mpsc, oneshot, OwnedSemaphorePermit};
 
 use crate::clock::Instant;
@@ -77,6 +79,11 @@
 }
 
 impl Outgoing {
+    /// A value that is written behind its command by itself, so that it is not copied first.
+    pub fn apart(&self) -> Option<&Bytes> {
+        self.command.value.as_ref().filter(|value| value.len() > LARGEST_WHOLE)
+    }
+
     /// The list of names and values with `d` telling how long this balancer will wait; all else as it came.
     pub fn info(&self) -> Vec<u8> {
         let info = &self.command.info;
@@ -102,6 +109,8 @@
     /// When it was taken in.
     pub came: Micros,
     pub command: Command,
+    /// What a large value takes, until the request is over.
+    pub room: Option<Claim>,
     pub answer: oneshot::Sender<Given>,
 }
 
--- a/crates/stairfront-balancer/src/origin.rs
+++ b/crates/stairfront-balancer/src/origin.rs
@@ -7,7 +7,7 @@
 use bytes::{Bytes, BytesMut};
 use stairfront_policy::interface::{Load, Note, Outcome};
 use stairfront_wire::budget::Budget;
-use stairfront_wire::http::{HttpCodec, HttpError, Request, Response};
+use stairfront_wire::http::{Body, HttpCodec, HttpError, Request, Response};
 use stairfront_wire::part::Part;
 use tokio_util::codec::{Decoder, Encoder};
 
@@ -44,10 +44,12 @@
 
     fn encode(&mut self, outgoing: Outgoing, dst: &mut BytesMut) -> Result<(), HttpError> {
         let info = Bytes::from(outgoing.info());
+        let apart = outgoing.apart().map(Bytes::len);
         let command = outgoing.command;
-        let (method, body) = match command.verb {
-            Verb::Get => ("GET", None),
-            Verb::Set => ("PUT", Some(command.value.unwrap_or_default())),
+        let (method, body) = match (command.verb, apart) {
+            (Verb::Get, _) => ("GET", Body::None),
+            (Verb::Set, Some(length)) => ("PUT", Body::Behind(length)),
+            (Verb::Set, None) => ("PUT", Body::Here(command.value.unwrap_or_default())),
         };
         let headers = vec![("Host", self.host.clone()), ("Request-Id", command.id), ("Request-Info", info)];
         self.http.encode(Request { method, target: target(&command.key), headers, body }, dst)
@@ -74,6 +76,7 @@
 
 impl Speech for OriginCodec {
     type Reply = Response;
+    const BEHIND: &'static [u8] = b"";
 
     fn new(address: SocketAddr, largest_value: usize, budget: &Rc<Budget>) -> Self {
         OriginCodec { http: HttpCodec::new(largest_value, budget), host: Bytes::from(address.to_string()) }
--- a/crates/stairfront-balancer/src/product.rs
+++ b/crates/stairfront-balancer/src/product.rs
@@ -24,6 +24,7 @@
     #[serde(default)]
     seed: String,
     discovery: Option<SocketAddr>,
+    ops: Option<SocketAddr>,
     #[serde(default)]
     zone: String,
     #[serde(default)]
@@ -220,6 +221,9 @@
         if let Some(agent) = self.discovery {
             whole["discovery"] = json!(agent);
         }
+        if let Some(door) = self.ops {
+            whole["ops"] = json!(door);
+        }
         whole
     }
 
--- a/crates/stairfront-balancer/src/server.rs
+++ b/crates/stairfront-balancer/src/server.rs
@@ -127,8 +127,15 @@
     };
     let pool =
         Pool::new(network.clone(), limits, start.names.report.clone(), inbox.clone(), Rc::clone(&counters));
-    let watch =
-        Watch::new(network, agents, start.names.clone(), known.index, inbox.clone(), Rc::clone(&counters));
+    let watch = Watch::new(
+        network,
+        agents,
+        start.names.clone(),
+        known.index,
+        seed,
+        inbox.clone(),
+        Rc::clone(&counters),
+    );
     let door = heartbeat::door(&start.settings, clock, seed);
     let lists = inbox.clone();
     let terms = Rc::new(RefCell::new(Terms::of(&start)));
@@ -149,6 +156,7 @@
         elsewhere: Cell::new(clients_elsewhere),
         successor: Rc::clone(&successor),
         budget: Budget::new(memory.commands),
+        large: Budget::new(memory.large_commands),
         next_id: Cell::new(0),
     });
     let decider = |settings| decider(settings, seed);
--- a/crates/stairfront-balancer/src/stages/admit.rs
+++ b/crates/stairfront-balancer/src/stages/admit.rs
@@ -4,6 +4,7 @@
 use bytes::Bytes;
 use rustc_hash::{FxHashMap, FxHashSet};
 use stairfront_policy::interface::{CacheId, Micros, Request, RequestId};
+use stairfront_wire::budget::Claim;
 use tokio::sync::{oneshot, Semaphore};
 
 use crate::limits::Memory;
@@ -27,6 +28,9 @@
 /// An open request, from admission until it is answered and its last attempt has ended.
 pub struct Open {
     pub command: Command,
+    /// What it takes of the room for requests; a large value has room of its own.
+    pub bytes: usize,
+    pub room: Option<Claim>,
     /// None once answered, or when the client has left.
     pub answer: Option<oneshot::Sender<Given>>,
     pub sent: u8,
@@ -75,8 +79,9 @@
 
     /// Enters a request that may be sent so often, or answers it at once.
     pub fn admit(&mut self, arrival: Arrival, most_attempts: u8) -> Result<Request, NotAdmitted> {
-        let Arrival { request, command, answer, .. } = arrival;
-        let bytes = command.bytes();
+        let Arrival { request, command, room, answer, .. } = arrival;
+        let large = command.value.as_ref().filter(|_| room.is_some()).map_or(0, Bytes::len);
+        let bytes = command.bytes() - large;
         let problem = if self.ids.contains(&command.id) {
             // Danger: servers know a request by its id alone. A second one under it would count as a second copy, and
             // be answered with what was made for the first.
@@ -95,6 +100,8 @@
         self.bytes += bytes;
         let open = Open {
             command,
+            bytes,
+            room,
             answer: Some(answer),
             sent: 0,
             most: most_attempts,
--- a/crates/stairfront-balancer/src/stages/book.rs
+++ b/crates/stairfront-balancer/src/stages/book.rs
@@ -11,7 +11,7 @@
         };
         if self.open.get(&request).is_some_and(over) {
             if let Some(open) = self.open.remove(&request) {
-                self.bytes -= open.command.bytes();
+                self.bytes -= open.bytes;
                 self.ids.remove(&open.command.id);
             }
         }
--- a/crates/stairfront-balancer/tests/discovery.rs
+++ b/crates/stairfront-balancer/tests/discovery.rs
@@ -116,6 +116,46 @@
     });
 }
 
+#[test]
+fn a_refusal_is_no_list_and_the_pauses_after_it_grow_and_differ() {
+    run(async {
+        let mut rows = Vec::new();
+        for seed in ["1", "2"] {
+            let log = Log::default();
+            let host = cache("cache", &log, |_, _| hit("v")).await;
+            let began = std::time::Instant::now();
+            let calls = std::rc::Rc::new(std::cell::RefCell::new(Vec::new()));
+            let times = calls.clone();
+            let agent = origin("agent", &log, move |n, _| {
+                times.borrow_mut().push(began.elapsed());
+                if n < 4 {
+                    http(503, "", "")
+                } else {
+                    Step::Silence
+                }
+            });
+            let lines = [line("c1", host, "box")];
+            let seeded = |text: &mut serde_json::Value| text["seed"] = seed.into();
+            let balancer = Balancer::start_with(agent.await, &lines, seeded).await;
+            let mut client = balancer.client().await;
+            while calls.borrow().len() < 5 {
+                // The list in hand stands meanwhile.
+                assert_eq!(client.get("k", &format!("{:?}", began.elapsed()), 900).await, bulk("v"));
+                sleep(ms(50)).await;
+            }
+            let targets = targets(&log);
+            assert!(targets.iter().all(|t| t.starts_with("GET /api/targets?from=1&")), "{targets:?}");
+            let calls = calls.borrow();
+            rows.push(calls.windows(2).map(|w| w[1] - w[0]).collect::<Vec<_>>());
+        }
+        for gaps in &rows {
+            assert!(gaps[3] > gaps[0] && gaps[3] < ms(1700), "{gaps:?}");
+        }
+        let apart = |(a, b): (&std::time::Duration, &std::time::Duration)| a.abs_diff(*b) > ms(10);
+        assert!(rows[0].iter().zip(&rows[1]).any(apart), "two balancers call in step: {rows:?}");
+    });
+}
+
 #[test]
 fn a_line_of_the_list_is_read_as_the_protocol_says() {
     let names = Names {
--- a/crates/stairfront-balancer/tests/large_values.rs
+++ b/crates/stairfront-balancer/tests/large_values.rs
@@ -172,3 +172,32 @@
         assert_eq!(client.answer().await.unwrap(), bulk("v"));
     });
 }
+
+#[test]
+fn a_large_write_reaches_the_origin_unchanged_however_slowly_it_comes() {
+    run(async {
+        let (log, value) = (Log::default(), value());
+        let host = cache("cache", &log, |_, _| miss()).await;
+        let origin = origin("db", &log, |_, _| http(200, "", "receipt")).await;
+        let lines = [line("c", host, "box"), line("db", origin, "origin")];
+        let balancer = Balancer::start(quiet_agent(&log).await, &lines).await;
+        let mut client = balancer.client().await;
+        // Longer than a head may take.
+        for (i, piece) in
+            command(&["C.SET", "k", "1", "c=read,t=acme,d=900", &value]).chunks(LARGE / 32).enumerate()
+        {
+            client.socket.write_all(piece).await.unwrap();
+            sleep(ms(if i < 32 { 100 } else { 0 })).await;
+        }
+        assert_eq!(client.answer().await.unwrap(), bulk("receipt"));
+        let seen = commands(&log, "db");
+        assert!(seen.len() == 1 && seen[0].last().unwrap() == &value, "not what the client wrote");
+        // One that stops in the middle is closed in the time of a head.
+        let mut stops = balancer.client().await;
+        let half = command(&["C.SET", "k", "2", "c=read,t=acme,d=900", &value]);
+        stops.socket.write_all(&half[..half.len() / 2]).await.unwrap();
+        let began = Instant::now();
+        assert_eq!(stops.answer().await, None);
+        assert!(began.elapsed() < ms(6000), "{:?}", began.elapsed());
+    });
+}
--- a/crates/stairfront-lab/src/services.rs
+++ b/crates/stairfront-lab/src/services.rs
@@ -195,7 +195,7 @@
     type Codec = CommandReader;
 
     fn codec(&self) -> CommandReader {
-        CommandReader::new(&Budget::new(PLENTY))
+        CommandReader::new(&Budget::new(PLENTY), &Budget::new(PLENTY))
     }
 
     fn opened(&mut self, now: Micros, connection: ConnId) -> bool {
--- a/crates/stairfront-wire/src/budget.rs
+++ b/crates/stairfront-wire/src/budget.rs
@@ -4,14 +4,17 @@
 
 /// Bytes that readers of one kind may hold together.
 #[derive(Debug)]
-pub struct Budget(Cell<usize>);
+pub struct Budget {
+    left: Cell<usize>,
+    all: usize,
+}
 
 impl Budget {
     pub fn new(bytes: usize) -> Rc<Self> {
-        Rc::new(Budget(Cell::new(bytes)))
+        Rc::new(Budget { left: Cell::new(bytes), all: bytes })
     }
     pub fn left(&self) -> usize {
-        self.0.get()
+        self.left.get()
     }
 }
 
@@ -29,14 +32,25 @@
         Claim { budget: Rc::clone(budget), held: 0 }
     }
 
+    /// What is held, to be kept by somebody else from now on.
+    pub fn take(&mut self) -> Option<Claim> {
+        let held = std::mem::take(&mut self.held);
+        (held > 0).then(|| Claim { budget: Rc::clone(&self.budget), held })
+    }
+
+    /// Whether so many bytes could be held once others have given theirs back.
+    pub fn could_hold(&self, bytes: usize) -> bool {
+        bytes <= self.budget.all
+    }
+
     /// Holds so many bytes from now on; false, and nothing changed, where there are no more.
     #[must_use]
     pub fn hold(&mut self, bytes: usize) -> bool {
         let bytes = if bytes > Self::SMALL { bytes } else { 0 };
-        let left = self.budget.0.get() + self.held;
+        let left = self.budget.left.get() + self.held;
         let enough = bytes <= left;
         if enough {
-            self.budget.0.set(left - bytes);
+            self.budget.left.set(left - bytes);
             self.held = bytes;
         }
         enough
@@ -45,6 +59,6 @@
 
 impl Drop for Claim {
     fn drop(&mut self) {
-        self.budget.0.set(self.budget.0.get() + self.held);
+        self.budget.left.set(self.budget.left.get() + self.held);
     }
 }
--- a/crates/stairfront-wire/src/http.rs
+++ b/crates/stairfront-wire/src/http.rs
@@ -28,7 +28,16 @@
     pub method: &'static str,
     pub target: String,
     pub headers: Vec<(&'static str, Bytes)>,
-    pub body: Option<Bytes>,
+    pub body: Body,
+}
+
+/// What a request brings.
+#[derive(Clone, Debug)]
+pub enum Body {
+    None,
+    Here(Bytes),
+    /// So many bytes, which whoever sends it writes behind the head.
+    Behind(usize),
 }
 
 /// A whole response with the headers that this project reads.
@@ -44,7 +53,7 @@
 
 /// How the body's end is told.
 #[derive(Debug)]
-enum Body {
+enum Told {
     Sized(usize),
     /// What has come of it so far.
     Chunked(BytesMut),
@@ -55,7 +64,7 @@
 pub struct HttpCodec {
     largest_body: usize,
     claim: Claim,
-    head: Option<(Response, Body)>,
+    head: Option<(Response, Told)>,
     /// Interim answers since the last real one.
     interim: u32,
     /// A large body under way, and how much of it is still to come.
@@ -67,7 +76,7 @@
         HttpCodec { largest_body, claim: Claim::new(budget), head: None, interim: 0, large: None }
     }
 
-    fn read_head(&self, src: &mut BytesMut) -> Result<Option<(Response, Body)>, HttpError> {
+    fn read_head(&self, src: &mut BytesMut) -> Result<Option<(Response, Told)>, HttpError> {
         let mut headers = [httparse::EMPTY_HEADER; MOST_HEADERS];
         let mut parsed = httparse::Response::new(&mut headers);
         let end = match parsed.parse(src) {
@@ -88,9 +97,9 @@
             let length = header.name.eq_ignore_ascii_case("content-length");
             if length || header.name.eq_ignore_ascii_case("transfer-encoding") {
                 let told = if length {
-                    Body::Sized(self.length(value)?)
+                    Told::Sized(self.length(value)?)
                 } else if value.eq_ignore_ascii_case(b"chunked") {
-                    Body::Chunked(BytesMut::new())
+                    Told::Chunked(BytesMut::new())
                 } else {
                     return Err(HttpError::Malformed("unknown transfer encoding"));
                 };
@@ -107,7 +116,7 @@
             }
         }
         if matches!(response.status, 100..=199 | 204 | 304) {
-            body = Some(Body::Sized(0));
+            body = Some(Told::Sized(0));
         }
         // Danger: a body that ends with its connection cannot be told from one that was cut short.
         let body = body.ok_or(HttpError::Malformed("no length"))?;
@@ -158,19 +167,19 @@
     fn read_body(&mut self, src: &mut BytesMut) -> Result<Option<Response>, HttpError> {
         let Some((mut response, mut body)) = self.head.take() else { return Ok(None) };
         let needed = match &body {
-            Body::Sized(length) => *length,
-            Body::Chunked(done) => done.len() + src.len(),
+            Told::Sized(length) => *length,
+            Told::Chunked(done) => done.len() + src.len(),
         };
         if !self.claim.hold(needed) {
             return Err(HttpError::Malformed("no memory for so large a body"));
         }
         let whole = match &mut body {
-            Body::Sized(length) if src.len() >= *length => Some(cut_frame(src, *length)),
-            Body::Sized(length) => {
+            Told::Sized(length) if src.len() >= *length => Some(cut_frame(src, *length)),
+            Told::Sized(length) => {
                 src.reserve(*length - src.len());
                 None
             }
-            Body::Chunked(done) => {
+            Told::Chunked(done) => {
                 Self::read_chunks(src, done, self.largest_body)?.then(|| std::mem::take(done).freeze())
             }
         };
@@ -221,7 +230,7 @@
             None => self.find_head(src)?,
         }
         match self.head.take() {
-            Some((response, Body::Sized(length))) if response.status == 200 && length > LARGEST_WHOLE => {
+            Some((response, Told::Sized(length))) if response.status == 200 && length > LARGEST_WHOLE => {
                 self.large = Some((response.clone(), length));
                 Ok(Some(Part::Begun(length, response)))
             }
@@ -260,8 +269,8 @@
     type Error = HttpError;
 
     fn encode(&mut self, request: Request, dst: &mut BytesMut) -> Result<(), HttpError> {
-        let body = request.body.as_ref().map_or(0, Bytes::len);
-        dst.reserve(256 + request.target.len() + body);
+        let body: &[u8] = if let Body::Here(body) = &request.body { body } else { &[] };
+        dst.reserve(256 + request.target.len() + body.len());
         dst.put_slice(request.method.as_bytes());
         dst.put_slice(b" ");
         dst.put_slice(request.target.as_bytes());
@@ -275,12 +284,12 @@
             dst.put_slice(value);
             dst.put_slice(b"\r\n");
         }
-        if let Some(body) = &request.body {
-            dst.put_slice(format!("Content-Length: {}\r\n\r\n", body.len()).as_bytes());
-            dst.put_slice(body);
-        } else {
-            dst.put_slice(b"\r\n");
+        match &request.body {
+            Body::None => dst.put_slice(b"\r\n"),
+            Body::Here(body) => dst.put_slice(format!("Content-Length: {}\r\n\r\n", body.len()).as_bytes()),
+            Body::Behind(length) => dst.put_slice(format!("Content-Length: {length}\r\n\r\n").as_bytes()),
         }
+        dst.put_slice(body);
         Ok(())
     }
 }
--- a/crates/stairfront-wire/src/resp.rs
+++ b/crates/stairfront-wire/src/resp.rs
@@ -9,8 +9,10 @@
 use crate::budget::{Budget, Claim};
 use crate::part::{Part, LARGEST_WHOLE};
 
-/// The protocol's limit on values that clients send; other bulk strings of theirs are held to it too.
+/// Up to here a value is a usual one; other bulk strings of clients are held to it too.
 pub const LARGEST_BULK: usize = 64 * 1024;
+/// The protocol's limit on values that clients send.
+pub const LARGEST_VALUE: usize = 4 * 1024 * 1024;
 /// Longest line: a length, a status or an error with a load report.
 const LONGEST_LINE: usize = 1024;
 /// Most elements of an array; the longest command has five, `CLIENT` ones a few more.
@@ -29,6 +31,10 @@
     Io(#[from] io::Error),
     #[error("protocol error: {0}")]
     Malformed(&'static str),
+    /// A large value of a client has to wait until others have gone on; in bytes, with its command. Nothing is lost: the
+    /// reader goes on where it stood.
+    #[error("no room for a command of {0} bytes yet")]
+    NoRoom(usize),
 }
 
 /// One RESP2 value.
@@ -76,9 +82,19 @@
     bytes: &'a [u8],
     at: usize,
     largest_bulk: usize,
+    /// The limit of the last word of a command that brings a value.
+    largest_value: usize,
 }
 
-impl Parser<'_> {
+/// Words of a command that brings a value, which is the last of them.
+const WORDS_WITH_VALUE: usize = 5;
+
+impl<'a> Parser<'a> {
+    /// All bulk strings have one limit.
+    fn new(bytes: &'a [u8], at: usize, largest_bulk: usize) -> Self {
+        Parser { bytes, at, largest_bulk, largest_value: largest_bulk }
+    }
+
     fn line(&mut self) -> Result<Range<usize>, Stop> {
         let rest = &self.bytes[self.at..];
         let window = &rest[..rest.len().min(LONGEST_LINE)];
@@ -131,7 +147,15 @@
             _ if depth == 0 => Err(Stop::Broken("arrays nested too deep")),
             _ => match self.length(line, MOST_ELEMENTS)? {
                 Some(count) => {
-                    (0..count).map(|_| self.value(depth - 1)).collect::<Result<_, _>>().map(Place::Array)
+                    let usual = self.largest_bulk;
+                    let mut word = |i| {
+                        let large = count == WORDS_WITH_VALUE && i + 1 == count;
+                        self.largest_bulk = if large { self.largest_value } else { usual };
+                        self.value(depth - 1)
+                    };
+                    let words = (0..count).map(&mut word).collect::<Result<_, _>>();
+                    self.largest_bulk = usual;
+                    words.map(Place::Array)
                 }
                 None => Ok(Place::Null),
             },
@@ -155,13 +179,13 @@
 /// The next whole value, or none yet. Split reads leave the buffer as it is until the last byte is there.
 fn decode_value(
     src: &mut BytesMut,
-    largest_bulk: usize,
+    (largest_bulk, largest_value): (usize, usize),
     claim: &mut Claim,
 ) -> Result<Option<Value>, RespError> {
     if src.is_empty() {
         return Ok(None);
     }
-    let mut parser = Parser { bytes: src, at: 0, largest_bulk };
+    let mut parser = Parser { bytes: src, at: 0, largest_bulk, largest_value };
     match parser.value(DEEPEST) {
         Ok(place) => {
             let end = parser.at;
@@ -169,7 +193,7 @@
             let _ = claim.hold(0);
             Ok(Some(place.cut(&cut_frame(src, end))))
         }
-        Err(Stop::Need(whole)) if whole <= largest_bulk + FRAME_MARGIN => {
+        Err(Stop::Need(whole)) if whole <= largest_bulk.max(largest_value) + FRAME_MARGIN => {
             // Danger: many peers that each send most of a large message would fill the memory.
             if !claim.hold(whole) {
                 return Err(RespError::Malformed("no memory for so large a message"));
@@ -228,15 +252,33 @@
     dst.put_slice(b"$-1\r\n");
 }
 
-/// Reads commands: arrays of bulk strings.
+/// Reads commands: arrays of bulk strings, with one large value at the most.
 #[derive(Debug)]
 pub struct CommandReader {
     claim: Claim,
+    /// For large values, so that they never take the room of usual commands.
+    large: Claim,
 }
 
 impl CommandReader {
-    pub fn new(budget: &Rc<Budget>) -> Self {
-        CommandReader { claim: Claim::new(budget) }
+    pub fn new(budget: &Rc<Budget>, large: &Rc<Budget>) -> Self {
+        CommandReader { claim: Claim::new(budget), large: Claim::new(large) }
+    }
+
+    /// The room of the command that was read last, if it had a large value: whoever keeps the value keeps the room too.
+    pub fn take_room(&mut self) -> Option<Claim> {
+        self.large.take()
+    }
+
+    /// How many bytes the command at the front of the buffer has at least, where they are not there yet.
+    fn lacking(src: &BytesMut) -> Result<Option<usize>, RespError> {
+        let mut parser =
+            Parser { bytes: src, at: 0, largest_bulk: LARGEST_BULK, largest_value: LARGEST_VALUE };
+        match parser.value(DEEPEST) {
+            Ok(_) => Ok(None),
+            Err(Stop::Need(whole)) => Ok(Some(whole)),
+            Err(Stop::Broken(problem)) => Err(RespError::Malformed(problem)),
+        }
     }
 }
 
@@ -245,11 +287,34 @@
     type Error = RespError;
 
     fn decode(&mut self, src: &mut BytesMut) -> Result<Option<Self::Item>, RespError> {
+        if src.is_empty() {
+            return Ok(None);
+        }
         // Fail on the first byte: a peer that speaks something else may never send a line.
         if src.first().is_some_and(|b| *b != b'*') {
             return Err(RespError::Malformed("expected an array of bulk strings"));
         }
-        let Some(value) = decode_value(src, LARGEST_BULK, &mut self.claim)? else { return Ok(None) };
+        let usual = LARGEST_BULK + FRAME_MARGIN;
+        let value = match Self::lacking(src)? {
+            Some(whole) if whole > LARGEST_VALUE + FRAME_MARGIN => {
+                return Err(RespError::Malformed("message too large"))
+            }
+            Some(whole) if whole > usual => {
+                // Danger: senders of large values would fill the memory together. Each has room for all of its command
+                // before more of it is read.
+                if !self.large.hold(whole) {
+                    return Err(match self.large.could_hold(whole) {
+                        true => RespError::NoRoom(whole),
+                        false => RespError::Malformed("no memory for so large a message"),
+                    });
+                }
+                src.reserve(whole - src.len());
+                return Ok(None);
+            }
+            // There, or a usual one.
+            _ => decode_value(src, (LARGEST_BULK, LARGEST_VALUE), &mut self.claim)?,
+        };
+        let Some(value) = value else { return Ok(None) };
         let Value::Array(items) = value else {
             return Err(RespError::Malformed("expected an array of bulk strings"));
         };
@@ -279,7 +344,7 @@
     type Error = RespError;
 
     fn decode(&mut self, src: &mut BytesMut) -> Result<Option<Value>, RespError> {
-        decode_value(src, self.largest_value, &mut self.claim)
+        decode_value(src, (self.largest_value, self.largest_value), &mut self.claim)
     }
 }
 
@@ -315,7 +380,7 @@
         if !src.starts_with(LARGE_HEAD) {
             return Ok(None);
         }
-        let mut parser = Parser { bytes: src, at: LARGE_HEAD.len(), largest_bulk: self.largest_value };
+        let mut parser = Parser::new(src, LARGE_HEAD.len(), self.largest_value);
         let length = parser.line().and_then(|line| parser.length(line, self.largest_value));
         let head = parser.at;
         match length {
@@ -342,7 +407,7 @@
         if &src[..2] != b"\r\n" {
             return Err(RespError::Malformed("bulk string does not end in CRLF"));
         }
-        let mut parser = Parser { bytes: src, at: 2, largest_bulk: LONGEST_LINE };
+        let mut parser = Parser::new(src, 2, LONGEST_LINE);
         match parser.value(1).and_then(|first| Ok((first, parser.value(1)?))) {
             Ok((first, second)) => {
                 let end = parser.at;
@@ -372,7 +437,9 @@
                     self.at = At::Value(length);
                     Ok(Some(Part::Begun(length, large_reply(Value::Null, Value::Null))))
                 }
-                None => Ok(decode_value(src, LARGEST_WHOLE, &mut self.claim)?.map(Part::Whole)),
+                None => {
+                    Ok(decode_value(src, (LARGEST_WHOLE, LARGEST_WHOLE), &mut self.claim)?.map(Part::Whole))
+                }
             },
             At::Value(_) if src.is_empty() => Ok(None),
             At::Value(left) => {
