--- a/crates/stairfront-balancer/src/engine.rs
+++ b/crates/stairfront-balancer/src/engine.rs
@@ -9,8 +9,8 @@
 use stairfront_operations::{Done, Order, Roll, Word};
 use stairfront_overload::Door;
 use stairfront_policy::interface::{
-    Action, CacheId, CacheMode, Event, Knowledge, ListNews, Load, Member, MemberState, Micros, Outcome,
-    RequestId, Settings, MS,
+    Action, CacheId, CacheMode, Event, ListNews, Load, Member, MemberState, Micros, Outcome, RequestId,
+    Settings, MS,
 };
 use stairfront_settings::{Retuned, Start};
 use tokio::sync::{mpsc, oneshot, watch};
@@ -21,7 +21,7 @@
 use crate::clock::{duration, Clock};
 use crate::cordon_record::CordonRecord;
 use crate::counters::Counters;
-use crate::handover::Snapshot;
+use crate::handover::{Legacy, Snapshot};
 use crate::heartbeat::{door_settings, Vitals};
 use crate::limits::Memory;
 use crate::messages::{Answer, Arrival, AttemptEnd, AttemptId, Input, Job};
@@ -109,16 +109,20 @@
     pub async fn run(
         mut self,
         known: ServerList,
-        inherited: Option<Knowledge>,
+        inherited: Option<Legacy>,
         mut inputs: mpsc::Receiver<Input>,
         mut orders: mpsc::Receiver<Ordered>,
     ) {
         // Before the list is known, so that nothing ever goes to a cache host that was taken out.
         self.restore_cordons();
         self.learn(known, true);
-        if let Some(known) = inherited {
+        if let Some(Legacy { knowledge, listed }) = inherited {
             info!("took over what the running process knew");
-            self.tell(Event::Inherited(&known));
+            self.tell(Event::Inherited(&knowledge));
+            let servers = &self.servers;
+            listed
+                .into_iter()
+                .for_each(|id| self.roll.inherit(CacheId(id), |other| servers.contains_key(&other)));
         }
         loop {
             tokio::select! {
@@ -182,11 +186,12 @@
     }
 
     fn snapshot(&mut self, to: oneshot::Sender<Snapshot>) {
-        let known = self.policy.knowledge(self.clock.now());
+        let knowledge = self.policy.knowledge(self.clock.now());
+        let legacy = Legacy { knowledge, listed: self.roll.known().map(|id| id.0).collect() };
         // Numbers and lists of them alone, which cannot fail; without it the successor learns by itself.
-        let knowledge = serde_json::to_vec(&known).unwrap_or_default();
+        let legacy = serde_json::to_vec(&legacy).unwrap_or_default();
         // A successor that has left meanwhile is told of by its post.
-        let _ = to.send(Snapshot { knowledge, servers: self.pool.share() });
+        let _ = to.send(Snapshot { legacy, servers: self.pool.share() });
     }
 
     fn restore_cordons(&mut self) {
--- a/crates/stairfront-balancer/src/handover.rs
+++ b/crates/stairfront-balancer/src/handover.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use rustc_hash::FxHashMap;
+use serde::{Deserialize, Serialize};
 use stairfront_handover::{Message, Parts, LARGEST_PART};
 use stairfront_operations::{Done, Order, Word};
 use stairfront_policy::interface::Knowledge;
@@ -41,9 +42,18 @@
     pub unread: Vec<u8>,
 }
 
+/// What one process leaves to the next.
+#[derive(Debug, Default, Serialize, Deserialize)]
+pub struct Legacy {
+    pub knowledge: Knowledge,
+    /// Numbers of all cache hosts that were ever listed: operators may name them still.
+    pub listed: Vec<u64>,
+}
+
 /// What the engine has to give to a successor.
 pub struct Snapshot {
-    pub knowledge: Vec<u8>,
+    /// A `Legacy` as JSON.
+    pub legacy: Vec<u8>,
     /// Connections to servers that this process keeps.
     pub servers: usize,
 }
@@ -54,7 +64,7 @@
     /// Places of clients and connections to servers that are the old one's until its end.
     pub clients: usize,
     pub servers: usize,
-    pub knowledge: Option<Knowledge>,
+    pub legacy: Option<Legacy>,
 }
 
 /// Asks the process that serves now for its listener and what it knows; none where there is no such process, or it is
@@ -92,7 +102,7 @@
     }
     listener.set_nonblocking(true)?;
     let mut parts = Parts::default();
-    let knowledge = loop {
+    let legacy = loop {
         match post.receive().await? {
             Some((Message::Knowledge { part, last }, _)) => {
                 if let Some(whole) = parts.take(&part, last).map_err(io::Error::other)? {
@@ -103,10 +113,10 @@
             None => return Err(odd("it has ended")),
         }
     };
-    let knowledge = serde_json::from_slice(&knowledge)
+    let legacy = serde_json::from_slice(&legacy)
         .map_err(|problem| warn!("what the running process knows is not readable here: {problem}"))
         .ok();
-    Ok((listener, Predecessor { post, clients, servers, knowledge }))
+    Ok((listener, Predecessor { post, clients, servers, legacy }))
 }
 
 /// One process's end of a post, while there is one.
@@ -285,10 +295,10 @@
             .send(Input::Snapshot(snapshot))
             .await
             .map_err(|_| io::Error::other("the engine has ended"))?;
-        let Snapshot { knowledge, servers } = taken.await.map_err(gone)?;
+        let Snapshot { legacy, servers } = taken.await.map_err(gone)?;
         let clients = self.most_clients.saturating_sub(self.places.available_permits());
         post.send(&Message::Welcome { clients, servers }, Some(self.listener.as_fd())).await?;
-        for message in Parts::of(&knowledge) {
+        for message in Parts::of(&legacy) {
             post.send(&message, None).await?;
         }
         Ok(())
--- a/crates/stairfront-balancer/src/server.rs
+++ b/crates/stairfront-balancer/src/server.rs
@@ -194,7 +194,7 @@
     let (handed, connections) = mpsc::channel(MOST_HANDED);
     let mut inherited = None;
     if let Some(mut predecessor) = predecessor {
-        inherited = predecessor.knowledge.take();
+        inherited = predecessor.legacy.take();
         let orders = orders.clone();
         let succession = Succession { predecessor, link: before, orders, handed, inbox };
         watching.push(spawn_local(succession.run()));
--- a/crates/stairfront-operations/src/roll.rs
+++ b/crates/stairfront-operations/src/roll.rs
@@ -45,6 +45,18 @@
         }
     }
 
+    /// Every name that may be asked of, by its number.
+    pub fn known(&self) -> impl Iterator<Item = CacheId> + '_ {
+        self.known.iter().copied()
+    }
+
+    /// Takes over a name that another process of this balancer has heard of.
+    pub fn inherit(&mut self, id: CacheId, is_live: impl Fn(CacheId) -> bool) {
+        if !is_live(id) && self.known.insert(id) {
+            self.left(id, is_live);
+        }
+    }
+
     /// True if it was not cordoned before.
     pub fn cordon(&mut self, id: CacheId, name: &str) -> Result<bool, Unknown> {
         if !self.known.contains(&id) {
--- a/crates/stairfront-policy/tests/inheritance.rs
+++ b/crates/stairfront-policy/tests/inheritance.rs
@@ -81,15 +81,17 @@
 
 #[test]
 fn a_cache_called_back_from_a_cordon_is_still_cold_in_the_next_process() {
-    let (mut before, _) = long_running();
-    before.event(Event::Cordon { cache: CacheId(4), on: true });
-    before.event(Event::Cordon { cache: CacheId(4), on: false });
-    let mut next = successor(&before, &ready(0..6), SECOND);
-    let sent = |rig: &mut Rig| {
-        let ids: Vec<RequestId> = (5_000..5_200).map(|key| rig.ask(key)).collect();
-        ids.iter().filter(|id| rig.last_cache(**id) == Some(CacheId(4))).count()
+    // The same state but for the time since the call back.
+    let sent = |wait: Micros| {
+        let (mut before, _) = long_running();
+        for on in [true, false] {
+            before.event(Event::Cordon { cache: CacheId(4), on });
+        }
+        before.now += wait;
+        let mut next = successor(&before, &ready(0..6), SECOND);
+        let ids: Vec<RequestId> = (5_000..5_200).map(|key| next.ask(key)).collect();
+        ids.iter().filter(|id| next.last_cache(**id) == Some(CacheId(4))).count()
     };
-    let cold = sent(&mut next);
-    let warm = sent(&mut successor(&long_running().0, &ready(0..6), SECOND));
+    let (cold, warm) = (sent(0), sent(11 * SECOND));
     assert!(cold < warm, "{cold} cold, {warm} warm");
 }
--- a/crates/stairfront/tests/process.rs
+++ b/crates/stairfront/tests/process.rs
@@ -84,6 +84,43 @@
     });
 }
 
+#[test]
+fn operators_are_answered_in_their_second_while_clients_ask_for_more_than_it_can_do() {
+    run(async {
+        let log = Log::default();
+        let (agent, host) = (quiet_agent(&log).await, cache("cache", &log, slow(1)).await);
+        let process = Process::start("swamped", agent, host).await;
+        let stop = Rc::new(Cell::new(false));
+        let mut floods = Vec::new();
+        for i in 0..24 {
+            let (stop, address) = (Rc::clone(&stop), process.address);
+            floods.push(spawn_local(async move {
+                let mut client = Client::connect(address).await.unwrap();
+                let batch: Vec<u8> =
+                    (0..16).flat_map(|n| get(&format!("k{i}-{n}"), &format!("{i}-{n}"), 1400)).collect();
+                while !stop.get() {
+                    client.send(&batch).await;
+                    for _ in 0..16 {
+                        client.answer().await.unwrap();
+                    }
+                }
+            }));
+        }
+        sleep(ms(200)).await;
+        for _ in 0..10 {
+            let asked = Instant::now();
+            assert_eq!(process.call("GET", "/admin/health").await, 200);
+            assert_eq!(process.call("POST", "/admin/cordon/unheard").await, 404);
+            assert_eq!(process.call("POST", "/admin/uncordon/c").await, 200);
+            assert!(asked.elapsed() < ms(1000), "three calls in {:?}", asked.elapsed());
+        }
+        stop.set(true);
+        for flood in floods {
+            flood.await.unwrap();
+        }
+    });
+}
+
 #[test]
 fn sighup_moves_a_running_process_and_ends_none() {
     run(async {
--- a/crates/stairfront/tests/upgrade.rs
+++ b/crates/stairfront/tests/upgrade.rs
@@ -110,7 +110,7 @@
         let (log, folder) = (Log::default(), tempfile::tempdir().unwrap());
         let one = cache("one", &log, |_, words| slow(words)).await;
         let two = cache("two", &log, |_, words| slow(words)).await;
-        let lines = [line("s-1", one, "box"), line("s-2", two, "box")];
+        let lines = [line("s-1", one, "box"), line("s-2", two, "box"), line("s-3", two, "box")];
         let mut text = config(own_address(), quiet_agent(&log).await, &lines, 256);
         // Called back, it takes all at once.
         text["settings"]["rules"]["cold_from"] = 1.0.into();
@@ -118,6 +118,8 @@
         let crowd = Crowd::start(first.address).await;
         crowd.go_on(100).await;
         assert!(!commands(&log, "one").is_empty() && !commands(&log, "two").is_empty());
+        // The list that the new one starts with has one host less, which the old one has heard of.
+        text["known"]["endpoints"].as_array_mut().unwrap().pop();
         let second = Process::begin("new", text, Some(folder.path()));
         second.healthy().await;
         // The clients' connections are all the old one's still.
@@ -130,6 +132,9 @@
         assert_eq!(first.call("POST", "/admin/cordon/s-2").await, 200);
         first.signal("-TERM");
         first.ended().await;
+        assert_eq!(second.call("POST", "/admin/uncordon/s-3").await, 200);
+        assert_eq!(second.call("POST", "/admin/cordon/s-3").await, 200);
+        assert_eq!(second.call("POST", "/admin/cordon/s-4").await, 404);
         crowd.go_on(20).await;
         let at_end = commands(&log, "two").len();
         crowd.go_on(100).await;
