Large values pass in pieces of 32 KiB: each costs two system calls and two wakes

Ruled out: the machine (late by 2 us), refusals by the module (windows wide), memory (9 of 48 MB). Change: the buffer of a large value has 32 KiB, filled to its end before another is taken; one piece waits instead of two.

--- a/crates/stairfront-balancer/src/connection.rs
+++ b/crates/stairfront-balancer/src/connection.rs
@@ -22,8 +22,13 @@
 use crate::messages::{AttemptEnd, ConnectionId, Input, Job, Outgoing, Piece, PoolNews, Rest, Verdict};
 use crate::transport::{Network, Stream, Unread};
 
-/// Pieces of a large value that wait for its client; each has some kilobytes.
-const MOST_PIECES: usize = 2;
+/// Pieces of a large value that wait for its client.
+const MOST_PIECES: usize = 1;
+/// The most that one piece of a large value has. Danger: each costs two system calls and two wakes, and with the few
+/// kilobytes that a codec reads at once a part of a core is used up by them alone.
+const PIECE: usize = 32 * 1024;
+/// With less room than this a buffer is not read into any more.
+const LEAST_ROOM: usize = 4 * 1024;
 /// A server that brings no byte of a value that it has begun for so long is gone: longer than any deadline, and than any
 /// pause that was seen.
 const STALL_LIMIT: Duration = Duration::from_secs(10);
@@ -184,6 +189,11 @@
     <S as Decoder>::Error: std::fmt::Display + 'static,
 {
     loop {
+        // What is left of the last buffer is filled first: many small pieces share one.
+        let buffer = wire.read_buffer_mut();
+        if buffer.capacity() - buffer.len() < LEAST_ROOM {
+            buffer.reserve(PIECE);
+        }
         let part = match timeout(STALL_LIMIT, wire.next()).await {
             Ok(Some(Ok(part))) => part,
             Ok(Some(Err(problem))) => {
--- a/crates/stairfront-policy/tests/cordons.rs
+++ b/crates/stairfront-policy/tests/cordons.rs
@@ -89,3 +89,24 @@
     rig.event(Event::List(ListNews::Full(&ready(0..4))));
     assert_eq!(used(&mut rig, 0..100), 0);
 }
+
+#[test]
+fn with_most_caches_out_the_rest_and_the_origin_get_no_more_than_their_windows() {
+    let mut rig = Rig::new(aside(), &with_origin(ready(0..6)));
+    for key in 0..100 {
+        rig.serve(key);
+    }
+    for cache in 1..6 {
+        rig.event(Event::Cordon { cache: CacheId(cache), on: true });
+    }
+    // All at once, and each a miss of what is left.
+    let ids: Vec<RequestId> = (1_000..1_400).map(|key| rig.ask(key)).collect();
+    let open: Vec<RequestId> = ids.into_iter().filter(|id| rig.last_cache(*id).is_some()).collect();
+    assert!(open.iter().all(|id| rig.last_cache(*id) == Some(CacheId(0))));
+    let at_once = open.len();
+    for id in open {
+        rig.settle(id, Outcome::Miss);
+    }
+    let fetches = rig.sent.values().flatten().filter(|cache| **cache == ORIGIN).count();
+    assert!(at_once < 40 && fetches < 40, "{at_once} at the one left, {fetches} at the origin, of 400");
+}
--- a/crates/stairfront/tests/upgrade.rs
+++ b/crates/stairfront/tests/upgrade.rs
@@ -179,3 +179,35 @@
         first.signal("-CONT");
     });
 }
+
+#[test]
+fn a_large_answer_under_way_is_brought_to_its_end_and_its_connection_goes_on() {
+    run(async {
+        let (log, folder) = (Log::default(), tempfile::tempdir().unwrap());
+        let value = "v".repeat(4 << 20);
+        let reply = value.clone();
+        let host =
+            cache("cache", &log, move |_, words| hit(if words[1] == "large" { &reply } else { "small" }))
+                .await;
+        let text = config(own_address(), quiet_agent(&log).await, &[line("c", host, "box")], 256);
+        let mut first = Process::start_as("streams", text.clone(), Some(folder.path())).await;
+        let mut client = Client::connect(first.address).await.unwrap();
+        // A second request lies behind the large answer, and a part of a third.
+        client.send(&get("large", "1", 1400)).await;
+        while commands(&log, "cache").is_empty() {
+            sleep(ms(5)).await;
+        }
+        let (second, third) = (get("next", "2", 1400), get("last", "3", 1400));
+        client.send(&[&second[..], &third[..20]].concat()).await;
+        let next = Process::begin("streams-on", text, Some(folder.path()));
+        next.healthy().await;
+        first.signal("-TERM");
+        // It reads only now, and slowly at first.
+        sleep(ms(600)).await;
+        assert!(client.answer().await.unwrap() == bulk(&value));
+        assert_eq!(client.answer().await.unwrap(), bulk("small"));
+        first.ended().await;
+        client.send(&third[20..]).await;
+        assert_eq!(client.answer().await.unwrap(), bulk("small"));
+    });
+}
