--- a/crates/stairfront-balancer/tests/large_values.rs
+++ b/crates/stairfront-balancer/tests/large_values.rs
@@ -29,8 +29,12 @@
     run(async {
         let (log, value) = (Log::default(), value());
         let reply = value.clone();
-        let balancer =
-            with_cache(&log, move |_, words| hit(if words[1] == "k" { &reply } else { "small" })).await;
+        let script = move |_: usize, words: &[String]| match words[1].as_str() {
+            "k" => hit(&reply),
+            "m" => hit(&reply[..200_000]),
+            _ => hit("small"),
+        };
+        let balancer = with_cache(&log, script).await;
         let mut client = balancer.client().await;
         for id in ["1", "2"] {
             assert!(client.get("k", id, 1000).await == bulk(&value), "not what the cache said");
