--- a/crates/stairfront-balancer/src/config.rs
+++ b/crates/stairfront-balancer/src/config.rs
@@ -126,8 +126,13 @@
         }
         let origin = Origin { path: path.to_string(), toml: None };
         // Read into its types first: an error of theirs names the key and the line.
-        serde_path_to_error::deserialize::<_, Raw>(&mut serde_json::Deserializer::from_str(text))
-            .map_err(|e| origin.fault(e.path().to_string(), e.inner().to_string()))?;
+        serde_path_to_error::deserialize::<_, Raw>(&mut serde_json::Deserializer::from_str(text)).map_err(
+            |e| {
+                // Broken syntax has no key, and its problem tells line and column.
+                let key = e.path().to_string();
+                origin.fault(if key == "?" { "syntax".into() } else { key }, e.inner().to_string())
+            },
+        )?;
         let whole = serde_json::from_str(text).map_err(|e| origin.fault(".".into(), e.to_string()))?;
         Ok((whole, origin))
     }
--- a/crates/stairfront-balancer/src/reload.rs
+++ b/crates/stairfront-balancer/src/reload.rs
@@ -93,13 +93,16 @@
         if retuned.start == self.in_use && retuned.retired == self.retired {
             return;
         }
-        let dropped: Vec<&str> =
-            retuned.retired.iter().map(|i| retuned.start.names.classes[*i].as_str()).collect();
-        info!(
-            "new settings are in use, {} classes; dropped: {}",
-            retuned.start.names.classes.len(),
-            dropped.join(", ")
-        );
+        let names = &retuned.start.names.classes;
+        let dropped: Vec<&str> = retuned.retired.iter().map(|i| names[*i].as_str()).collect();
+        match dropped.is_empty() {
+            true => info!("new settings are in use, {} classes", names.len()),
+            false => info!(
+                "new settings are in use, {} classes, dropped of these: {}",
+                names.len(),
+                dropped.join(", ")
+            ),
+        }
         (self.in_use, self.retired) = (retuned.start.clone(), retuned.retired.clone());
         let _ = self.inbox.send(Input::Retune(Box::new(retuned))).await;
     }
