A successor that hangs does not keep the old process from ending

Need: found on rereading the change: a connection to be handed over waits for room in the post (handover.rs), and with a successor that reads nothing it would wait until SIGKILL. Change: 0.3 s for each, then the connection closes between two requests as without a successor.

--- a/crates/stairfront-balancer/src/clients.rs
+++ b/crates/stairfront-balancer/src/clients.rs
@@ -40,14 +40,14 @@
 const NEW_LIMIT: Duration = Duration::from_millis(200);
 /// A client that reads nothing for so long is gone: longer than any deadline.
 const WRITE_LIMIT: Duration = Duration::from_secs(5);
+/// The same in the middle of a large value, which a client may take in with pauses.
+const LARGE_WRITE_LIMIT: Duration = Duration::from_secs(10);
+const UNREAD: RespError = RespError::Malformed("client does not read");
 /// Between two looks at whether there is room for a large command.
 const ROOM_PAUSE: Duration = Duration::from_millis(20);
 /// What of a large value has to come in the time of a head. Danger: less would let a few bytes now and then hold the room of
 /// others for ever.
 const LEAST_PROGRESS: usize = 64 * 1024;
-/// The same in the middle of a large value, which a client may take in with pauses.
-const LARGE_WRITE_LIMIT: Duration = Duration::from_secs(10);
-const UNREAD: RespError = RespError::Malformed("client does not read");
 /// How long the end of a connection waits for the client to have read the last answer.
 const LINGER: Duration = Duration::from_secs(1);
 /// What is read meanwhile at full speed, and the pause after each further piece. Danger: a client that goes on sending
--- a/crates/stairfront-balancer/src/handover.rs
+++ b/crates/stairfront-balancer/src/handover.rs
@@ -26,7 +26,8 @@
 
 /// What the old process may take to answer its successor, which has 6 s in all to say that it can serve.
 const ANSWER_LIMIT: Duration = Duration::from_millis(1500);
-/// An order is owed an answer in a second; the other process has this part of it.
+/// An order is owed an answer in a second; the other process has this part of it. Danger: a successor that hangs would
+/// keep this one from ending, too, with connections that wait to be handed over.
 const RELAY_LIMIT: Duration = Duration::from_millis(300);
 /// Pause after a letterbox that could not be opened or heard.
 const PAUSE: Duration = Duration::from_millis(500);
@@ -162,7 +163,9 @@
     pub async fn hand_over(&self, handed: Handed) -> io::Result<()> {
         let Handed { socket, used, unread } = handed;
         let post = self.post().ok_or(io::ErrorKind::NotConnected)?;
-        post.send(&Message::Connection { used, unread }, Some(socket.as_fd())).await
+        let message = Message::Connection { used, unread };
+        let sent = timeout(RELAY_LIMIT, post.send(&message, Some(socket.as_fd()))).await;
+        sent.unwrap_or(Err(io::ErrorKind::TimedOut.into()))
     }
 
     /// Hears the other process until its end. `handed` takes the connections that come.
