--- a/crates/stairfront-policy/src/knowledge.rs
+++ b/crates/stairfront-policy/src/knowledge.rs
@@ -20,8 +20,8 @@
     /// Cordons taken off lately, and when: discovery may never tell of the restart.
     uncordoned: Vec<(u64, Micros)>,
     warm_rate: f64,
-    errors: f64,
-    origin_short_until: Micros,
+    misses: f64,
+    miss_late: Average,
     shed_level: f64,
     tenant_parts: Vec<f64>,
     tenant_votes: f64,
@@ -70,8 +70,8 @@
             at: now,
             uncordoned: self.cordons.iter().filter_map(off).collect(),
             warm_rate: self.warm_rate,
-            errors: self.errors,
-            origin_short_until: self.origin_short_until,
+            misses: self.misses,
+            miss_late: self.miss_late,
             shed_level: self.shed_level,
             tenant_parts: self.tenant_parts.clone(),
             tenant_votes: self.tenant_votes,
@@ -117,10 +117,9 @@
             }
         }
         if fresh {
-            (self.warm_rate, self.errors, self.shed_level) =
-                (known.warm_rate, known.errors, known.shed_level);
+            (self.warm_rate, self.shed_level) = (known.warm_rate, known.shed_level);
             (self.fetch_part, self.hit_part) = (known.fetch_part, known.hit_part);
-            self.origin_short_until = known.origin_short_until;
+            (self.misses, self.miss_late) = (known.misses, known.miss_late);
         }
         if known.tenant_parts.len() == self.tenant_parts.len() {
             self.tenant_parts.clone_from(&known.tenant_parts);
--- a/crates/stairfront-policy/src/policy.rs
+++ b/crates/stairfront-policy/src/policy.rs
@@ -49,12 +49,17 @@
 const PAUSE_LAST: f64 = 20.0 * SECOND as f64;
 /// The same in usual gaps: the balancers together then send a quarter of the usual load.
 const PAUSE_GAPS: f64 = 4.0;
-/// Part of errors from which they mean a short origin, the weight of one answer in it, and for how long.
-const ERRORS_SHORT: f64 = 0.06;
+/// Weight of one answer in the part of errors and of attempts without an answer.
 const ERROR_WEIGHT: f64 = 0.05;
-const ORIGIN_SHORT: Micros = 3 * SECOND;
-/// Part of the likely misses that go on meanwhile, to see whether it has recovered.
-const SHORT_ADMIT: f64 = 0.08;
+/// Through mode: part of the likely misses that may end late or in error before fewer of them are admitted, the
+/// weight of one, the factor of a cut, the least, and what is admitted again in a second.
+const MISS_LATE: f64 = 0.15;
+const MISS_WEIGHT: f64 = 0.1;
+const MISS_CUT: f64 = 0.7;
+const MISS_LEAST: f64 = 0.05;
+const MISS_GROWTH: f64 = 0.08;
+/// Part admitted under which the origin counts as short.
+const MISS_SHORT: f64 = 0.6;
 /// Part of its aim that a fetch may add to a read on average before no key moves.
 const FETCH_SLOW: f64 = 0.4;
 /// Stress up to which a cache is idle enough to take a key.
@@ -96,8 +101,8 @@
         let tenant_parts = set.tenants.iter().map(|t| t.quota_per_s / quotas.max(1e-9)).collect();
         let usual_left = vec![Majority::default(); set.classes.len()];
         let (random, retry_tokens) = (Random(seed), RETRY_BURST);
-        let tenant_votes = FAIR_PRIOR;
-        Policy { set, random, retry_tokens, tenant_parts, tenant_votes, usual_left, ..Policy::default() }
+        let (tenant_votes, misses) = (FAIR_PRIOR, 1.0);
+        Policy { set, random, retry_tokens, tenant_parts, tenant_votes, usual_left, misses, ..Policy::default() }
     }
 
     pub fn handle(&mut self, now: Micros, event: Event<'_>, actions: &mut Vec<Action>) {
@@ -370,7 +375,7 @@
     fn relieve(&mut self, now: Micros, key: Key, tried: &Tried) -> Option<CacheId> {
         // Danger: each balancer's move is a miss; where fetches are slow, moves keep the origin short.
         let slow = self.fetch_part.value - self.hit_part.value > FETCH_SLOW;
-        if now < self.origin_short_until || slow || !self.fetch_queue.is_empty() {
+        if self.misses < MISS_SHORT || slow || !self.fetch_queue.is_empty() {
             return None;
         }
         let idle = |s: &Server| s.stress.value < IDLE && f64::from(s.inflight) < s.window / 2.0;
@@ -453,13 +458,15 @@
         add_part(&mut self.tenant_parts, request.tenant.0 as usize, self.tenant_votes);
         // Danger: a short origin holds up caches with fetches that fail, and with them what they still hold.
         let held = request.key.and_then(|k| self.table.get(&k)).is_some_and(|entry| entry.held);
-        let miss = !held && now < self.origin_short_until && self.random.unit() > SHORT_ADMIT;
+        let grown = MISS_GROWTH * (now - self.misses_at) as f64 / SECOND as f64;
+        (self.misses, self.misses_at) = ((self.misses + grown).min(1.0), now);
+        let miss = !held && self.random.unit() > self.misses;
         let Some(class) = self.set.classes.get(usize::from(request.class.0)).copied() else {
             return actions.push(Action::Fail { id: request.id });
         };
         let (aim_at, most) = (self.aim_at(now, &request, &class), self.set.limits.most_attempts);
         let (stage, out, ran, tried) = (Stage::Cache, None, None, [None; 2]);
-        let p = Pending { request, class, most, aim_at, stage, sent: 0, out, ran, tried };
+        let p = Pending { request, class, most, aim_at, held, stage, sent: 0, out, ran, tried };
         let give_up = self.give_up_at(&p);
         self.pending.insert(request.id, p);
         if miss || give_up <= now || self.shed(now, &request, actions) {
@@ -575,7 +582,7 @@
         }
         // Danger: repeats of failures multiply the load that made them fail.
         let paid = f64::from(u8::from(outcome != Outcome::Cancelled));
-        if self.retry_tokens < paid || outcome == Outcome::Errored && now < self.origin_short_until {
+        if self.retry_tokens < paid || outcome == Outcome::Errored && self.misses < MISS_SHORT {
             return self.finish(now, id, actions);
         }
         self.retry_tokens -= paid;
@@ -688,12 +695,19 @@
         let rare = self.gap() > goal / GOAL;
         let Some(server) = self.servers.get_mut(&s.cache) else { return };
         let (before, error, again) = (server.window, s.outcome == Outcome::Errored, s.attempt > 0);
-        self.errors += ERROR_WEIGHT * (f64::from(u8::from(error)) - self.errors);
         // Danger: a cache that errs at once looks idle and draws requests. Where it fetches, the origin errs.
         if error && aside {
             server.fault(now, 0);
-        } else if error && self.errors > ERRORS_SHORT {
-            self.origin_short_until = now + ORIGIN_SHORT;
+        }
+        // Danger: fetches past what the origin can do hold up caches, and with them what they still have. Keys
+        // that this balancer has not seen served are likely misses; their late answers show it.
+        let answered = !matches!(s.outcome, Outcome::Moot | Outcome::ConnectFailed | Outcome::Reset);
+        if !aside && answered && self.pending.get(&s.id).is_some_and(|p| !p.held) {
+            let bad = error || s.outcome != Outcome::Served || s.elapsed > aim;
+            self.miss_late.add(now, f64::from(u8::from(bad)), MISS_WEIGHT, TIME_SPAN);
+            if bad && self.miss_late.value > MISS_LATE && now - self.misses_cut > aim {
+                (self.misses, self.misses_cut) = ((self.misses * MISS_CUT).max(MISS_LEAST), now);
+            }
         }
         let part = s.elapsed as f64 * GOAL / goal;
         match s.note {
--- a/crates/stairfront-policy/src/state.rs
+++ b/crates/stairfront-policy/src/state.rs
@@ -83,6 +83,8 @@
     pub class: Class,
     pub most: u8,
     pub aim_at: Micros,
+    /// This balancer has seen its key served where it is placed.
+    pub held: bool,
     pub stage: Stage,
     pub sent: u8,
     pub out: Option<Ran>,
@@ -123,12 +125,13 @@
     pub(crate) started: bool,
     pub(crate) subscribed: bool,
     pub(crate) list_failures: u32,
-    /// Misses are not to be added to before then.
-    pub(crate) origin_short_until: Micros,
+    /// Part of the likely misses that are admitted, when it last grew and was cut, and the part of them that end late.
+    pub(crate) misses: f64,
+    pub(crate) misses_at: Micros,
+    pub(crate) misses_cut: Micros,
+    pub(crate) miss_late: Average,
     /// Part of their aim that reads took, those which the cache had to fetch and those it held.
     pub(crate) fetch_part: Average,
     pub(crate) hit_part: Average,
-    /// Part of late answers that are errors.
-    pub(crate) errors: f64,
     pub(crate) log_after: Micros,
 }
