--- a/crates/stairfront-policy/src/policy.rs
+++ b/crates/stairfront-policy/src/policy.rs
@@ -43,6 +43,11 @@
 /// The same for attempts without an answer, and their part from which one is given up half way to its aim.
 const SILENT_ROW: u32 = 8;
 const SILENT_PART: f64 = 0.08;
+/// Idle time from which a connection may have been dropped unseen, attempts lost so in a row that show it, and how
+/// long connections idle for longer are then not used again.
+const IDLE_FLOOR: Micros = 300 * MS;
+const IDLE_ROW: u32 = 2;
+const IDLE_MEMORY: Micros = 20 * SECOND;
 /// Part of its cores from which a server counts as busy.
 const BUSY: f32 = 0.9;
 /// Longest pause between two requests that a window stands for.
@@ -101,8 +106,8 @@
         let tenant_parts = set.tenants.iter().map(|t| t.quota_per_s / quotas.max(1e-9)).collect();
         let usual_left = vec![Majority::default(); set.classes.len()];
         let (random, retry_tokens) = (Random(seed), RETRY_BURST);
-        let (tenant_votes, misses) = (FAIR_PRIOR, 1.0);
-        Policy { set, random, retry_tokens, tenant_parts, tenant_votes, usual_left, misses, ..Policy::default() }
+        let (tenant_votes, misses, idle_lost_at) = (FAIR_PRIOR, 1.0, -IDLE_MEMORY);
+        Policy { set, random, retry_tokens, tenant_parts, tenant_votes, usual_left, misses, idle_lost_at, ..Policy::default() }
     }
 
     pub fn handle(&mut self, now: Micros, event: Event<'_>, actions: &mut Vec<Action>) {
@@ -526,7 +531,13 @@
         let may_cut = self.set.limits.may_cancel;
         let (Some(p), Some(server)) = (self.pending.get_mut(&id), self.servers.get_mut(&to)) else { return };
         (server.cold_tokens, server.cold_at) = ((tokens - 1.0).max(0.0), now);
-        server.inflight += 1;
+        // Danger: something on the way drops idle connections and tells nobody; what is sent on one is lost.
+        server.idle = if server.inflight > 0 || server.used == 0 { 0 } else { now - server.used };
+        if now - self.idle_lost_at < IDLE_MEMORY && server.idle >= self.idle_limit {
+            actions.push(Action::Disconnect { cache: to });
+            server.idle = 0;
+        }
+        (server.inflight, server.used) = (server.inflight + 1, now);
         self.out += u32::from(server.role == Role::Cache);
         server.sent.add(now, SENT_SPAN);
         p.out = Some(Ran { attempt: p.sent, at: now, zone: server.member.zone, cell: server.member.cell });
@@ -693,7 +704,10 @@
         let aim = self.pending.get(&s.id).map_or(shortest, |p| p.class.aim);
         let (goal, aside) = (GOAL * aim as f64, self.aside());
         let rare = self.gap() > goal / GOAL;
+        let idle = self.servers.get(&s.cache).map_or(0, |server| server.idle);
+        let stale = self.learn_idle(now, idle, s.outcome);
         let Some(server) = self.servers.get_mut(&s.cache) else { return };
+        server.used = now;
         let (before, error, again) = (server.window, s.outcome == Outcome::Errored, s.attempt > 0);
         // Danger: a cache that errs at once looks idle and draws requests. Where it fetches, the origin errs.
         if error && aside {
@@ -731,6 +745,8 @@
             }
             // Danger: a bad request is spoilt at each repeat, and any connection breaks now and then.
             Outcome::Spoilt if again => {}
+            // The way there lost it, not the server.
+            Outcome::TimedOut | Outcome::Cancelled | Outcome::Reset if stale => {}
             Outcome::ConnectFailed | Outcome::Reset | Outcome::Spoilt => server.fault(now, FAULT_ROW),
             // Danger: who asks a cache once in seconds would lose a request each to find out.
             Outcome::TimedOut if rare => server.timed(now, s.elapsed as f64, goal),
@@ -752,6 +768,20 @@
         }
     }
 
+    /// Learns after what idle time connections are dropped unseen; whether this attempt may have been lost so.
+    fn learn_idle(&mut self, now: Micros, idle: Micros, outcome: Outcome) -> bool {
+        let lost = matches!(outcome, Outcome::TimedOut | Outcome::Cancelled | Outcome::Reset);
+        if idle < IDLE_FLOOR || outcome == Outcome::Moot {
+            return false;
+        }
+        self.idle_row = if lost { self.idle_row + 1 } else { 0 };
+        if lost && (self.idle_row >= IDLE_ROW || now - self.idle_lost_at < IDLE_MEMORY) {
+            let known = if now - self.idle_lost_at < IDLE_MEMORY { self.idle_limit } else { idle };
+            (self.idle_limit, self.idle_lost_at) = (known.min(idle), now);
+        }
+        lost
+    }
+
     /// Refuses, under pressure alone, what a tenant sends beyond its share, by the median use of quotas here.
     fn shed(&mut self, now: Micros, request: &Request, actions: &mut Vec<Action>) -> bool {
         let level = self.shed_level;
--- a/crates/stairfront-policy/src/state.rs
+++ b/crates/stairfront-policy/src/state.rs
@@ -44,6 +44,10 @@
     pub pace: Average,
     pub stress: Average,
     pub sent: Rate,
+    /// Last sign of use of a connection there, 0 for none, and for how long it was idle when the last attempt went
+    /// out on it; 0 for one that was new or in use.
+    pub used: Micros,
+    pub idle: Micros,
     pub cold_tokens: f64,
     pub cold_at: Micros,
 }
@@ -130,6 +134,10 @@
     pub(crate) misses_at: Micros,
     pub(crate) misses_cut: Micros,
     pub(crate) miss_late: Average,
+    /// Idle time after which connections are dropped unseen, when that was last seen, and losses in a row.
+    pub(crate) idle_limit: Micros,
+    pub(crate) idle_lost_at: Micros,
+    pub(crate) idle_row: u32,
     /// Part of their aim that reads took, those which the cache had to fetch and those it held.
     pub(crate) fetch_part: Average,
     pub(crate) hit_part: Average,
