--- a/crates/stairfront-policy/src/policy.rs
+++ b/crates/stairfront-policy/src/policy.rs
@@ -795,11 +795,13 @@
     }
 
     fn excess(&self, tenant: TenantId) -> f64 {
+        let quotas: f64 = self.set.tenants.iter().map(|t| t.quota_per_s).sum();
         let uses = self.tenant_parts.iter().zip(&self.set.tenants);
-        let uses: Vec<f64> = uses.map(|(part, t)| part / t.quota_per_s.max(1e-9)).collect();
+        let uses: Vec<f64> = uses.map(|(part, t)| part * quotas / t.quota_per_s.max(1e-9)).collect();
         let Some(own) = uses.get(tenant.0 as usize).copied().filter(|own| *own > 0.0) else { return 0.0 };
         let median = median(uses);
-        let beyond = own >= FAIR_FROM * median;
+        // Danger: of two tenants the median is the lesser's, and the greater would be refused inside its share.
+        let beyond = own >= FAIR_FROM * median.max(1.0);
         f64::from(u8::from(beyond)) * (1.0 - FAIR_SLACK * median / own)
     }
 
