--- a/crates/stairfront-policy/src/policy.rs
+++ b/crates/stairfront-policy/src/policy.rs
@@ -31,9 +31,8 @@
 const WINDOW_CUT: f64 = 0.8;
 /// The least at the origin, which hundreds of balancers ask all the time.
 const ORIGIN_MIN: f64 = 0.01;
-/// Factors of a cut and of a growth at a window of one and less, where answers are too rare for small steps.
+/// Factor of a cut at a window of one and less, where answers are too rare for small steps: a good one opens it to one.
 const SPARSE_CUT: f64 = 0.5;
-const SPARSE_GROWTH: f64 = 1.5;
 /// Stress that cuts such a window: more than the spread of single answers of a healthy cache.
 const SPARSE_STRESS: f64 = 1.5;
 /// Most of a window after a failed connection, or an error that is the server's own.
@@ -465,7 +464,7 @@
         let held = request.key.and_then(|k| self.table.get(&k)).is_some_and(|entry| entry.held);
         let grown = MISS_GROWTH * (now - self.misses_at) as f64 / SECOND as f64;
         (self.misses, self.misses_at) = ((self.misses + grown).min(1.0), now);
-        let miss = !held && self.random.unit() > self.misses;
+        let miss = !held && self.misses < 1.0 && self.random.unit() > self.misses;
         let Some(class) = self.set.classes.get(usize::from(request.class.0)).copied() else {
             return actions.push(Action::Fail { id: request.id });
         };
@@ -842,8 +841,8 @@
         if self.stress.value > most {
             self.cut(now, goal);
         } else if f64::from(self.inflight) >= self.window / 2.0 {
-            let (few, more) = ((self.window * SPARSE_GROWTH).min(1.0), self.window + self.step / self.window);
-            self.window = if self.window < 1.0 { few } else { more.min(WINDOW_MAX) };
+            let more = self.window + self.step / self.window;
+            self.window = if self.window < 1.0 { 1.0 } else { more.min(WINDOW_MAX) };
         }
     }
 
--- a/crates/stairfront-policy/tests/effects.rs
+++ b/crates/stairfront-policy/tests/effects.rs
@@ -145,6 +145,7 @@
     let mut rig = rig(Semantics::Free, &ready(1..=6));
     let mut again = 0;
     for key in 0..200 {
+        rig.now += 20 * MS;
         let id = rig.ask(key);
         if rig.last_cache(id).is_some() {
             again += sends(&rig.settle(id, Outcome::Errored)).len();
