--- a/crates/stairfront-policy/src/policy.rs
+++ b/crates/stairfront-policy/src/policy.rs
@@ -153,6 +153,7 @@
             }
             ListNews::Delta(lines) => lines,
             ListNews::Full(lines) | ListNews::Cached(lines) => {
+                self.fleet = lines.len() as f64;
                 for server in self.servers.values_mut() {
                     if !lines.iter().any(|line| line.id == server.member.id) {
                         (server.member.state, server.listed.state) = (MemberState::Gone, MemberState::Gone);
@@ -211,7 +212,9 @@
     pub(crate) fn learn(&mut self, now: Micros, listed: &Member) {
         let line = &self.cordoned(listed);
         let origin = matches!(self.set.mode, CacheMode::Aside { origin } if origin == line.kind);
-        let (mean, step) = (self.mean_keys(line.id), 1.0 / f64::from(self.set.balancers));
+        // An origin is as strong as the fleet that it stands behind is large; a cache is not.
+        let scale = if origin { (self.fleet / WINDOW_START).max(1.0) } else { 1.0 };
+        let (mean, step) = (self.mean_keys(line.id), scale / f64::from(self.set.balancers));
         let role = if origin { Role::Origin } else { Role::Cache };
         let (member, window, cold_at) = (*line, (WINDOW_START * step).max(1.0), now);
         let blank = Server { member, role, window, step, cold_at, ..Server::default() };
@@ -714,7 +717,7 @@
         }
         // Danger: fetches past what the origin can do hold up caches, and with them what they still have. Keys
         // that this balancer has not seen served are likely misses; their late answers show it.
-        let answered = !matches!(s.outcome, Outcome::Moot | Outcome::ConnectFailed | Outcome::Reset);
+        let answered = !s.outcome.never_ran() && s.outcome != Outcome::Reset;
         if !aside && answered && self.pending.get(&s.id).is_some_and(|p| !p.held) {
             let bad = error || s.outcome != Outcome::Served || s.elapsed > aim;
             self.miss_late.add(now, f64::from(u8::from(bad)), MISS_WEIGHT, TIME_SPAN);
--- a/crates/stairfront-policy/src/state.rs
+++ b/crates/stairfront-policy/src/state.rs
@@ -104,6 +104,8 @@
     pub(crate) random: Random,
     pub(crate) servers: BTreeMap<CacheId, Server>,
     pub(crate) cordons: BTreeMap<CacheId, Cordon>,
+    /// Servers in the last whole list.
+    pub(crate) fleet: f64,
     /// Points of the ready caches, ascending: the design's ring.
     pub(crate) ring: Vec<(u64, CacheId)>,
     pub(crate) table: FxHashMap<Key, Placement>,
