The slow end of the score is passed on and read: late requests are refused at their aim where it counts

Where the slow end has a weight, a request that nobody served within its aim is refused then, since a refusal inside the aim is no miss there, and before it went on until the client left (`give_up_at`, by late worth alone).

--- a/crates/stairfront-policy/src/interface.rs
+++ b/crates/stairfront-policy/src/interface.rs
@@ -137,6 +137,15 @@
     pub fall: Micros,
 }
 
+/// What the slowest requests weigh, by class and 5 s: what was served counts in full while no more than the borne part
+/// missed its aim, and for nothing at five times that. A refusal inside the aim is no miss.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Tail {
+    /// Part of the result; 0 where only worth is counted.
+    pub weight: f64,
+    pub borne: f64,
+}
+
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Settings {
     pub me: u16,
@@ -149,6 +158,7 @@
     pub tenants: Vec<Tenant>,
     /// Fraction of its worth that a request beyond its tenant's share keeps.
     pub over_share_worth: f64,
+    pub tail: Tail,
     pub limits: Limits,
     pub rules: Rules,
     /// Order of the values in load reports.
--- a/crates/stairfront-policy/src/policy.rs
+++ b/crates/stairfront-policy/src/policy.rs
@@ -500,7 +500,8 @@
     /// A fetch goes on past the aim: its value is stored for the next reader only while its own waits.
     fn give_up_at(&self, p: &Pending) -> Micros {
         let last = p.request.expires - 2 * self.set.tick;
-        last.min(if p.class.late_worth > 0.0 || p.stage == Stage::Fetch { last } else { p.aim_at })
+        let late = p.class.late_worth > 0.0 && self.set.tail.weight <= 0.0;
+        last.min(if late || p.stage == Stage::Fetch { last } else { p.aim_at })
     }
 
     fn dispatch(&mut self, now: Micros, id: RequestId, actions: &mut Vec<Action>) {
--- a/crates/stairfront-policy/tests/common/mod.rs
+++ b/crates/stairfront-policy/tests/common/mod.rs
@@ -22,6 +22,7 @@
         classes: vec![class(Semantics::Free)],
         tenants: vec![],
         over_share_worth: 1.0,
+        tail: Tail::default(),
         limits: Limits {
             most_attempts: 4,
             may_duplicate: false,
--- a/crates/stairfront-settings/src/lib.rs
+++ b/crates/stairfront-settings/src/lib.rs
@@ -8,7 +8,7 @@
 use serde::Deserialize;
 use stairfront_policy::interface::{
     CacheMode, Class, Discovery, Group, Kind, Limits, Micros, ReportField, Rules, Semantics, Settings,
-    Tenant, Zone, MS,
+    Tail, Tenant, Zone, MS,
 };
 
 /// What a key of the settings has that it should not have.
@@ -119,6 +119,16 @@
     report: RawReport,
     #[serde(default)]
     family_info: RawFamily,
+    #[serde(default)]
+    score_parts: RawParts,
+}
+
+/// Only what the slowest requests weigh is read of it.
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct RawParts {
+    slow_end: f64,
+    borne_misses: f64,
 }
 
 #[derive(Deserialize)]
@@ -322,6 +332,8 @@
             time("rules.fall", rules.fall),
             share("rules.cold_from", rules.cold_from),
             at_least_zero("rules.fall_multiple", rules.fall_multiple),
+            at_least_zero("score_parts.slow_end", self.score_parts.slow_end),
+            share("score_parts.borne_misses", self.score_parts.borne_misses),
         ]);
         checks.into_iter().filter_map(Result::err).collect()
     }
@@ -361,6 +373,7 @@
             classes,
             tenants: self.tenants.iter().map(tenant).collect(),
             over_share_worth: self.over_share_worth,
+            tail: Tail { weight: self.score_parts.slow_end, borne: self.score_parts.borne_misses },
             limits: self.caps.limits(),
             rules: self.rules.rules(),
             report: self.report.fields.iter().map(|name| field(name)).collect(),
