--- a/crates/stairfront-policy/src/policy.rs
+++ b/crates/stairfront-policy/src/policy.rs
@@ -59,9 +59,9 @@
 /// weight of one, the factor of a cut, the least, and what is admitted again in a second.
 const MISS_LATE: f64 = 0.15;
 const MISS_WEIGHT: f64 = 0.1;
-const MISS_CUT: f64 = 0.7;
-const MISS_LEAST: f64 = 0.05;
-const MISS_GROWTH: f64 = 0.08;
+const MISS_CUT: f64 = 0.5;
+const MISS_LEAST: f64 = 0.02;
+const MISS_GROWTH: f64 = 0.25;
 /// Part admitted under which the origin counts as short.
 const MISS_SHORT: f64 = 0.6;
 /// Part of its aim that a fetch may add to a read on average before no key moves.
@@ -465,8 +465,8 @@
         add_part(&mut self.tenant_parts, request.tenant.0 as usize, self.tenant_votes);
         // Danger: a short origin holds up caches with fetches that fail, and with them what they still hold.
         let held = request.key.and_then(|k| self.table.get(&k)).is_some_and(|entry| entry.held);
-        let grown = MISS_GROWTH * (now - self.misses_at) as f64 / SECOND as f64;
-        (self.misses, self.misses_at) = ((self.misses + grown).min(1.0), now);
+        let grown = (MISS_GROWTH * (now - self.misses_at) as f64 / SECOND as f64).exp();
+        (self.misses, self.misses_at) = ((self.misses * grown).min(1.0), now);
         let miss = !held && self.misses < 1.0 && self.random.unit() > self.misses;
         let Some(class) = self.set.classes.get(usize::from(request.class.0)).copied() else {
             return actions.push(Action::Fail { id: request.id });
