--- a/crates/stairfront-balancer/src/product.rs
+++ b/crates/stairfront-balancer/src/product.rs
@@ -38,6 +38,8 @@
     tenants: Vec<ProductTenant>,
     #[serde(default)]
     retries: ProductRetries,
+    #[serde(default)]
+    slow_end: ProductSlowEnd,
     rules: ProductRules,
     /// Fields of the servers' load reports.
     #[serde(default)]
@@ -157,6 +159,14 @@
     }
 }
 
+/// What the slowest requests weigh; nothing where it is left out.
+#[derive(Deserialize, Default)]
+#[serde(deny_unknown_fields, default)]
+struct ProductSlowEnd {
+    weight: f64,
+    borne_misses: f64,
+}
+
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct ProductRules {
@@ -213,6 +223,7 @@
                          "cancel": retries.may_cancel, "retry_after": retries.max_retry_after_ms > 0.0,
                          "max_retry_after": retries.max_retry_after_ms},
                 "report": {"fields": self.report},
+                "score_parts": {"slow_end": self.slow_end.weight, "borne_misses": self.slow_end.borne_misses},
                 "rules": {"answer_slack": rules.answer_slack_ms, "stop_sending_within": rules.drain_grace_ms,
                           "cold_from": rules.cold_from, "warm_up": rules.warm_up_ms,
                           "fall_multiple": rules.fall_multiple, "fall": rules.fall_ms}
@@ -251,7 +262,7 @@
 }
 
 /// Keys of the platform's form, and what they are called in a file of this form.
-const OWN_KEYS: [(&str, &str); 24] = [
+const OWN_KEYS: [(&str, &str); 26] = [
     ("settings.rules.stop_sending_within", "rules.drain_grace_ms"),
     ("settings.rules.answer_slack", "rules.answer_slack_ms"),
     ("settings.rules.warm_up", "rules.warm_up_ms"),
@@ -263,6 +274,8 @@
     ("settings.caps.max_retry_after", "retries.max_retry_after_ms"),
     ("settings.caps.open_cap", "limits.open_requests"),
     ("settings.caps", "retries"),
+    ("settings.score_parts.slow_end", "slow_end.weight"),
+    ("settings.score_parts.borne_misses", "slow_end.borne_misses"),
     ("settings.over_share_worth", "retries.over_share_worth"),
     ("settings.profiles", "classes"),
     ("settings.tenants", "tenants"),
--- a/crates/stairfront-policy/src/policy.rs
+++ b/crates/stairfront-policy/src/policy.rs
@@ -63,7 +63,7 @@
 const MISS_LEAST: f64 = 0.02;
 const MISS_GROWTH: f64 = 0.25;
 /// Part admitted under which the origin counts as short.
-const MISS_SHORT: f64 = 0.6;
+const MISS_SHORT: f64 = 0.45;
 /// Part of its aim that a fetch may add to a read on average before no key moves.
 const FETCH_SLOW: f64 = 0.4;
 /// Stress up to which a cache is idle enough to take a key.
@@ -106,7 +106,17 @@
         let usual_left = vec![Majority::default(); set.classes.len()];
         let (random, retry_tokens) = (Random(seed), RETRY_BURST);
         let (tenant_votes, misses, idle_lost_at) = (FAIR_PRIOR, 1.0, -IDLE_MEMORY);
-        Policy { set, random, retry_tokens, tenant_parts, tenant_votes, usual_left, misses, idle_lost_at, ..Policy::default() }
+        Policy {
+            set,
+            random,
+            retry_tokens,
+            tenant_parts,
+            tenant_votes,
+            usual_left,
+            misses,
+            idle_lost_at,
+            ..Policy::default()
+        }
     }
 
     pub fn handle(&mut self, now: Micros, event: Event<'_>, actions: &mut Vec<Action>) {
@@ -710,7 +720,9 @@
         let idle = self.servers.get(&s.cache).map_or(0, |server| server.idle);
         let stale = self.learn_idle(now, idle, s.outcome);
         let Some(server) = self.servers.get_mut(&s.cache) else { return };
-        server.used = now;
+        // Where one was lost, the next attempt is to have a new connection, whose answer tells nothing of idle ones.
+        server.used = if stale { 0 } else { now };
+        actions.extend(stale.then_some(Action::Disconnect { cache: s.cache }));
         let (before, error, again) = (server.window, s.outcome == Outcome::Errored, s.attempt > 0);
         // Danger: a cache that errs at once looks idle and draws requests. Where it fetches, the origin errs.
         if error && aside {
@@ -779,8 +791,9 @@
         }
         self.idle_row = if lost { self.idle_row + 1 } else { 0 };
         if lost && (self.idle_row >= IDLE_ROW || now - self.idle_lost_at < IDLE_MEMORY) {
+            // The limit lies anywhere below what was lost.
             let known = if now - self.idle_lost_at < IDLE_MEMORY { self.idle_limit } else { idle };
-            (self.idle_limit, self.idle_lost_at) = (known.min(idle), now);
+            (self.idle_limit, self.idle_lost_at) = (known.min(idle / 2).max(IDLE_FLOOR), now);
         }
         lost
     }
--- /dev/null
+++ b/crates/stairfront-policy/tests/large_fleets.rs
@@ -0,0 +1,144 @@
+//! What a balancer must not take for granted where it is one of hundreds before a hundred caches: that it sees each cache
+//! often, that hits are told, that connections stand, that tenants are many, that any origin is as strong as any other.
+mod common;
+
+use common::*;
+use stairfront_policy::interface::*;
+
+fn one_of_many(set: Settings, caches: u64) -> Rig {
+    let list =
+        if set.mode == CacheMode::Through { ready(1..=caches) } else { with_origin(ready(1..=caches)) };
+    Rig::new(Settings { balancers: 300, ..set }, &list)
+}
+
+/// Danger: a short origin holds up the caches' slots, and where hits are not told only lateness shows it. Keys seen served
+/// go on; of the others, fewer.
+#[test]
+fn late_answers_of_unseen_keys_admit_fewer_of_them() {
+    let mut rig = one_of_many(through(), 50);
+    let seen: Vec<u64> = (0..20).collect();
+    seen.iter().for_each(|key| assert!(rig.serve(*key).0 > 0));
+    let mut sent = [0, 0];
+    for key in 1_000..1_100 {
+        rig.now += 100 * MS;
+        let id = rig.ask(key);
+        if let (Some(cache), true) = (rig.last_cache(id), rig.finals(id) == 0) {
+            sent[usize::from(key >= 1_050)] += 1;
+            let (outcome, note, load) = (Outcome::Served, Note::None, Load::default());
+            let late =
+                Settled { id, attempt: 0, cache, outcome, closed: true, elapsed: 900 * MS, note, load };
+            rig.event(Event::Settled(late));
+        }
+    }
+    assert!(sent[0] > 2 * sent[1] && sent[1] <= 10, "{sent:?} of 50 each");
+    let held = seen.iter().filter(|key| {
+        let id = rig.ask(**key);
+        rig.finals(id) == 0
+    });
+    assert!(held.count() >= 15, "what caches surely have is still asked for");
+}
+
+/// Danger: growing back by steps, an answer each, takes minutes where a cache is asked every quarter of one.
+#[test]
+fn a_good_answer_opens_a_resting_window() {
+    let mut rig = one_of_many(through(), 1);
+    for _ in 0..4 {
+        rig.now += 40 * SECOND;
+        let id = rig.ask(1);
+        if rig.last_cache(id).is_some() {
+            rig.settle(id, Outcome::Full);
+        }
+    }
+    rig.now += 100 * SECOND;
+    rig.serve(1);
+    rig.now += 10 * MS;
+    let id = rig.ask(1);
+    assert!(rig.last_cache(id).is_some(), "in use again at once");
+}
+
+/// Danger: of two tenants the lower median is the lesser one's use, and the greater is refused inside its share.
+#[test]
+fn of_two_tenants_the_greater_is_not_shed_inside_its_part() {
+    for (parts, shed) in [([7, 3], false), ([19, 1], true)] {
+        let mut set = through();
+        set.over_share_worth = 0.05;
+        set.tenants =
+            [55.0, 45.0].map(|quota_per_s| Tenant { quota_per_s, share: quota_per_s / 100.0 }).to_vec();
+        let mut rig = Rig::new(set, &ready(1..=6));
+        let (mut came, mut refusals) = ([0.0; 2], [0.0; 2]);
+        for i in 0..2_000_u64 {
+            rig.now += 5 * MS;
+            // What comes of a request must not go with its tenant.
+            let dice = |salt: u64| xxhash_rust::xxh3::xxh3_64_with_seed(&i.to_le_bytes(), salt);
+            let greater = dice(1) % (parts[0] + parts[1]) < parts[0];
+            let bad = dice(2) % 4 == 0;
+            let id = rig.ask_of(u32::from(!greater), 0, dice(3) % 40, false);
+            came[usize::from(greater)] += 1.0;
+            refusals[usize::from(greater)] += f64::from(u8::from(rig.last_cache(id).is_none()));
+            if rig.last_cache(id).is_some() {
+                // A quarter ends badly, and cannot be tried again: that is pressure.
+                rig.settle(id, if bad { Outcome::TimedOut } else { Outcome::Served });
+                while rig.finals(id) == 0 && bad && rig.sent[&id.0].len() < 4 {
+                    rig.settle(id, Outcome::TimedOut);
+                }
+            }
+        }
+        // Pressure refuses some of both; the shed ones come on top.
+        let [lesser, greater] = [refusals[0] / came[0], refusals[1] / came[1]];
+        assert_eq!(greater > lesser + 0.1, shed, "{parts:?}: {lesser:.2} and {greater:.2} refused");
+    }
+}
+
+/// Danger: what an origin behind sixty caches could fetch, but a window for a dozen holds back, is missed again.
+#[test]
+fn an_origins_first_window_follows_the_fleet() {
+    let fetches = |caches| {
+        let mut rig = Rig::new(Settings { balancers: 4, ..aside() }, &with_origin(ready(1..=caches)));
+        let ids: Vec<RequestId> = (0..60).map(|key| rig.ask(key)).collect();
+        for id in &ids {
+            if rig.last_cache(*id).is_some() {
+                rig.settle(*id, Outcome::Miss);
+            }
+        }
+        rig.sent.values().filter(|to| to.last() == Some(&ORIGIN)).count()
+    };
+    assert_eq!((fetches(11), fetches(59)), (3, 15));
+}
+
+/// Danger: with seconds between two requests to a cache, each goes out on a connection that may have been dropped unseen.
+#[test]
+fn connections_idle_for_as_long_as_lost_ones_are_closed_before_use() {
+    let closes = |actions: &[Action]| actions.iter().any(|a| matches!(a, Action::Disconnect { .. }));
+    let mut rig = one_of_many(through(), 1);
+    rig.serve(1);
+    for lost in 0..2 {
+        rig.now += 2 * SECOND;
+        let id = rig.ask(1);
+        assert!(!closes(&rig.out), "loss {lost}: a single one shows nothing");
+        assert!(closes(&rig.settle(id, Outcome::TimedOut)), "but its connection is not kept");
+        rig.out.clear();
+        rig.now += 10 * MS;
+        rig.serve(1);
+    }
+    rig.now += 2 * SECOND;
+    rig.serve(1);
+    assert!(closes(&rig.out), "two in a row do");
+    rig.out.clear();
+    rig.now += 100 * MS;
+    rig.serve(1);
+    assert!(!closes(&rig.out), "one in use just now stands");
+}
+
+/// Danger: a request that went on past its aim counts as a miss of the slow end; refused at its aim it does not.
+#[test]
+fn where_the_slow_end_counts_a_late_request_is_refused_at_its_aim() {
+    for (weight, over) in [(0.0, false), (0.3, true)] {
+        let mut set = through();
+        set.classes[0].late_worth = 0.5;
+        set.tail = Tail { weight, borne: 0.01 };
+        let mut rig = Rig::new(set, &ready(1..=6));
+        let id = rig.ask(1);
+        rig.now += 500 * MS;
+        assert_eq!(refused(&rig.event(Event::Timer { token: u64::from(id.0) })), over, "weight {weight}");
+    }
+}
--- a/crates/stairfront-settings/src/lib.rs
+++ b/crates/stairfront-settings/src/lib.rs
@@ -2,13 +2,14 @@
 //! given defaults here and nowhere else. Unknown keys are ignored; absent optional ones get their documented
 //! default; an error names the key at fault.
 mod retune;
+mod shape;
 
 pub use retune::{Retuned, NOT_RETUNED};
 
 use serde::Deserialize;
 use stairfront_policy::interface::{
-    CacheMode, Class, Discovery, Group, Kind, Limits, Micros, ReportField, Rules, Semantics, Settings,
-    Tail, Tenant, Zone, MS,
+    CacheMode, Class, Discovery, Group, Kind, Limits, Micros, ReportField, Rules, Semantics, Settings, Tail,
+    Tenant, Zone, MS,
 };
 
 /// What a key of the settings has that it should not have.
@@ -58,22 +59,16 @@
 }
 
 impl Start {
+    /// As the simulator's wire has them.
     pub fn from_text(text: &str) -> Result<Self, SettingsError> {
-        Self::read(&mut serde_json::Deserializer::from_str(text))
+        let raw = Raw::read(&mut serde_json::Deserializer::from_str(text))?;
+        raw.faults().into_iter().next().map_or_else(|| raw.start(), Err)
     }
 
+    /// As an operator wrote them: two shapes of deployment in one are refused too.
     pub fn from_value(value: serde_json::Value) -> Result<Self, SettingsError> {
-        Self::read(value)
-    }
-
-    fn read<'a>(
-        source: impl serde::Deserializer<'a, Error = serde_json::Error>,
-    ) -> Result<Self, SettingsError> {
-        let raw = Raw::read(source)?;
-        match raw.faults().into_iter().next() {
-            Some(fault) => Err(fault),
-            None => raw.start(),
-        }
+        let raw = Raw::read(value)?;
+        raw.faults().into_iter().chain(raw.mixes()).next().map_or_else(|| raw.start(), Err)
     }
 
     /// Every fault that the settings have; none if `from_value` takes them.
@@ -82,6 +77,7 @@
             Err(fault) => vec![fault],
             Ok(raw) => {
                 let mut faults = raw.faults();
+                faults.extend(raw.mixes());
                 faults.extend(raw.start().err());
                 faults
             }
@@ -212,6 +208,8 @@
 
 #[derive(Deserialize, Default)]
 struct RawReport {
+    #[serde(default)]
+    how: String,
     #[serde(default)]
     fields: Vec<String>,
 }
--- a/crates/stairfront-settings/tests/settings.rs
+++ b/crates/stairfront-settings/tests/settings.rs
@@ -1,6 +1,6 @@
 //! The settings: defaults, units and errors that name the key at fault.
 use serde_json::{json, Value};
-use stairfront_policy::interface::{CacheMode, Discovery, Group, Kind, Semantics, Zone, MS, SECOND};
+use stairfront_policy::interface::{CacheMode, Discovery, Group, Kind, Semantics, Tail, Zone, MS, SECOND};
 use stairfront_settings::Start;
 
 fn least() -> Value {
@@ -50,9 +50,82 @@
     assert_eq!(Start::from_value(text).unwrap().settings.limits.max_retry_after, 0);
 }
 
+/// The three deployments that one build serves, each by its settings alone.
+fn shape(name: &str) -> Value {
+    let mut text = least();
+    let (more, models) = match name {
+        "aside, pushed, reported" => (
+            json!({"registry_mode": "push", "family_info": {"mode": "aside", "origin_kind": 2},
+                   "report": {"how": "inline", "fields": ["throughput", "utilization", "x1"]}}),
+            json!(["fast-box", "std-box", "origin"]),
+        ),
+        "through, asked, one place" => (
+            json!({"registry_mode": "ask", "family_info": {"mode": "through", "origin_kind": -1},
+                   "report": {"how": "inline", "fields": ["throughput", "errors_per_s", "outstanding"]},
+                   "areas": ["salt-lake-dc"], "rules": {"ask_every": 6000.0}}),
+            json!(["fast-2c", "slow-2c"]),
+        ),
+        _ => (
+            json!({"registry_mode": "ask", "family_info": {"mode": "aside", "origin_kind": 1},
+                   "report": {"how": "off", "fields": []}, "rules": {"ask_every": 10000.0},
+                   "score_parts": {"slow_end": 0.3, "borne_misses": 0.01}}),
+            json!(["standard", "origin"]),
+        ),
+    };
+    text["models"] = models;
+    more.as_object().unwrap().iter().for_each(|(key, value)| text[key] = value.clone());
+    text
+}
+
+const SHAPES: [&str; 3] = ["aside, pushed, reported", "through, asked, one place", "aside, asked, silent"];
+
+#[test]
+fn one_build_reads_each_shape_from_its_settings() {
+    let read = |name| Start::from_value(shape(name)).unwrap().settings;
+    let [old, through, silent] = SHAPES.map(read);
+    assert_eq!((old.mode, old.discovery), (CacheMode::Aside { origin: Kind(2) }, Discovery::Push));
+    assert_eq!(old.tail, Tail::default(), "what the settings do not weigh does not count");
+    assert_eq!((through.mode, through.discovery), (CacheMode::Through, Discovery::Ask));
+    assert_eq!((silent.mode, silent.report.len()), (CacheMode::Aside { origin: Kind(1) }, 0));
+    assert_eq!(silent.tail, Tail { weight: 0.3, borne: 0.01 });
+}
+
+/// Danger: a move half done would start, with one shape's fetches and the other's list.
+#[test]
+fn settings_of_two_shapes_in_one_are_refused_by_key() {
+    let [old, through, silent] = SHAPES;
+    let cases: [(&str, &str, Value, &str); 10] = [
+        (old, "/family_info/mode", "through".into(), "family_info.origin_kind: caches fetch by themselves"),
+        (old, "/family_info/mode", "beside".into(), "family_info.mode: unknown word \"beside\""),
+        (old, "/registry_mode", "pull".into(), "registry_mode: unknown word \"pull\""),
+        (old, "/registry_mode", "ask".into(), "rules.ask_every: must be above 0"),
+        (old, "/report/how", "off".into(), "report.fields: report.how says"),
+        (
+            old,
+            "/models",
+            json!(["fast-box", "std-box"]),
+            "family_info.origin_kind: 2 is none of the 2 models",
+        ),
+        (through, "/report/how", "on_probe".into(), "report.how: reports come with probes"),
+        (through, "/locality", 2.into(), "locality: 2 is none of the 1 areas"),
+        (silent, "/family_info", json!({"mode": "aside"}), "family_info.origin_kind: mode aside needs"),
+        (silent, "/score_parts", json!({"slow_end": 0.3}), "score_parts.borne_misses: must be above 0"),
+    ];
+    for (name, path, value, wanted) in cases {
+        let mut text = shape(name);
+        text["locality"] = 0.into();
+        *text.pointer_mut(path).unwrap() = value;
+        let problem = Start::from_value(text.clone()).unwrap_err().to_string();
+        assert!(problem.starts_with(wanted), "{name}: {problem:?} should begin with {wanted:?}");
+        assert!(Start::faults(text).iter().any(|fault| fault.to_string().starts_with(wanted)), "{wanted}");
+    }
+}
+
 #[test]
 fn an_error_names_the_key() {
-    let cases: [(&str, Value, &str); 10] = [
+    let cases: [(&str, Value, &str); 12] = [
+        ("/score_parts", json!({"slow_end": -1}), "score_parts.slow_end: "),
+        ("/score_parts", json!({"borne_misses": 2}), "score_parts.borne_misses: "),
         ("/profiles/0/aim", "soon".into(), "profiles[0].aim: "),
         ("/profiles/0/aim", 0.into(), "profiles[0].aim: must be a time in milliseconds above 0"),
         ("/profiles/0/deadline", 1e12.into(), "profiles[0].deadline: "),
@@ -69,6 +142,7 @@
         text["caps"] = json!({});
         text["tenants"] = json!([]);
         text["family_info"] = json!({});
+        text["score_parts"] = json!({});
         *text.pointer_mut(path).unwrap() = value;
         let problem = Start::from_value(text).unwrap_err().to_string();
         assert!(problem.starts_with(wanted), "{problem:?} should begin with {wanted:?}");
