--- a/crates/stairfront-policy/src/knowledge.rs
+++ b/crates/stairfront-policy/src/knowledge.rs
@@ -25,8 +25,6 @@
     shed_level: f64,
     tenant_parts: Vec<f64>,
     tenant_votes: f64,
-    fetch_part: Average,
-    hit_part: Average,
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -75,8 +73,6 @@
             shed_level: self.shed_level,
             tenant_parts: self.tenant_parts.clone(),
             tenant_votes: self.tenant_votes,
-            fetch_part: self.fetch_part,
-            hit_part: self.hit_part,
             servers,
             placements,
         }
@@ -118,7 +114,6 @@
         }
         if fresh {
             (self.warm_rate, self.shed_level) = (known.warm_rate, known.shed_level);
-            (self.fetch_part, self.hit_part) = (known.fetch_part, known.hit_part);
             (self.misses, self.miss_late) = (known.misses, known.miss_late);
         }
         if known.tenant_parts.len() == self.tenant_parts.len() {
--- a/crates/stairfront-policy/src/policy.rs
+++ b/crates/stairfront-policy/src/policy.rs
@@ -64,8 +64,6 @@
 const MISS_GROWTH: f64 = 0.25;
 /// Part admitted under which the origin counts as short.
 const MISS_SHORT: f64 = 0.45;
-/// Part of its aim that a fetch may add to a read on average before no key moves.
-const FETCH_SLOW: f64 = 0.4;
 /// Stress up to which a cache is idle enough to take a key.
 const IDLE: f64 = 0.7;
 /// Repeats earned by each first try, and the most that may be saved up: a retry budget.
@@ -390,9 +388,8 @@
     /// Danger: few caches own unequal arcs and are unequal machines, so all candidates of a key can be full
     /// while others idle. One key at a time moves to the next clockwise idle cache and stays: one miss each.
     fn relieve(&mut self, now: Micros, key: Key, tried: &Tried) -> Option<CacheId> {
-        // Danger: each balancer's move is a miss; where fetches are slow, moves keep the origin short.
-        let slow = self.fetch_part.value - self.hit_part.value > FETCH_SLOW;
-        if self.misses < MISS_SHORT || slow || !self.fetch_queue.is_empty() {
+        // Danger: each balancer's move is a miss, and would keep a short origin short.
+        if self.misses < MISS_SHORT || !self.fetch_queue.is_empty() {
             return None;
         }
         let idle = |s: &Server| s.stress.value < IDLE && f64::from(s.inflight) < s.window / 2.0;
@@ -476,7 +473,7 @@
         // Danger: a short origin holds up caches with fetches that fail, and with them what they still hold.
         let held = request.key.and_then(|k| self.table.get(&k)).is_some_and(|entry| entry.held);
         let grown = (MISS_GROWTH * (now - self.misses_at) as f64 / SECOND as f64).exp();
-        (self.misses, self.misses_at) = ((self.misses * grown).min(1.0), now);
+        (self.misses, self.misses_at) = ((self.misses * grown).clamp(MISS_LEAST, 1.0), now);
         let miss = !held && self.misses < 1.0 && self.random.unit() > self.misses;
         let Some(class) = self.set.classes.get(usize::from(request.class.0)).copied() else {
             return actions.push(Action::Fail { id: request.id });
@@ -738,12 +735,6 @@
                 (self.misses, self.misses_cut) = ((self.misses * MISS_CUT).max(MISS_LEAST), now);
             }
         }
-        let part = s.elapsed as f64 * GOAL / goal;
-        match s.note {
-            Note::Fetched if !aside => self.fetch_part.add(now, part, TIME_WEIGHT, TIME_SPAN),
-            Note::Hit if !aside => self.hit_part.add(now, part, TIME_WEIGHT, TIME_SPAN),
-            _ => {}
-        }
         match s.outcome {
             Outcome::Served | Outcome::Miss => {
                 // It has failed and is back: one at a time shows how well.
--- a/crates/stairfront-policy/src/state.rs
+++ b/crates/stairfront-policy/src/state.rs
@@ -140,8 +140,5 @@
     pub(crate) idle_limit: Micros,
     pub(crate) idle_lost_at: Micros,
     pub(crate) idle_row: u32,
-    /// Part of their aim that reads took, those which the cache had to fetch and those it held.
-    pub(crate) fetch_part: Average,
-    pub(crate) hit_part: Average,
     pub(crate) log_after: Micros,
 }
--- a/crates/stairfront-policy/tests/protection.rs
+++ b/crates/stairfront-policy/tests/protection.rs
@@ -266,25 +266,6 @@
     assert!((0..5).all(|_| rig.serve(7) == home));
 }
 
-/// Danger: hundreds of balancers that each move keys make a miss of each move and keep a short origin short.
-#[test]
-fn no_key_moves_while_fetches_behind_the_caches_are_slow() {
-    let caches_used = |fetch: Micros| {
-        let mut rig = Rig::new(through(), &ready(1..=8));
-        for key in 1..100 {
-            let id = rig.ask(key);
-            let cache = rig.last_cache(id).expect("sent");
-            let (note, elapsed) = if key % 2 == 0 { (Note::Hit, 20 * MS) } else { (Note::Fetched, fetch) };
-            let (attempt, outcome, closed, load) = (0, Outcome::Served, true, Load::default());
-            rig.event(Event::Settled(Settled { id, attempt, cache, outcome, closed, elapsed, note, load }));
-        }
-        let open: Vec<_> = (0..40).map(|_| rig.ask(7)).collect();
-        open.iter().filter_map(|id| rig.last_cache(*id)).collect::<std::collections::BTreeSet<_>>().len()
-    };
-    let (quick, slow) = (caches_used(40 * MS), caches_used(400 * MS));
-    assert!(slow < quick, "{quick} caches serve a hot key with quick fetches, {slow} with slow ones");
-}
-
 /// How many requests for these keys are sent, with none of them answered.
 fn taken(rig: &mut Rig, keys: std::ops::Range<u64>) -> usize {
     let sent = |key| {
