--- a/crates/stairfront-policy/src/policy.rs
+++ b/crates/stairfront-policy/src/policy.rs
@@ -31,7 +31,7 @@
 const WINDOW_CUT: f64 = 0.8;
 /// The least at the origin, which hundreds of balancers ask all the time.
 const ORIGIN_MIN: f64 = 0.01;
-/// Factor of a cut at a window of one and less, where answers are too rare for small steps: a good one opens it to one.
+/// Factor of a cut at a window of one and less, where answers are too rare for steps: a good one opens it.
 const SPARSE_CUT: f64 = 0.5;
 /// Stress that cuts such a window: more than the spread of single answers of a healthy cache.
 const SPARSE_STRESS: f64 = 1.5;
@@ -42,8 +42,8 @@
 /// The same for attempts without an answer, and their part from which one is given up half way to its aim.
 const SILENT_ROW: u32 = 8;
 const SILENT_PART: f64 = 0.08;
-/// Idle time from which a connection may have been dropped unseen, attempts lost so in a row that show it, and how
-/// long connections idle for longer are then not used again.
+/// Idle time from which a connection may have been dropped unseen, attempts lost so in a row that show it,
+/// and how long connections idle for longer are then not used again.
 const IDLE_FLOOR: Micros = 300 * MS;
 const IDLE_ROW: u32 = 2;
 const IDLE_MEMORY: Micros = 20 * SECOND;
@@ -55,8 +55,8 @@
 const PAUSE_GAPS: f64 = 4.0;
 /// Weight of one answer in the part of errors and of attempts without an answer.
 const ERROR_WEIGHT: f64 = 0.05;
-/// Through mode: part of the likely misses that may end late or in error before fewer of them are admitted, the
-/// weight of one, the factor of a cut, the least, and what is admitted again in a second.
+/// Through mode: part of the likely misses that may end late or in error before fewer of them are admitted,
+/// the weight of one, the factor of a cut, the least, and the rate of growth (a second).
 const MISS_LATE: f64 = 0.15;
 const MISS_WEIGHT: f64 = 0.1;
 const MISS_CUT: f64 = 0.5;
@@ -474,6 +474,11 @@
         let held = request.key.and_then(|k| self.table.get(&k)).is_some_and(|entry| entry.held);
         let grown = (MISS_GROWTH * (now - self.misses_at) as f64 / SECOND as f64).exp();
         (self.misses, self.misses_at) = ((self.misses * grown).clamp(MISS_LEAST, 1.0), now);
+        if self.short != (self.misses < MISS_SHORT) {
+            self.short = !self.short;
+            let turn = ["ends", "starts"][usize::from(self.short)];
+            self.log(now, actions, || format!("refusing most likely misses {turn}"));
+        }
         let miss = !held && self.misses < 1.0 && self.random.unit() > self.misses;
         let Some(class) = self.set.classes.get(usize::from(request.class.0)).copied() else {
             return actions.push(Action::Fail { id: request.id });
@@ -715,9 +720,9 @@
         let (goal, aside) = (GOAL * aim as f64, self.aside());
         let rare = self.gap() > goal / GOAL;
         let idle = self.servers.get(&s.cache).map_or(0, |server| server.idle);
-        let stale = self.learn_idle(now, idle, s.outcome);
+        let stale = self.learn_idle(now, idle, s.outcome, actions);
         let Some(server) = self.servers.get_mut(&s.cache) else { return };
-        // Where one was lost, the next attempt is to have a new connection, whose answer tells nothing of idle ones.
+        // Where one was lost the next attempt has a new one, whose answer tells nothing of idle ones.
         server.used = if stale { 0 } else { now };
         actions.extend(stale.then_some(Action::Disconnect { cache: s.cache }));
         let (before, error, again) = (server.window, s.outcome == Outcome::Errored, s.attempt > 0);
@@ -725,8 +730,8 @@
         if error && aside {
             server.fault(now, 0);
         }
-        // Danger: fetches past what the origin can do hold up caches, and with them what they still have. Keys
-        // that this balancer has not seen served are likely misses; their late answers show it.
+        // Danger: fetches past what the origin can do hold up caches, and what they still have. Keys that
+        // this balancer has not seen served are likely misses; their late answers show it.
         let answered = !s.outcome.never_ran() && s.outcome != Outcome::Reset;
         if !aside && answered && self.pending.get(&s.id).is_some_and(|p| !p.held) {
             let bad = error || s.outcome != Outcome::Served || s.elapsed > aim;
@@ -774,8 +779,8 @@
         }
     }
 
-    /// Learns after what idle time connections are dropped unseen; whether this attempt may have been lost so.
-    fn learn_idle(&mut self, now: Micros, idle: Micros, outcome: Outcome) -> bool {
+    /// Learns after what idle time connections are dropped unseen; whether this attempt may be lost so.
+    fn learn_idle(&mut self, now: Micros, idle: Micros, outcome: Outcome, actions: &mut Vec<Action>) -> bool {
         let lost = matches!(outcome, Outcome::TimedOut | Outcome::Cancelled | Outcome::Reset);
         if idle < IDLE_FLOOR || outcome == Outcome::Moot {
             return false;
@@ -783,8 +788,12 @@
         self.idle_row = if lost { self.idle_row + 1 } else { 0 };
         if lost && (self.idle_row >= IDLE_ROW || now - self.idle_lost_at < IDLE_MEMORY) {
             // The limit lies anywhere below what was lost.
-            let known = if now - self.idle_lost_at < IDLE_MEMORY { self.idle_limit } else { idle };
+            let anew = now - self.idle_lost_at >= IDLE_MEMORY;
+            let known = if anew { idle } else { self.idle_limit };
             (self.idle_limit, self.idle_lost_at) = (known.min(idle / 2).max(IDLE_FLOOR), now);
+            if anew {
+                self.log(now, actions, || format!("connections idle for {} ms get lost", idle / MS));
+            }
         }
         lost
     }
@@ -807,7 +816,7 @@
         let uses: Vec<f64> = uses.map(|(part, t)| part * quotas / t.quota_per_s.max(1e-9)).collect();
         let Some(own) = uses.get(tenant.0 as usize).copied().filter(|own| *own > 0.0) else { return 0.0 };
         let median = median(uses);
-        // Danger: of two tenants the median is the lesser's, and the greater would be refused inside its share.
+        // Danger: of two tenants the median is the lesser's; the greater would be refused in its share.
         let beyond = own >= FAIR_FROM * median.max(1.0);
         f64::from(u8::from(beyond)) * (1.0 - FAIR_SLACK * median / own)
     }
--- a/crates/stairfront-policy/src/state.rs
+++ b/crates/stairfront-policy/src/state.rs
@@ -136,6 +136,7 @@
     pub(crate) misses_at: Micros,
     pub(crate) misses_cut: Micros,
     pub(crate) miss_late: Average,
+    pub(crate) short: bool,
     /// Idle time after which connections are dropped unseen, when that was last seen, and losses in a row.
     pub(crate) idle_limit: Micros,
     pub(crate) idle_lost_at: Micros,
