A test of the lab has addresses of its own: its ports went to the tests beside

Symptom: stand_ins_started_by_hand... failed once in a whole run (-BUSY for its first read), alone it passes. Cause: dead_address frees a port of the common loopback address, which the next bind of a test beside may get before the process that it was meant for listens; the danger is named at own_address, which the tests of processes use already. Ruled out: the module's change (one request, one balancer, a warm cache).

--- a/crates/stairfront/tests/lab.rs
+++ b/crates/stairfront/tests/lab.rs
@@ -1,12 +1,14 @@
 //! The lab with real balancer processes: what it measures, what it sees, and what a person starts by hand.
 #[path = "../../stairfront-balancer/tests/common/mod.rs"]
 mod common;
+mod processes;
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 
-use common::{bulk, dead_address, ms, run, Client};
+use common::{bulk, ms, run, Client};
+use processes::own_address;
 use stairfront_lab::compare;
 use stairfront_lab::experiment::Experiment;
 use stairfront_lab::process::Build;
@@ -135,8 +137,8 @@
 #[test]
 fn stand_ins_started_by_hand_serve_a_balancer_and_a_reload_takes_another_list() {
     run(async {
-        let [cache, other, origin, balancer] =
-            [dead_address().await, dead_address().await, dead_address().await, dead_address().await];
+        // Danger: ports freed on the common address go to the tests beside, whose servers answer in their place.
+        let [cache, other, origin, balancer] = [(); 4].map(|()| own_address());
         let [cache_at, other_at, origin_at] = [cache, other, origin].map(|at| at.to_string());
         let _cache = Program::start(&["stand-in", "cache", "--listen", &cache_at, "--work-ms", "1"]);
         let _other = Program::start(&["stand-in", "cache", "--listen", &other_at, "--work-ms", "1"]);
