Tests that write files beside a balancer do it in memory, as in service

Cause: on a disk a file that takes another's place is flushed; the balancer's loop stands still for over 15 ms and refuses for being late. Ruled out: the module's change, load on the machine (idle).

--- a/crates/stairfront-balancer/tests/common/mod.rs
+++ b/crates/stairfront-balancer/tests/common/mod.rs
@@ -28,6 +28,12 @@
     runtime.block_on(LocalSet::new().run_until(async { timeout(LIMIT, test).await.expect("test hangs") }))
 }
 
+/// In memory where the machine has a place for that, as in service. Danger: a file on a disk is flushed when another takes its
+/// place, the loop stands still meanwhile, and the balancer says BUSY for being late.
+pub fn memory_folder() -> tempfile::TempDir {
+    tempfile::tempdir_in("/dev/shm").or_else(|_| tempfile::tempdir()).unwrap()
+}
+
 pub fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
