Membership: a core without I/O, its sockets, group cordons and drain news; off by default

A cordon was one call at each door, and a restarted or sleeping process missed it unseen.

stairfront-membership: SWIM with suspicion, refutation, indirect probes and Lifeguard's care for one's own health; standing from roster and liveness; a ledger of cordons as an observed-remove set; hearsay of drains. Events and a time in, actions out; datagrams of 1,200 bytes at most by postcard. stairfront-members: UDP, TCP for full exchanges, ticks, the ledger's file, [membership] checked by key. The engine hears holds as orders and hearsay as inputs. GET /admin/members and ?scope=group at the operators' door; figures in INFO. Absent, nothing of it is there. stairfront-models: links with faults, scripts drawn from a seed, an observer that believes no process about itself. Two circles of files ended on the way (handover/messages, part/resp).

Found and mended on the way: an order could be confirmed though its entry found no room; a lift's second entry marked a host as done before the engine was.

--- a/crates/stairfront-balancer/src/config.rs
+++ b/crates/stairfront-balancer/src/config.rs
@@ -6,6 +6,7 @@
 
 use serde::Deserialize;
 use serde_json::Value;
+use stairfront_members::{RawMembership, DESCRIPTORS};
 use stairfront_settings::{Start, NOT_RETUNED};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -47,6 +48,7 @@
     limits: RawLimits,
     #[serde(default)]
     known: RawList,
+    membership: Option<RawMembership>,
     settings: Value,
 }
 
@@ -72,6 +74,8 @@
     pub sockets: Sockets,
     pub memory: Memory,
     pub known: ServerList,
+    /// The group of balancers that this one is a member of; none, and nothing of it is there.
+    pub membership: Option<RawMembership>,
     pub start: Start,
 }
 
@@ -146,8 +150,20 @@
         let mut problems = Vec::new();
         let faults = Start::faults(raw.settings.clone());
         problems.extend(faults.into_iter().map(|e| (format!("settings.{}", e.key), e.problem)));
+        if let Some(membership) = &raw.membership {
+            let faults = membership.faults(&raw.name);
+            problems.extend(faults.into_iter().map(|(key, problem)| (format!("membership.{key}"), problem)));
+            let allowed = &raw.settings["caps"]["peer_messages"];
+            if *allowed != Value::Bool(true) {
+                let problem =
+                    "cannot stand beside settings.caps.peer_messages = false: the balancers here may not \
+                               talk to each other";
+                problems.push(("membership".to_string(), problem.to_string()));
+            }
+        }
+        let aside = raw.membership.as_ref().map_or(0, |_| DESCRIPTORS);
         let limits = [
-            ("limits.sockets", raw.limits.sockets.unwrap_or(MOST_SOCKETS), Sockets::FEWEST),
+            ("limits.sockets", raw.limits.sockets.unwrap_or(MOST_SOCKETS), Sockets::FEWEST + aside),
             ("limits.memory_mb", raw.limits.memory_mb.unwrap_or(Memory::USUAL_MB), Memory::FEWEST_MB),
         ];
         for (key, given, fewest) in limits {
@@ -174,9 +190,13 @@
             discovery: raw.discovery,
             operators: raw.ops,
             seed: seed(&raw.seed),
-            sockets: Sockets::split(raw.limits.sockets.unwrap_or(MOST_SOCKETS)),
+            sockets: Sockets::split(
+                raw.limits.sockets.unwrap_or(MOST_SOCKETS),
+                raw.membership.as_ref().map_or(0, |_| DESCRIPTORS),
+            ),
             memory: Memory::of(raw.limits.memory_mb.unwrap_or(Memory::USUAL_MB)),
             known,
+            membership: raw.membership,
             start,
         })
     }
--- a/crates/stairfront-balancer/src/discovery.rs
+++ b/crates/stairfront-balancer/src/discovery.rs
@@ -9,7 +9,7 @@
 use stairfront_settings::Names;
 use stairfront_wire::budget::Budget;
 use stairfront_wire::http::{Body, HttpCodec, HttpError, Request};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, watch, Notify};
 use tokio_util::codec::Framed;
 use tracing::{info, warn};
 use xxhash_rust::xxh3::xxh3_64;
@@ -75,6 +75,8 @@
     /// How long the next call may be held: not at all until one was answered, so that a start or a return of the
     /// agent does not wait for news to come.
     hold: Duration,
+    /// Somebody has newer news: the agent is to be asked now.
+    ask_now: Rc<Notify>,
     /// This balancer's own random numbers.
     draws: u64,
     counters: Rc<Counters>,
@@ -98,15 +100,22 @@
             wire: None,
             index: Some(known),
             hold: Duration::ZERO,
+            ask_now: Rc::default(),
             draws: seed,
             counters,
         }
     }
 
+    /// The agent is asked at once whenever this is told.
+    pub fn asked_by(self, ask_now: Rc<Notify>) -> Self {
+        Watch { ask_now, ..self }
+    }
+
     /// Danger: a call to the agent of an old configuration may be held for most of a minute, and its versions mean
     /// nothing to another agent. The call is dropped, and the new agent asked at once for the whole list.
     pub async fn run(mut self) {
         let mut agents = self.agents.clone();
+        let ask_now = Rc::clone(&self.ask_now);
         loop {
             tokio::select! {
                 biased;
@@ -116,6 +125,8 @@
                     }
                     (self.wire, self.index, self.hold) = (None, None, Duration::ZERO);
                 }
+                // The held call is dropped: what it would have brought, the next one does.
+                () = ask_now.notified() => (self.wire, self.hold) = (None, Duration::ZERO),
                 () = self.keep() => return,
             }
         }
--- a/crates/stairfront-balancer/src/engine.rs
+++ b/crates/stairfront-balancer/src/engine.rs
@@ -5,7 +5,8 @@
 use std::future::poll_fn;
 use std::rc::Rc;
 
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
+use stairfront_members::{Members, Told};
 use stairfront_operations::{Done, Order, Roll, Word};
 use stairfront_overload::Door;
 use stairfront_policy::interface::{
@@ -21,8 +22,8 @@
 use crate::clock::{duration, Clock};
 use crate::cordon_record::CordonRecord;
 use crate::counters::Counters;
-use crate::handover::{Legacy, Snapshot};
 use crate::heartbeat::{door_settings, Vitals};
+use crate::legacy::{Legacy, Snapshot};
 use crate::limits::Memory;
 use crate::messages::{Answer, Arrival, AttemptEnd, AttemptId, Input, Job};
 use crate::orders::Ordered;
@@ -48,6 +49,8 @@
     pub record: CordonRecord,
     /// What the clients' tasks read commands against.
     pub terms: Rc<RefCell<Terms>>,
+    /// The others of this balancer's group, and the cache hosts that they hold out; none where there is no group.
+    pub members: Option<(Rc<Members>, Vec<String>)>,
 }
 
 pub struct Engine<D, N: Network> {
@@ -64,8 +67,13 @@
     most_attempts: u8,
     /// What each server of the list was last said to be.
     servers: FxHashMap<CacheId, Member>,
+    /// Names of the cache hosts in the list, where there is a group to tell.
+    names: FxHashMap<CacheId, String>,
     /// Every cache host ever listed, and who is taken out.
     roll: Roll,
+    /// Cache hosts that somebody else's discovery says leave, and this one's does not say so yet.
+    hearsay: FxHashSet<CacheId>,
+    members: Option<Rc<Members>>,
     record: CordonRecord,
     terms: Rc<RefCell<Terms>>,
     /// Ends of attempts that the module has not heard yet.
@@ -82,7 +90,10 @@
         pool: Pool<N>,
         shared: Shared,
     ) -> Self {
-        let Shared { vitals: Vitals { clock, door, counters }, ready, record, terms } = shared;
+        let Shared { vitals: Vitals { clock, door, counters }, ready, record, terms, members } = shared;
+        let (members, held) = members.unzip();
+        let mut roll = Roll::default();
+        held.into_iter().flatten().for_each(|name| roll.hold(cache_id(&name), &name));
         let Start { mut settings, host, .. } = start;
         // The agent is watched at no cost from the start, whatever the simulator's discovery would ask for.
         settings.discovery = stairfront_policy::interface::Discovery::Push;
@@ -97,7 +108,10 @@
             mode: settings.mode,
             most_attempts: settings.limits.most_attempts,
             servers: FxHashMap::default(),
-            roll: Roll::default(),
+            names: FxHashMap::default(),
+            roll,
+            hearsay: FxHashSet::default(),
+            members,
             record,
             terms,
             ends: VecDeque::new(),
@@ -155,6 +169,7 @@
             Input::ClientGone(id) => self.client_gone(id),
             Input::Retune(retuned) => self.retune(&retuned),
             Input::Snapshot(to) => self.snapshot(to),
+            Input::Hearsay { host, stop } => self.hear_say(cache_id(&host), stop),
             Input::TakeAll => {
                 self.pool.take_all(&mut self.ends);
                 self.time_waits();
@@ -165,7 +180,11 @@
             }
             Input::List(list) => {
                 self.counters.lists_heard.add();
+                let told = self.members.is_some().then(|| self.leaving_in(&list));
                 self.learn(list, false);
+                if let (Some(members), Some(told)) = (&self.members, told) {
+                    members.told(&Told { hosts: self.caches(), ..told });
+                }
             }
         }
         self.settle();
@@ -199,27 +218,51 @@
             let cache = cache_id(&name);
             info!("{name} (server {:012x}) is cordoned, as on record", cache.0);
             self.roll.restore(cache, &name);
-            self.counters.cordoned.add();
-            self.tell(Event::Cordon { cache, on: true });
         }
+        self.counters.cordoned.set(self.roll.out() as u64);
+        let out: Vec<CacheId> = self.roll.all_out().collect();
+        out.into_iter().for_each(|cache| self.tell(Event::Cordon { cache, on: true }));
     }
 
     fn carry_out_order(&mut self, order: &Order, word: Word) -> Done {
-        let (name, on) = match order {
-            Order::Cordon(name) => (name, true),
-            Order::Uncordon(name) => (name, false),
-        };
+        let (Order::Cordon(name)
+        | Order::Uncordon(name)
+        | Order::Hold(name)
+        | Order::Release(name)
+        | Order::Known(name)) = order;
         let cache = cache_id(name);
         if word == Word::Vouched {
             self.roll.listed(cache);
         }
-        let changed = if on { self.roll.cordon(cache, name) } else { self.roll.uncordon(cache) };
-        let Ok(changed) = changed else { return Done::Unknown };
-        if changed {
-            self.counters.cordoned.set(self.roll.cordoned().count() as u64);
+        let before = self.roll.is_cordoned(cache);
+        let known = match order {
+            Order::Cordon(_) => self.roll.cordon(cache, name).is_ok(),
+            Order::Uncordon(_) => self.roll.uncordon(cache).is_ok(),
+            Order::Known(_) => return if self.roll.is_known(cache) { Done::Yes } else { Done::Unknown },
+            Order::Hold(_) => {
+                self.roll.hold(cache, name);
+                true
+            }
+            Order::Release(_) => {
+                self.roll.release(cache);
+                true
+            }
+        };
+        if !known {
+            return Done::Unknown;
+        }
+        let on = self.roll.is_cordoned(cache);
+        if on != before {
+            self.counters.cordoned.set(self.roll.out() as u64);
             self.tell(Event::Cordon { cache, on });
             self.bar(cache);
         }
+        match order {
+            // The member has them on record.
+            Order::Hold(_) | Order::Release(_) => return Done::Yes,
+            Order::Uncordon(_) if self.roll.is_held(cache) => return Done::Held,
+            _ => {}
+        }
         // Written again at a repeated call too: the first may have failed.
         match self.record.write(self.roll.cordoned().map(|(_, name)| name)) {
             Ok(()) => Done::Yes,
@@ -234,13 +277,48 @@
     /// and idle connections close. What is under way goes on.
     fn bar(&mut self, cache: CacheId) {
         let listed = self.servers.get(&cache).is_some_and(|member| member.state == MemberState::Ready);
-        let barred = !listed || self.roll.is_cordoned(cache);
+        let barred = !listed || self.roll.is_cordoned(cache) || self.hearsay.contains(&cache);
         self.pool.bar(cache, barred);
         if barred {
             self.pool.end_waiting(cache, &mut self.ends);
         }
     }
 
+    /// Goes by what another member's discovery says of a host, or by its own list again. The list in hand is not
+    /// touched: the module hears that the host drains, or what the list says.
+    fn hear_say(&mut self, cache: CacheId, stop: bool) {
+        let Some(own) = self.servers.get(&cache).copied() else {
+            self.hearsay.remove(&cache);
+            return;
+        };
+        let changed = if stop { self.hearsay.insert(cache) } else { self.hearsay.remove(&cache) };
+        if changed && own.state == MemberState::Ready {
+            let state = if stop { MemberState::Draining } else { own.state };
+            self.tell(Event::List(ListNews::Delta(&[Member { state, ..own }])));
+            self.bar(cache);
+        }
+    }
+
+    /// Which cache hosts leave by a list, among those that were in use.
+    fn leaving_in(&self, list: &ServerList) -> Told {
+        let said = |line: &&Line| line.member.state != MemberState::Ready;
+        let mut leaving: Vec<String> = list.lines.iter().filter(said).map(|line| line.name.clone()).collect();
+        if list.full {
+            let listed = |name: &str| list.lines.iter().any(|line| line.name == name);
+            leaving.extend(self.names.values().filter(|name| !listed(name)).cloned());
+        }
+        leaving.retain(|name| self.servers.contains_key(&cache_id(name)));
+        Told { index: list.index, hosts: 0, leaving }
+    }
+
+    fn caches(&self) -> usize {
+        self.servers.values().filter(|member| !self.is_origin(member)).count()
+    }
+
+    fn is_origin(&self, member: &Member) -> bool {
+        matches!(self.mode, CacheMode::Aside { origin } if origin == member.kind)
+    }
+
     fn arrived(&mut self, arrival: Arrival) {
         match self.table.admit(arrival, self.most_attempts) {
             Ok(request) => {
@@ -373,13 +451,17 @@
 
     /// Passes a list on: to the pool the addresses, to the module the members.
     fn learn(&mut self, list: ServerList, cached: bool) {
-        let members: Vec<Member> = list.lines.iter().map(|line| line.member).collect();
+        let mut members: Vec<Member> = list.lines.iter().map(|line| line.member).collect();
         if list.full {
             let listed = |id: &CacheId| members.iter().any(|member| member.id == *id);
             let left: Vec<CacheId> = self.servers.keys().copied().filter(|id| !listed(id)).collect();
             left.into_iter().for_each(|id| self.forget(id));
         }
         list.lines.iter().for_each(|line| self.place(line));
+        // Danger: a list that is older than what was heard would have the host used again.
+        let heard =
+            |member: &&mut Member| member.state == MemberState::Ready && self.hearsay.contains(&member.id);
+        members.iter_mut().filter(heard).for_each(|member| member.state = MemberState::Draining);
         // With any list it can serve, an old one too: a restart that waited for discovery would serve nobody.
         if !self.servers.is_empty() {
             self.ready.send_replace(true);
@@ -396,7 +478,7 @@
         if member.state == MemberState::Gone {
             return self.forget(member.id);
         }
-        let origin = matches!(self.mode, CacheMode::Aside { origin } if origin == member.kind);
+        let origin = self.is_origin(&member);
         let protocol = if origin { Protocol::Http } else { Protocol::Resp };
         self.pool.set(member.id, Endpoint { address: line.address, protocol });
         let before = self.servers.insert(member.id, member);
@@ -406,6 +488,9 @@
         }
         if !origin {
             self.roll.listed(member.id);
+            if self.members.is_some() {
+                self.names.insert(member.id, line.name.clone());
+            }
         }
         // A process that has started anew knows nothing of connections made before.
         if before.is_some_and(|before| before.born != member.born) {
@@ -416,6 +501,8 @@
 
     fn forget(&mut self, id: CacheId) {
         self.servers.remove(&id);
+        self.names.remove(&id);
+        self.hearsay.remove(&id);
         let servers = &self.servers;
         self.roll.left(id, |other| servers.contains_key(&other));
         self.pool.bar(id, true);
--- /dev/null
+++ b/crates/stairfront-balancer/src/group.rs
@@ -0,0 +1,61 @@
+//! What the group of balancers has this one do, on its way from the member (`stairfront-members`) to the engine. The
+//! engine hears it as orders and inputs; nobody who serves waits for it.
+use std::rc::Rc;
+
+use stairfront_members::{Members, Turn};
+use stairfront_operations::{Done, Order, Word};
+use tokio::sync::{mpsc, oneshot, Notify};
+
+use crate::handover::Link;
+use crate::messages::Input;
+use crate::orders::Ordered;
+
+/// Carries what the group wants for as long as the balancer runs.
+pub struct Carrier {
+    pub members: Rc<Members>,
+    pub orders: mpsc::Sender<Ordered>,
+    pub inbox: mpsc::Sender<Input>,
+    /// Other processes of this balancer, during an upgrade: what the group holds, both hold.
+    pub links: [Rc<Link>; 2],
+    /// Has discovery's agent asked at once.
+    pub ask_agent: Rc<Notify>,
+}
+
+impl Carrier {
+    pub async fn run(self) {
+        loop {
+            match self.members.next_turn().await {
+                Turn::Cordon { host, held } => {
+                    if self.cordon(&host, held).await.is_none() {
+                        return;
+                    }
+                }
+                Turn::Hearsay { host, stop } => {
+                    if self.inbox.send(Input::Hearsay { host, stop }).await.is_err() {
+                        return;
+                    }
+                }
+                Turn::AskAgent => self.ask_agent.notify_one(),
+            }
+        }
+    }
+
+    /// None once the engine has ended. Danger: confirmed before the engine has it, a host would get requests while it is
+    /// worked on.
+    async fn cordon(&self, host: &str, held: bool) -> Option<()> {
+        let order = if held { Order::Hold(host.to_string()) } else { Order::Release(host.to_string()) };
+        let (done, is_done) = oneshot::channel();
+        self.orders.send(Ordered { order: order.clone(), word: Word::Vouched, done }).await.ok()?;
+        let mut all = is_done.await.ok()? == Done::Yes;
+        for link in &self.links {
+            if let Some(answer) = link.relay(&order, Word::Vouched).await {
+                all &= answer == Ok(Done::Yes);
+            }
+        }
+        // Otherwise it stays unconfirmed, and its operator hears that.
+        if all {
+            self.members.applied(host, held);
+        }
+        Some(())
+    }
+}
--- a/crates/stairfront-balancer/src/handover.rs
+++ b/crates/stairfront-balancer/src/handover.rs
@@ -11,14 +11,13 @@
 use std::time::Duration;
 
 use rustc_hash::FxHashMap;
-use serde::{Deserialize, Serialize};
 use stairfront_handover::{Message, Parts, LARGEST_PART};
 use stairfront_operations::{Done, Order, Word};
-use stairfront_policy::interface::Knowledge;
 use tokio::sync::{mpsc, oneshot, watch, Semaphore};
 use tracing::{debug, info, warn};
 
 use crate::clock::{sleep, timeout};
+use crate::legacy::{Legacy, Snapshot};
 use crate::messages::Input;
 use crate::orders::Ordered;
 use crate::post::{Letterbox, Post};
@@ -43,22 +42,6 @@
     pub unread: Vec<u8>,
 }
 
-/// What one process leaves to the next.
-#[derive(Debug, Default, Serialize, Deserialize)]
-pub struct Legacy {
-    pub knowledge: Knowledge,
-    /// Numbers of all cache hosts that were ever listed: operators may name them still.
-    pub listed: Vec<u64>,
-}
-
-/// What the engine has to give to a successor.
-pub struct Snapshot {
-    /// A `Legacy` as JSON.
-    pub legacy: Vec<u8>,
-    /// Connections to servers that this process keeps.
-    pub servers: usize,
-}
-
 /// What a new process got from the old one.
 pub struct Predecessor {
     post: Post,
--- a/crates/stairfront-balancer/src/limits.rs
+++ b/crates/stairfront-balancer/src/limits.rs
@@ -26,8 +26,10 @@
     pub const FEWEST: usize = RESERVE + 8;
 
     /// Of a limit that is `FEWEST` at least.
-    pub fn split(limit: usize) -> Self {
+    /// `aside` descriptors are others' to use.
+    pub fn split(limit: usize, aside: usize) -> Self {
         let limit = limit.clamp(Self::FEWEST, MOST_SOCKETS);
+        let limit = limit.saturating_sub(aside).max(Self::FEWEST);
         let free = limit - RESERVE;
         // Clients hold a third of the descriptors at most, connections that they only keep included. Danger: up to that
         // all would be kept ones, and new requests find no connection; so fewer are kept, and servers get the rest.
--- a/crates/stairfront-balancer/src/messages.rs
+++ b/crates/stairfront-balancer/src/messages.rs
@@ -9,7 +9,7 @@
 use tokio::sync::{mpsc, oneshot, OwnedSemaphorePermit};
 
 use crate::clock::Instant;
-use crate::handover::Snapshot;
+use crate::legacy::Snapshot;
 use crate::server_list::ServerList;
 
 /// The final answer to one request, or an immediate one to a command that needs no decision.
@@ -220,4 +220,10 @@
     Retune(Box<Retuned>),
     /// There is no other process of this balancer any more.
     TakeAll,
+    /// Another member of the group has newer news of a cache host than this balancer's discovery: nothing new goes
+    /// there, or its own list counts again.
+    Hearsay {
+        host: String,
+        stop: bool,
+    },
 }
--- a/crates/stairfront-balancer/src/operators.rs
+++ b/crates/stairfront-balancer/src/operators.rs
@@ -8,7 +8,8 @@
 
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
-use stairfront_operations::{Call, CallFault, Done, Order, Word};
+use stairfront_members::{Members, Order as GroupOrder};
+use stairfront_operations::{Call, CallFault, Done, Order, Scope, Word};
 use stairfront_wire::budget::Budget;
 use stairfront_wire::http::HttpError;
 use stairfront_wire::http_server::{HttpServerCodec, Received, Reply};
@@ -33,6 +34,9 @@
 const ANSWER_LIMIT: Duration = Duration::from_millis(500);
 /// No call has a body that matters.
 const LARGEST_BODY: usize = 4096;
+/// An order for the group has this time to be confirmed by all, within the second.
+const GROUP_LIMIT: Duration = Duration::from_millis(900);
+const NO_GROUP: &str = "this balancer is in no group: its configuration has no [membership]";
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
 /// What the door needs to know.
@@ -43,6 +47,8 @@
     pub links: [Rc<Link>; 2],
     /// This process can serve.
     pub ready: watch::Receiver<bool>,
+    /// The group, where there is one.
+    pub members: Option<Rc<Members>>,
 }
 
 /// Callers that have brought no whole call yet, the one that came first in front.
@@ -106,15 +112,21 @@
     match Call::read(&received.method, &received.target) {
         Ok(Call::Health) if *desk.ready.borrow() => yes("serves\n"),
         Ok(Call::Health) => no(503, "Service Unavailable", "no list of servers yet"),
-        Ok(Call::Cordon(name)) => order(Order::Cordon(name), desk).await,
-        Ok(Call::Uncordon(name)) => order(Order::Uncordon(name), desk).await,
+        Ok(Call::Members) => match &desk.members {
+            Some(members) => json(200, "OK", &members.report()),
+            None => no(404, "Not Found", NO_GROUP),
+        },
+        Ok(Call::Cordon(name, Scope::Own)) => order(Order::Cordon(name), desk).await,
+        Ok(Call::Uncordon(name, Scope::Own)) => order(Order::Uncordon(name), desk).await,
+        Ok(Call::Cordon(name, Scope::Group)) => group_order(name, true, desk).await,
+        Ok(Call::Uncordon(name, Scope::Group)) => group_order(name, false, desk).await,
         Err(fault @ CallFault::Unknown) => no(404, "Not Found", &fault.to_string()),
         Err(fault @ CallFault::Method(allowed)) => {
             let mut reply = no(405, "Method Not Allowed", &fault.to_string());
             reply.headers.push(("Allow", allowed.to_string()));
             reply
         }
-        Err(fault @ CallFault::Name) => no(400, "Bad Request", &fault.to_string()),
+        Err(fault @ (CallFault::Name | CallFault::Scope)) => no(400, "Bad Request", &fault.to_string()),
     }
 }
 
@@ -126,14 +138,53 @@
             yes("done\n")
         }
         Some(Done::Unknown) => no(404, "Not Found", "no cache host of this name was ever listed"),
+        Some(Done::Held) => no(409, "Conflict", "the group holds it out; lift that with ?scope=group"),
         Some(Done::NotRecorded) => no(500, "Internal Server Error", "it holds here, but is not on record"),
         None => no(503, "Service Unavailable", "not done in time; ask again"),
     }
 }
 
+/// An order to the whole group: a yes once every member of the roster has confirmed a cordon, or has left on purpose,
+/// and once a majority has confirmed its end. A no tells who is missing and why; what was ordered goes on being told.
+async fn group_order(host: String, cordon: bool, desk: &Desk) -> Reply {
+    let Some(members) = &desk.members else { return no(404, "Not Found", NO_GROUP) };
+    // Danger: a call that lay here while this process slept is from before whatever the others have done since.
+    if let Some(slept) = members.stood_still() {
+        let problem = format!(
+            "this process stood still for {} ms, and the call may be as old: nothing was done; ask again",
+            slept.as_millis()
+        );
+        return no(503, "Service Unavailable", &problem);
+    }
+    // A name that was never listed here is asked of the engine first: a slip of the pen must not go to all.
+    if cordon && !members.holds(&host) {
+        match timeout(ORDER_LIMIT, here(Order::Known(host.clone()), Word::Operators, desk)).await {
+            Ok(Some(Done::Yes)) => {}
+            Ok(Some(_)) => return no(404, "Not Found", "no cache host of this name was ever listed"),
+            _ => return no(503, "Service Unavailable", "not done in time; ask again"),
+        }
+    }
+    match members.order(&GroupOrder { host, cordon }, GROUP_LIMIT).await {
+        Ok(progress) => {
+            let missing: Vec<&str> = progress.missing.iter().map(|missing| missing.name.as_str()).collect();
+            info!(
+                "operators: for the group: {} {}: {}, missing {missing:?}",
+                if cordon { "cordon" } else { "uncordon" },
+                progress.host,
+                if progress.done { "yes" } else { "not yet" }
+            );
+            match progress.done {
+                true => json(200, "OK", &progress),
+                false => json(503, "Service Unavailable", &progress),
+            }
+        }
+        Err(refusal) => no(409, "Conflict", &refusal.to_string()),
+    }
+}
+
 /// Has this process and, during an upgrade, the other one carry an order out; none if one of them does not answer.
 async fn everywhere(order: &Order, desk: &Desk) -> Option<Done> {
-    let own = here(order, Word::Operators, desk).await?;
+    let own = here(order.clone(), Word::Operators, desk).await?;
     let word = if own == Done::Unknown { Word::Operators } else { Word::Vouched };
     let mut all = own;
     for link in &desk.links {
@@ -143,14 +194,14 @@
     }
     // The other one knows the name.
     if own == Done::Unknown && all != Done::Unknown {
-        here(order, Word::Vouched, desk).await?;
+        here(order.clone(), Word::Vouched, desk).await?;
     }
     Some(all)
 }
 
-async fn here(order: &Order, word: Word, desk: &Desk) -> Option<Done> {
+async fn here(order: Order, word: Word, desk: &Desk) -> Option<Done> {
     let (done, is_done) = oneshot::channel();
-    desk.orders.send(Ordered { order: order.clone(), word, done }).await.ok()?;
+    desk.orders.send(Ordered { order, word, done }).await.ok()?;
     is_done.await.ok()
 }
 
@@ -162,6 +213,13 @@
     reply(status, reason, Bytes::from(format!("{problem}\n")))
 }
 
+fn json(status: u16, reason: &'static str, value: &impl serde::Serialize) -> Reply {
+    // Texts, numbers and lists of them alone, which cannot fail.
+    let body = Bytes::from(serde_json::to_vec(value).unwrap_or_default());
+    let headers = vec![("Connection", "close".to_string()), ("Content-Type", "application/json".to_string())];
+    Reply { status, reason, headers, body }
+}
+
 fn reply(status: u16, reason: &'static str, body: Bytes) -> Reply {
     let headers = vec![("Connection", "close".to_string()), ("Content-Type", "text/plain".to_string())];
     Reply { status, reason, headers, body }
--- a/crates/stairfront-balancer/src/product.rs
+++ b/crates/stairfront-balancer/src/product.rs
@@ -4,6 +4,7 @@
 
 use serde::Deserialize;
 use serde_json::{json, Value};
+use stairfront_members::RawMembership;
 use toml::de::{DeTable, DeValue};
 
 /// What is wrong with a file, by its own keys.
@@ -31,6 +32,7 @@
     limits: ProductLimits,
     #[serde(default)]
     group: ProductGroup,
+    membership: Option<RawMembership>,
     #[serde(default)]
     servers: Vec<ProductServer>,
     classes: Vec<ProductClass>,
@@ -68,11 +70,13 @@
 struct ProductGroup {
     balancers: u16,
     me: u16,
+    /// Whether balancers may talk to each other; where it is not said, a `[membership]` says so.
+    peer_messages: Option<bool>,
 }
 
 impl Default for ProductGroup {
     fn default() -> Self {
-        ProductGroup { balancers: 1, me: 0 }
+        ProductGroup { balancers: 1, me: 0, peer_messages: None }
     }
 }
 
@@ -208,6 +212,7 @@
         let tenant =
             |t: &ProductTenant| json!({"name": t.name, "quota_rps": t.requests_per_s, "share": t.share});
         let (retries, rules) = (&self.retries, &self.rules);
+        let may_talk = self.group.peer_messages.unwrap_or(self.membership.is_some());
         let mut whole = json!({
             "name": self.name, "listen": self.listen, "seed": self.seed,
             "limits": {"sockets": self.limits.sockets, "memory_mb": self.limits.memory_mb},
@@ -220,7 +225,7 @@
                 "over_share_worth": retries.over_share_worth,
                 "caps": {"most_tries": retries.most_tries, "connect_timeout": retries.connect_timeout_ms,
                          "keepalive": retries.servers_idle_ms, "open_cap": self.limits.open_requests,
-                         "cancel": retries.may_cancel, "retry_after": retries.max_retry_after_ms > 0.0,
+                         "peer_messages": may_talk, "cancel": retries.may_cancel, "retry_after": retries.max_retry_after_ms > 0.0,
                          "max_retry_after": retries.max_retry_after_ms},
                 "report": {"fields": self.report},
                 "score_parts": {"slow_end": self.slow_end.weight, "borne_misses": self.slow_end.borne_misses},
@@ -232,6 +237,9 @@
         if let Some(agent) = self.discovery {
             whole["discovery"] = json!(agent);
         }
+        if let Some(membership) = &self.membership {
+            whole["membership"] = json!(membership);
+        }
         if let Some(door) = self.ops {
             whole["ops"] = json!(door);
         }
@@ -262,7 +270,7 @@
 }
 
 /// Keys of the platform's form, and what they are called in a file of this form.
-const OWN_KEYS: [(&str, &str); 26] = [
+const OWN_KEYS: [(&str, &str); 27] = [
     ("settings.rules.stop_sending_within", "rules.drain_grace_ms"),
     ("settings.rules.answer_slack", "rules.answer_slack_ms"),
     ("settings.rules.warm_up", "rules.warm_up_ms"),
@@ -273,6 +281,7 @@
     ("settings.caps.keepalive", "retries.servers_idle_ms"),
     ("settings.caps.max_retry_after", "retries.max_retry_after_ms"),
     ("settings.caps.open_cap", "limits.open_requests"),
+    ("settings.caps.peer_messages", "group.peer_messages"),
     ("settings.caps", "retries"),
     ("settings.score_parts.slow_end", "slow_end.weight"),
     ("settings.score_parts.borne_misses", "slow_end.borne_misses"),
--- a/crates/stairfront-balancer/src/server.rs
+++ b/crates/stairfront-balancer/src/server.rs
@@ -5,10 +5,11 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use stairfront_members::{LedgerFile, Members};
 use stairfront_policy::interface::Settings;
 use stairfront_wire::budget::Budget;
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, watch, Semaphore};
+use tokio::sync::{mpsc, watch, Notify, Semaphore};
 use tokio::task::{spawn_local, JoinHandle, LocalSet};
 use tracing::info;
 
@@ -20,6 +21,7 @@
 use crate::counters::Counters;
 use crate::discovery::Watch;
 use crate::engine::{Engine, Shared};
+use crate::group::Carrier;
 use crate::handover::{self, Attendant, Link, Predecessor, Succession, MOST_HANDED};
 use crate::heartbeat::{self, Vitals};
 use crate::operators::{self, Desk};
@@ -66,6 +68,10 @@
         };
         let (stopping, reloading) =
             (spawn_local(watch_signals(phase, has_successor)), spawn_local(reload::pass_on(hangups, rung)));
+        let members = config.membership.as_ref().map(|raw| {
+            let record = LedgerFile::within(folder.as_deref(), &raw.group, &config.name);
+            Members::new(raw, &config.name, config.seed, record)
+        });
         let around = Around {
             network: Tcp,
             listener,
@@ -73,6 +79,7 @@
             folder,
             predecessor,
             successor,
+            members,
             clock: Clock::start(),
             phase: phases,
             hangups: rings,
@@ -95,6 +102,8 @@
     /// The process that this one takes over from, and the one that takes over from it.
     pub predecessor: Option<Predecessor>,
     pub successor: Rc<Link>,
+    /// The group that this balancer is a member of, where there is one.
+    pub members: Option<Rc<Members>>,
     pub clock: Clock,
     pub phase: watch::Receiver<Phase>,
     pub hangups: mpsc::Receiver<()>,
@@ -107,8 +116,20 @@
     decider: impl FnOnce(Settings, u64) -> D,
     around: Around<N, L>,
 ) -> io::Result<()> {
-    let Around { network, listener, operators, folder, predecessor, successor, clock, phase, hangups } =
-        around;
+    let Around {
+        network,
+        listener,
+        operators,
+        folder,
+        predecessor,
+        successor,
+        members,
+        clock,
+        phase,
+        hangups,
+    } = around;
+    let before = Rc::new(Link::default());
+    let ask_agent = Rc::new(Notify::new());
     let (known, start) = (std::mem::take(&mut config.known), config.start.clone());
     let (name, seed, sockets, memory) = (config.name.clone(), config.seed, config.sockets, config.memory);
     let (agent, agents) = watch::channel(config.discovery);
@@ -135,7 +156,8 @@
         seed,
         inbox.clone(),
         Rc::clone(&counters),
-    );
+    )
+    .asked_by(Rc::clone(&ask_agent));
     let door = heartbeat::door(&start.settings, clock, seed);
     let lists = inbox.clone();
     let terms = Rc::new(RefCell::new(Terms::of(&start)));
@@ -148,6 +170,7 @@
             counters: Rc::clone(&counters),
             door: Rc::clone(&door),
             ready: is_ready.clone(),
+            members: members.clone(),
         },
         counters: Rc::clone(&counters),
         phase: phase.clone(),
@@ -162,18 +185,33 @@
     let decider = |settings| decider(settings, seed);
     let vitals = Vitals { clock, door, counters: Rc::clone(&counters) };
     let record = CordonRecord::within(folder.as_deref(), &name);
-    let shared = Shared { vitals: vitals.clone(), ready, record, terms };
+    let last_phase = phase.clone();
+    let hands_over = move || last_phase.borrow().hands_over();
+    let mut watching = Vec::new();
+    // Danger: one that starts with nothing would send to what the others hold out. It asks before it serves.
+    let group = match &members {
+        Some(members) => {
+            watching.push(spawn_local(Rc::clone(members).run()));
+            Some((Rc::clone(members), members.held_at_start(predecessor.is_none()).await))
+        }
+        None => None,
+    };
+    let shared = Shared { vitals: vitals.clone(), ready, record, terms, members: group };
     let engine = Engine::new(start, decider, memory, pool, shared);
     info!("{name} serves on {} with {} known servers", listener.local_address()?, known.lines.len());
     let reloads = Reloads::new(config, agent, lists, Rc::clone(&counters));
     let beating = heartbeat::beat(vitals);
-    let mut watching =
-        vec![spawn_local(beating), spawn_local(watch.run()), spawn_local(reloads.run(hangups))];
-    let before = Rc::new(Link::default());
+    watching.extend([spawn_local(beating), spawn_local(watch.run()), spawn_local(reloads.run(hangups))]);
+    if let Some(members) = &members {
+        let links = [Rc::clone(&before), Rc::clone(&successor)];
+        let (orders, inbox) = (orders.clone(), inbox.clone());
+        let carrier = Carrier { members: Rc::clone(members), orders, inbox, links, ask_agent };
+        watching.push(spawn_local(carrier.run()));
+    }
     if let Some(listener) = operators {
         info!("operators call at {}", listener.local_address()?);
         let links = [Rc::clone(&before), Rc::clone(&successor)];
-        let desk = Desk { orders: orders.clone(), links, ready: is_ready.clone() };
+        let desk = Desk { orders: orders.clone(), links, ready: is_ready.clone(), members: members.clone() };
         watching.push(spawn_local(operators::serve(listener, desk)));
     }
     if let Some(folder) = &folder {
@@ -205,6 +243,9 @@
         // Danger: without its engine a balancer would take requests and answer none.
         ended = &mut deciding => Err(io::Error::other(format!("the engine ended: {ended:?}"))),
     };
+    if let Some(members) = members.filter(|_| !hands_over()) {
+        members.leave().await;
+    }
     watching.iter().for_each(JoinHandle::abort);
     deciding.abort();
     drop(orders);
--- a/crates/stairfront-balancer/src/stages/take_in.rs
+++ b/crates/stairfront-balancer/src/stages/take_in.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
+use stairfront_members::Members;
 use stairfront_overload::{Arrival, Door, Verdict};
 use stairfront_policy::interface::{ClassId, Key, Micros, Request, RequestId, TenantId, MS};
 use tokio::sync::watch;
@@ -33,6 +34,15 @@
     pub door: Rc<RefCell<Door>>,
     /// There is a list of servers to serve from.
     pub ready: watch::Receiver<bool>,
+    /// The others of this balancer's group, where there is one.
+    pub members: Option<Rc<Members>>,
+}
+
+impl Intake {
+    fn info(&self) -> String {
+        let group = self.members.as_ref().map_or(String::new(), |members| members.figures());
+        format!("{}{group}", self.counters)
+    }
 }
 
 pub enum Taken {
@@ -54,7 +64,7 @@
         b"C.SET" => Verb::Set,
         b"PING" if *intake.ready.borrow() => return Taken::Answered(Answer::Pong),
         b"PING" => return Taken::Answered(Answer::Error(NOT_READY)),
-        b"INFO" => return Taken::Answered(Answer::Text(intake.counters.to_string())),
+        b"INFO" => return Taken::Answered(Answer::Text(intake.info())),
         b"CLIENT" | b"SELECT" => return Taken::Answered(Answer::Ok),
         b"QUIT" => return Taken::Last(Answer::Ok),
         _ => return reject(intake, UNKNOWN_COMMAND),
--- a/crates/stairfront-balancer/tests/common/mod.rs
+++ b/crates/stairfront-balancer/tests/common/mod.rs
@@ -306,6 +306,7 @@
             folder: folder.map(Path::to_path_buf),
             predecessor: None,
             successor: Rc::default(),
+            members: None,
             clock,
             phase: phases,
             hangups: rings,
--- a/crates/stairfront-balancer/tests/stages.rs
+++ b/crates/stairfront-balancer/tests/stages.rs
@@ -262,6 +262,7 @@
         counters: Rc::default(),
         door: Rc::clone(&door),
         ready: is_ready,
+        members: None,
     };
     let words = |text: &str| text.split(' ').map(|word| Bytes::copy_from_slice(word.as_bytes())).collect();
     let get = || take_in(words("C.GET k 1 c=read,d=900"), &intake);
--- a/crates/stairfront-balancer/tests/virtual_network.rs
+++ b/crates/stairfront-balancer/tests/virtual_network.rs
@@ -186,6 +186,7 @@
             folder: None,
             predecessor: None,
             successor: Rc::default(),
+            members: None,
             clock: Clock::starting_at(0),
             phase: phases,
             hangups: rings,
--- /dev/null
+++ b/crates/stairfront-membership/src/table.rs
@@ -0,0 +1,221 @@
+//! What this member knows of the others.
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::claim::{Claim, Incarnation, Rumour, State};
+use crate::settings::{Micros, MOST_OTHERS};
+use crate::standing::Census;
+
+/// Members told as forgotten, so that a late rumour does not raise them.
+const MOST_FORGOTTEN: usize = 1024;
+/// Those whose own word, besides the first, shortens a suspicion (Lifeguard section IV.B).
+const CONFIRMATIONS: usize = 3;
+/// A suspicion that nobody else shares lasts so many times the least.
+const LONGEST_SUSPICION: f64 = 3.0;
+
+#[derive(Clone, Debug)]
+pub struct Suspicion {
+    pub began: Micros,
+    /// Who said so, the first in front.
+    pub by: Vec<String>,
+}
+
+/// What a member's last packet told of its own view.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct View {
+    pub roster: u64,
+    pub view: u64,
+    pub ledger: u64,
+    pub namesake: bool,
+}
+
+#[derive(Clone, Debug)]
+pub struct Peer {
+    pub in_roster: bool,
+    pub address: Option<SocketAddr>,
+    pub run: u64,
+    /// 0 for one that was never heard of.
+    pub incarnation: Incarnation,
+    pub state: State,
+    pub since: Micros,
+    pub suspicion: Option<Suspicion>,
+    /// A probe of our own is out for longer than it should be.
+    pub doubted: bool,
+    /// Told to it with the next probe, so that it can refute.
+    pub accusation: Option<Rumour>,
+    pub view: Option<View>,
+    /// Its view of the group has differed from ours since then.
+    pub differs_since: Option<Micros>,
+    /// When it was last sent our ledger.
+    pub ledger_sent: Micros,
+}
+
+impl Peer {
+    pub fn new(in_roster: bool, now: Micros) -> Self {
+        Peer {
+            in_roster,
+            address: None,
+            run: 0,
+            incarnation: 0,
+            state: State::Failed,
+            since: now,
+            suspicion: None,
+            doubted: false,
+            accusation: None,
+            view: None,
+            differs_since: None,
+            ledger_sent: Micros::MIN / 2,
+        }
+    }
+
+    pub fn is_there(&self) -> bool {
+        matches!(self.state, State::Alive | State::Suspect)
+    }
+
+    pub fn turn(&mut self, now: Micros, state: State) {
+        if self.state != state {
+            (self.state, self.since) = (state, now);
+        }
+        if state != State::Suspect {
+            self.suspicion = None;
+        }
+        if !self.is_there() {
+            (self.doubted, self.differs_since, self.view) = (false, None, None);
+        }
+    }
+}
+
+/// How long a suspicion lasts in a group of this size, with so many who share it (Lifeguard section IV.B).
+pub fn suspicion_lasts(least: Micros, group: usize, sharers: usize) -> Micros {
+    let least = least as f64 * (1.0 + 0.5 * (group.max(1) as f64).log10());
+    let wanted = CONFIRMATIONS.min(group.saturating_sub(2));
+    if wanted == 0 {
+        return least as Micros;
+    }
+    let longest = least * LONGEST_SUSPICION;
+    let shared = (sharers.saturating_sub(1).min(wanted) as f64 + 1.0).ln() / (wanted as f64 + 1.0).ln();
+    (longest - (longest - least) * shared) as Micros
+}
+
+#[derive(Debug, Default)]
+pub struct Table {
+    pub peers: BTreeMap<String, Peer>,
+    /// Names and incarnations of those that are forgotten, the oldest first.
+    forgotten: VecDeque<(String, Incarnation)>,
+}
+
+impl Table {
+    pub fn new(now: Micros, roster: &[String], me: &str) -> Self {
+        let others = roster.iter().filter(|name| *name != me);
+        Table {
+            peers: others.map(|name| (name.clone(), Peer::new(true, now))).collect(),
+            forgotten: VecDeque::new(),
+        }
+    }
+
+    /// Makes room for one that the roster does not name. Danger: a flood of made-up names would fill the table, and a
+    /// late rumour would raise one that is long gone.
+    pub fn admit(&mut self, name: &str, incarnation: Incarnation, now: Micros) -> bool {
+        if self.peers.contains_key(name) {
+            return true;
+        }
+        let others = self.peers.values().filter(|peer| !peer.in_roster).count();
+        let late = self.forgotten.iter().any(|(known, last)| known == name && *last >= incarnation);
+        if others >= MOST_OTHERS || late {
+            return false;
+        }
+        self.peers.insert(name.to_string(), Peer::new(false, now));
+        true
+    }
+
+    pub fn forget_long_gone(&mut self, now: Micros, after: Micros) {
+        let gone = |peer: &Peer| !peer.in_roster && !peer.is_there() && now - peer.since > after;
+        let names: Vec<String> =
+            self.peers.iter().filter(|(_, peer)| gone(peer)).map(|(name, _)| name.clone()).collect();
+        for name in names {
+            if let Some(peer) = self.peers.remove(&name) {
+                self.forgotten.push_back((name, peer.incarnation));
+                if self.forgotten.len() > MOST_FORGOTTEN {
+                    self.forgotten.pop_front();
+                }
+            }
+        }
+    }
+
+    /// Members that are there, this one included.
+    pub fn size(&self) -> usize {
+        1 + self.peers.values().filter(|peer| peer.is_there()).count()
+    }
+
+    /// Those that may be asked or told something, and where.
+    pub fn reachable(&self) -> impl Iterator<Item = (&String, SocketAddr)> {
+        let there = self.peers.iter().filter(|(_, peer)| peer.state == State::Alive);
+        there.filter_map(|(name, peer)| peer.address.map(|address| (name, address)))
+    }
+
+    pub fn census(&self) -> Census {
+        let roster: Vec<&Peer> = self.peers.values().filter(|peer| peer.in_roster).collect();
+        let sure = roster.iter().filter(|peer| peer.state == State::Alive && !peer.doubted).count();
+        let there = roster.iter().filter(|peer| peer.is_there()).count();
+        Census { roster: roster.len() + 1, sure: sure + 1, doubtful: there - sure }
+    }
+
+    /// The same at all members that agree on who of the roster is there, has failed or has left.
+    pub fn digest(&self, me: &str, leaving: bool) -> u64 {
+        let word = |peer: &Peer| match peer.state {
+            State::Alive | State::Suspect => "there",
+            State::Failed => "failed",
+            State::Left => "left",
+        };
+        let mut sum = xxh3_64(format!("{me}\0{}", if leaving { "left" } else { "there" }).as_bytes());
+        for (name, peer) in self.peers.iter().filter(|(_, peer)| peer.in_roster) {
+            sum = sum.wrapping_add(xxh3_64(format!("{name}\0{}", word(peer)).as_bytes()));
+        }
+        sum
+    }
+
+    /// All that is known, as claims; where one is, too, of those that others may have to reach.
+    pub fn rumours(&self, me: &str) -> Vec<Rumour> {
+        self.peers.iter().flat_map(|(name, peer)| claims(name, peer, me)).collect()
+    }
+
+    /// What is known of one.
+    pub fn rumours_of(&self, name: &str) -> Vec<Rumour> {
+        self.peers.get(name).map_or(Vec::new(), |peer| claims(name, peer, name))
+    }
+
+    /// Members whose roster is not the one here.
+    pub fn with_other_roster(&self, own: u64) -> BTreeSet<String> {
+        let differs = |peer: &Peer| peer.is_there() && peer.view.is_some_and(|view| view.roster != own);
+        self.peers.iter().filter(|(_, peer)| differs(peer)).map(|(name, _)| name.clone()).collect()
+    }
+
+    /// How long somebody has seen the group otherwise than this member.
+    pub fn longest_difference(&self, now: Micros) -> Micros {
+        let since = self.peers.values().filter_map(|peer| peer.differs_since);
+        since.map(|since| now - since).max().unwrap_or(0)
+    }
+}
+
+fn claims(name: &str, peer: &Peer, me: &str) -> Vec<Rumour> {
+    let mut all = Vec::new();
+    if peer.incarnation == 0 {
+        return all;
+    }
+    let mut say = |claim| all.push(Rumour { about: name.to_string(), incarnation: peer.incarnation, claim });
+    match (peer.state, &peer.suspicion) {
+        (State::Suspect, Some(suspicion)) => {
+            let by = suspicion.by.first().cloned().unwrap_or_else(|| me.to_string());
+            say(Claim::Suspect { by });
+        }
+        (State::Failed, _) => say(Claim::Failed { by: me.to_string() }),
+        (State::Left, _) => say(Claim::Left),
+        _ => {}
+    }
+    if let Some(address) = peer.address {
+        say(Claim::Alive { address, run: peer.run });
+    }
+    all
+}
--- a/crates/stairfront-operations/src/lib.rs
+++ b/crates/stairfront-operations/src/lib.rs
@@ -9,6 +9,6 @@
 pub mod record;
 pub mod roll;
 
-pub use call::{Call, CallFault};
+pub use call::{Call, CallFault, Scope};
 pub use order::{Done, Order, Word};
 pub use roll::{Roll, Unknown};
--- a/crates/stairfront-operations/src/order.rs
+++ b/crates/stairfront-operations/src/order.rs
@@ -16,6 +16,11 @@
     Cordon(String),
     /// It may serve again.
     Uncordon(String),
+    /// The group takes it out, beside what operators say here; and gives it back.
+    Hold(String),
+    Release(String),
+    /// Was a cache host of this name ever listed?
+    Known(String),
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -26,6 +31,8 @@
     Unknown,
     /// It holds in this process, but the record could not be written.
     NotRecorded,
+    /// The group holds it out: a call to this balancer alone does not lift that.
+    Held,
 }
 
 impl Done {
@@ -33,6 +40,7 @@
     pub fn and(self, other: Done) -> Done {
         match (self, other) {
             (Done::NotRecorded, _) | (_, Done::NotRecorded) => Done::NotRecorded,
+            (Done::Held, _) | (_, Done::Held) => Done::Held,
             (Done::Yes, _) | (_, Done::Yes) => Done::Yes,
             (Done::Unknown, Done::Unknown) => Done::Unknown,
         }
--- a/crates/stairfront-operations/src/roll.rs
+++ b/crates/stairfront-operations/src/roll.rs
@@ -20,6 +20,8 @@
     past: VecDeque<CacheId>,
     /// By number, with the name for people and for the record.
     cordoned: BTreeMap<CacheId, String>,
+    /// Those that the group holds out; what is said here alone does not change that.
+    held: BTreeMap<CacheId, String>,
 }
 
 impl Roll {
@@ -38,13 +40,17 @@
         // be told that it was never listed.
         while self.past.len() > MOST_PAST {
             let Some(oldest) = self.past.pop_front() else { return };
-            let kept = is_live(oldest) || self.cordoned.contains_key(&oldest) || self.past.contains(&oldest);
+            let kept = is_live(oldest) || self.is_cordoned(oldest) || self.past.contains(&oldest);
             if !kept {
                 self.known.remove(&oldest);
             }
         }
     }
 
+    pub fn is_known(&self, id: CacheId) -> bool {
+        self.known.contains(&id)
+    }
+
     /// Every name that may be asked of, by its number.
     pub fn known(&self) -> impl Iterator<Item = CacheId> + '_ {
         self.known.iter().copied()
@@ -84,10 +90,39 @@
         self.cordoned.insert(id, name.to_string());
     }
 
+    /// The group holds it out; known or not, since others vouch for it.
+    pub fn hold(&mut self, id: CacheId, name: &str) {
+        self.known.insert(id);
+        self.held.insert(id, name.to_string());
+    }
+
+    pub fn release(&mut self, id: CacheId) {
+        if self.held.remove(&id).is_some() {
+            // It may have left the list meanwhile, as one that is uncordoned.
+            self.past.push_back(id);
+        }
+    }
+
+    pub fn is_held(&self, id: CacheId) -> bool {
+        self.held.contains_key(&id)
+    }
+
+    /// Taken out, by whomever.
     pub fn is_cordoned(&self, id: CacheId) -> bool {
-        self.cordoned.contains_key(&id)
+        self.cordoned.contains_key(&id) || self.held.contains_key(&id)
+    }
+
+    pub fn all_out(&self) -> impl Iterator<Item = CacheId> + '_ {
+        let held = self.held.keys().filter(|id| !self.cordoned.contains_key(*id));
+        self.cordoned.keys().chain(held).copied()
+    }
+
+    /// How many are out.
+    pub fn out(&self) -> usize {
+        self.all_out().count()
     }
 
+    /// Those that operators have taken out here.
     pub fn cordoned(&self) -> impl Iterator<Item = (CacheId, &str)> {
         self.cordoned.iter().map(|(id, name)| (*id, name.as_str()))
     }
--- a/crates/stairfront-wire/src/part.rs
+++ b/crates/stairfront-wire/src/part.rs
@@ -1,10 +1,8 @@
 //! Replies whose value may be too large to be held: they come in parts.
 use bytes::Bytes;
 
-use crate::resp::LARGEST_BULK;
-
 /// A value up to this size is read whole before anything of it is used; a larger one is passed on as it comes.
-pub const LARGEST_WHOLE: usize = LARGEST_BULK;
+pub const LARGEST_WHOLE: usize = 64 * 1024;
 
 /// What a reader of replies yields. `R` is a reply of its protocol.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/stairfront-wire/src/resp.rs
+++ b/crates/stairfront-wire/src/resp.rs
@@ -10,7 +10,7 @@
 use crate::part::{Part, LARGEST_WHOLE};
 
 /// Up to here a value is a usual one; other bulk strings of clients are held to it too.
-pub const LARGEST_BULK: usize = 64 * 1024;
+pub const LARGEST_BULK: usize = LARGEST_WHOLE;
 /// The protocol's limit on values that clients send.
 pub const LARGEST_VALUE: usize = 4 * 1024 * 1024;
 /// Longest line: a length, a status or an error with a load report.
