--- a/crates/stairfront-lab/src/compare.rs
+++ b/crates/stairfront-lab/src/compare.rs
@@ -5,6 +5,7 @@
 use serde::Serialize;
 
 use crate::experiment::{Experiment, Knee};
+use crate::pack::GroupOutcome;
 use crate::run::{run, Outcome, Progress, Surroundings};
 
 /// The rate found by the search, and what it was found by.
@@ -28,7 +29,7 @@
 
 impl Results {
     pub fn rules_hold(&self) -> bool {
-        self.runs.iter().all(|run| run.rules.holds())
+        self.runs.iter().all(Outcome::holds)
     }
 }
 
@@ -230,9 +231,73 @@
     }
     line(String::new());
     rules(results, &mut line);
+    group(results, &mut line);
     text
 }
 
+/// Median and 99th percentile in milliseconds, and of how many.
+fn spread(mut of: Vec<f64>) -> String {
+    of.sort_by(f64::total_cmp);
+    let at = |part: f64| of[((of.len() - 1) as f64 * part).round() as usize];
+    match of.is_empty() {
+        true => "none".to_string(),
+        false => format!("{:.0}, {:.0}, {:.0} ms of {}", at(0.5), at(0.99), at(1.0), of.len()),
+    }
+}
+
+/// What the observer of the group saw, over the runs of each variant.
+fn group(results: &Results, line: &mut impl FnMut(String)) {
+    let mut variants: Vec<&String> = results.runs.iter().map(|run| &run.variant).collect();
+    variants.dedup();
+    for (i, variant) in variants.iter().enumerate() {
+        if variants[..i].contains(variant) {
+            continue;
+        }
+        let runs = results.runs.iter().filter(|run| run.variant == **variant);
+        let runs: Vec<(u64, &GroupOutcome)> =
+            runs.filter_map(|run| run.group.as_ref().map(|group| (run.seed, group))).collect();
+        if runs.is_empty() {
+            continue;
+        }
+        let sum = |of: fn(&GroupOutcome) -> u64| runs.iter().map(|(_, group)| of(group)).sum::<u64>();
+        let all = |of: fn(&GroupOutcome) -> &Vec<f64>| {
+            runs.iter().flat_map(|(_, group)| of(group).iter().copied()).collect::<Vec<f64>>()
+        };
+        let mean = |of: fn(&GroupOutcome) -> f64| {
+            runs.iter().map(|(_, group)| of(group)).sum::<f64>() / runs.len() as f64
+        };
+        let broken = sum(|group| group.report.broken);
+        line(format!(
+            "\ngroup, {variant}, {} runs: {}; judged {} times alive, {} dead, {} in their standing, of {} accounts",
+            runs.len(),
+            if broken == 0 { "held".to_string() } else { format!("BROKEN {broken} times") },
+            sum(|group| group.report.figures.judged_alive),
+            sum(|group| group.report.figures.judged_dead),
+            sum(|group| group.report.figures.judged_standing),
+            sum(|group| group.report.figures.accounts),
+        ));
+        let whole: Vec<f64> =
+            runs.iter().filter_map(|(_, group)| group.report.figures.whole_after_ms).collect();
+        line(format!("  whole after the last trouble (median, p99, most): {}", spread(whole)));
+        line(format!("  a killed one failed at another: {}", spread(all(|group| &group.detected_ms))));
+        line(format!("  a killed one failed at all: {}", spread(all(|group| &group.detected_by_all_ms))));
+        line(format!("  a woken one alive at another again: {}", spread(all(|group| &group.woken_ms))));
+        line(format!(
+            "  orders: {} yes, {} no; a member and second: {:.1} datagrams and streams' bytes {:.0}, {:.0} us of processor",
+            sum(|group| group.orders_yes),
+            sum(|group| group.orders_no),
+            mean(|group| group.datagrams_per_s),
+            mean(|group| group.bytes_per_s),
+            mean(|group| group.cpu_us_per_s),
+        ));
+        for (seed, group) in runs.iter().filter(|(_, group)| group.report.broken > 0) {
+            line(format!("  seed {seed}:"));
+            group.script.iter().for_each(|words| line(format!("    {words}")));
+            group.report.examples.iter().take(2).for_each(|example| line(format!("    {example}")));
+        }
+    }
+}
+
 fn rules(results: &Results, line: &mut impl FnMut(String)) {
     const NAMES: [&str; 4] = [
         "1 one final answer in the client's time",
--- /dev/null
+++ b/crates/stairfront-lab/src/pack.rs
@@ -0,0 +1,611 @@
+//! The processes of a group in an experiment: started, stopped, paused, restarted without their disk, doubled; asked for
+//! their account of the group and, as operators do, for cordons. What they say goes to the observer
+//! (`stairfront_models::group`) beside what was really done to them.
+use std::cell::RefCell;
+use std::collections::{BTreeMap, VecDeque};
+use std::fs;
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use nix::sys::signal::Signal;
+use serde::{Deserialize, Serialize};
+use serde_json::{json, Value};
+use stairfront_models::dice::Dice;
+use stairfront_models::group::{Account, GroupLimits, GroupObserver, GroupReport, Sign};
+use stairfront_models::group_script::{Budget, GroupAct, GroupScript, TimedTrouble};
+use stairfront_models::links::LinkFault;
+use stairfront_models::rules::Seen;
+use stairfront_models::time::{from_ms, to_ms, Micros, MS, SECOND};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::task::spawn_local;
+use tokio::time::{sleep_until, timeout};
+
+use crate::clock::RunClock;
+use crate::load::Front;
+use crate::process::{Balancer, Build};
+use crate::relay::Relay;
+use crate::tape::Tape;
+
+/// Between two questions to each process; longer where there are many.
+const LOOK: Duration = Duration::from_millis(200);
+const LOOK_EACH: Duration = Duration::from_millis(4);
+const ANSWER_LIMIT: Duration = Duration::from_millis(1500);
+const LARGEST_ANSWER: u64 = 1 << 20;
+/// Members that others are given as seeds.
+const SEEDS: usize = 3;
+
+/// The part of an experiment that makes its balancers a group.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Group {
+    /// False: the processes know nothing of each other, and the same befalls them.
+    pub knows: bool,
+    /// Troubles as they stand here.
+    pub troubles: Vec<TimedTrouble>,
+    /// Troubles drawn from the run's seed, from `first_s` on.
+    pub drawn: Option<Budget>,
+    pub first_s: f64,
+    /// Time between two orders for the group by operators, on average; 0 for none.
+    pub orders_every_s: f64,
+    /// How long after the last trouble all have to be whole and agree.
+    pub whole_again_s: f64,
+    /// Rubbish datagrams a second at every member's address.
+    pub rubbish_per_s: f64,
+    /// Other times of `[membership]`, such as `probe_ms`.
+    pub times: BTreeMap<String, f64>,
+}
+
+impl Default for Group {
+    fn default() -> Self {
+        Group {
+            knows: true,
+            troubles: Vec::new(),
+            drawn: None,
+            first_s: 6.0,
+            orders_every_s: 0.0,
+            whole_again_s: 8.0,
+            rubbish_per_s: 0.0,
+            times: BTreeMap::new(),
+        }
+    }
+}
+
+impl Group {
+    pub fn script(&self, seed: u64, members: usize) -> GroupScript {
+        let drawn =
+            self.drawn.map(|budget| GroupScript::draw(seed, members, budget, from_ms(self.first_s * 1e3)));
+        let mut script = drawn.unwrap_or(GroupScript { members, troubles: Vec::new() });
+        script.troubles.extend(self.troubles.iter().cloned());
+        script.troubles.sort_by(|a, b| a.at_ms.total_cmp(&b.at_ms));
+        script
+    }
+
+    /// The keys of a balancer's configuration that make it a member.
+    fn configure(&self, config: &mut Value, who: usize, place: (SocketAddr, SocketAddr), all: &[SocketAddr]) {
+        if !self.knows {
+            return;
+        }
+        let roster: Vec<String> = (0..all.len()).map(|i| format!("b{i}")).collect();
+        let seeds: Vec<&SocketAddr> = all.iter().take(SEEDS).collect();
+        let (listen, advertise) = place;
+        config["name"] = json!(format!("b{who}"));
+        config["membership"] = json!({"group": "lab", "listen": listen, "advertise": advertise, "seeds": seeds, "roster": roster});
+        for (key, value) in &self.times {
+            config["membership"][key] = json!(value);
+        }
+        config["settings"]["caps"]["peer_messages"] = json!(true);
+    }
+}
+
+/// What a group's run has to show, beside the observer's report.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct GroupOutcome {
+    #[serde(flatten)]
+    pub report: GroupReport,
+    pub script: Vec<String>,
+    /// From a kill to each other member's own verdict, by its own word for how long it holds, in milliseconds.
+    pub detected_ms: Vec<f64>,
+    /// From a kill until the last of the others had it.
+    pub detected_by_all_ms: Vec<f64>,
+    /// From a wake until all others have the woken one alive.
+    pub woken_ms: Vec<f64>,
+    /// Orders by operators: with a yes, and with a no.
+    pub orders_yes: u64,
+    pub orders_no: u64,
+    /// Over the relay, a second and a member.
+    pub datagrams_per_s: f64,
+    pub bytes_per_s: f64,
+    /// Processor time of all processes, microseconds a second and a process.
+    pub cpu_us_per_s: f64,
+}
+
+struct Member {
+    process: Balancer,
+    twin: Option<Balancer>,
+    folder: PathBuf,
+    operators: SocketAddr,
+    up: bool,
+    paused: bool,
+    life: u64,
+}
+
+pub struct PackPlan<'a> {
+    pub group: &'a Group,
+    pub build: Build,
+    pub folder: &'a Path,
+    pub seed: u64,
+    pub clock: RunClock,
+}
+
+pub struct Pack {
+    group: Group,
+    clock: RunClock,
+    relay: Relay,
+    members: Vec<Member>,
+    fronts: Vec<Front>,
+    observer: GroupObserver,
+    tape: Tape,
+    script: GroupScript,
+    laid: BTreeMap<u64, (Vec<(usize, usize)>, LinkFault)>,
+    build: Build,
+    /// Members' last accounts: when, of which life, what.
+    heard: Rc<RefCell<VecDeque<Heard>>>,
+    dice: Dice,
+    killed: Vec<(usize, Micros, BTreeMap<usize, f64>)>,
+    woken: Vec<(usize, Micros)>,
+    outcome: GroupOutcome,
+    /// The host of all orders is held out by a yes.
+    barred: bool,
+    cpu_at: Option<(Micros, u64)>,
+}
+
+enum Heard {
+    Account { who: usize, life: u64, at: Micros, account: Account },
+    Ordered { yes: bool, cordon: bool },
+}
+
+/// The cache host that operators of a run take out, and its position.
+const HOST: (&str, u16) = ("c0", 0);
+
+impl Pack {
+    /// Makes all processes ready to be started. `config` gives a balancer's configuration at its client address.
+    pub fn new(
+        plan: PackPlan<'_>,
+        fronts: Vec<Front>,
+        operators: &[SocketAddr],
+        tape: Tape,
+        config: impl Fn(usize, SocketAddr) -> Value,
+    ) -> io::Result<Pack> {
+        let PackPlan { group, build, folder, seed, clock } = plan;
+        let count = fronts.len();
+        // A twin of each may come, at an address of its own.
+        let relay = Relay::start(count * 2, seed, clock)?;
+        let all: Vec<SocketAddr> = (0..count).map(|who| relay.advertised(who)).collect();
+        let mut members = Vec::new();
+        for (who, front) in fronts.iter().enumerate() {
+            let own = folder.join(format!("tmp-b{who}"));
+            fs::create_dir_all(&own)?;
+            let mut process = Balancer::new(build.clone(), &format!("b{who}"), folder, front.address);
+            process.set_folder(&own);
+            let mut text = config(who, front.address);
+            text["ops"] = json!(operators[who]);
+            group.configure(&mut text, who, (relay.own(who), relay.advertised(who)), &all);
+            process.configure(&text)?;
+            let operators = operators[who];
+            members.push(Member {
+                process,
+                twin: None,
+                folder: own,
+                operators,
+                up: false,
+                paused: false,
+                life: 0,
+            });
+        }
+        let names = (0..count).map(|who| format!("b{who}")).collect();
+        let whole_again = from_ms(group.whole_again_s * 1e3);
+        let observer = GroupObserver::new(names, GroupLimits { whole_again, ..GroupLimits::default() });
+        let script = group.script(seed, count);
+        Ok(Pack {
+            group: group.clone(),
+            clock,
+            relay,
+            members,
+            fronts,
+            observer,
+            tape,
+            outcome: GroupOutcome { script: script.words(), ..GroupOutcome::default() },
+            script,
+            laid: BTreeMap::new(),
+            build,
+            heard: Rc::default(),
+            dice: Dice::new(seed, "operators"),
+            killed: Vec::new(),
+            woken: Vec::new(),
+            barred: false,
+            cpu_at: None,
+        })
+    }
+
+    pub async fn start(&mut self) -> io::Result<()> {
+        for who in 0..self.members.len() {
+            self.start_one(who)?;
+        }
+        for member in &mut self.members {
+            member.process.until_ready().await?;
+        }
+        Ok(())
+    }
+
+    fn start_one(&mut self, who: usize) -> io::Result<()> {
+        let now = self.clock.now();
+        let member = &mut self.members[who];
+        if member.up {
+            return Ok(());
+        }
+        member.process.launch()?;
+        (member.up, member.paused) = (true, false);
+        member.life += 1;
+        self.fronts[who].closed.store(false, Ordering::Relaxed);
+        self.observer.hear(now, Sign::Up { who });
+        // One that starts where it can ask nobody serves by its own list, as its page says: nothing is held against it
+        // before it has been told.
+        if self.barred && !self.observer.can_ask(now, who) {
+            self.tape.note(now, Seen::Barred { host: HOST.1, balancer: Some(who as u16), on: false });
+        }
+        Ok(())
+    }
+
+    /// Has the script's acts come in their time, asks and orders, until all clients are through.
+    pub async fn conduct(&mut self, over: impl Fn() -> bool, counted: [Micros; 2]) -> io::Result<()> {
+        let mut acts: VecDeque<(Micros, GroupAct)> = self.script.acts().into();
+        let ends = self.script.ends();
+        let look = (LOOK.max(LOOK_EACH * self.members.len() as u32)).as_micros() as Micros;
+        let mut next_look = self.clock.now();
+        let mut next_order = self.next_order(from_ms(self.group.first_s * 1e3));
+        let mut next_rubbish = 0;
+        let mut quiet = false;
+        let rubbish = std::net::UdpSocket::bind((std::net::Ipv4Addr::LOCALHOST, 0))?;
+        while !over() {
+            let now = self.clock.now();
+            while acts.front().is_some_and(|(at, _)| *at <= now) {
+                if let Some((_, act)) = acts.pop_front() {
+                    self.act(act).await?;
+                }
+            }
+            if !quiet && now >= ends && acts.is_empty() && now >= 0 {
+                quiet = true;
+                self.observer.hear(now, Sign::Quiet);
+            }
+            if now >= next_look {
+                next_look = now + look;
+                self.look(now, counted)?;
+            }
+            if next_order.is_some_and(|at| at <= now) && !quiet {
+                next_order = self.next_order(now);
+                self.order();
+            }
+            if self.group.rubbish_per_s > 0.0 && now >= next_rubbish {
+                next_rubbish = now + 10 * MS;
+                self.throw_rubbish(&rubbish);
+            }
+            self.hear();
+            self.tape.tick();
+            let next = acts.front().map_or(Micros::MAX, |(at, _)| *at).min(next_look);
+            let next = next.min(next_order.unwrap_or(Micros::MAX)).min(now + 20 * MS);
+            sleep_until(self.clock.instant(next)).await;
+        }
+        Ok(())
+    }
+
+    fn next_order(&mut self, now: Micros) -> Option<Micros> {
+        let every = self.group.orders_every_s;
+        (every > 0.0 && self.group.knows).then(|| now + from_ms(every * 1e3 * (0.5 + self.dice.unit())))
+    }
+
+    async fn act(&mut self, act: GroupAct) -> io::Result<()> {
+        let now = self.clock.now();
+        match act {
+            GroupAct::Lay { number, pairs, fault } => {
+                self.relay.lay(number, pairs.clone(), fault);
+                let sign = Sign::Hurt { pairs: pairs.clone(), cut: fault.cuts(), mild: fault.is_mild() };
+                self.laid.insert(number, (pairs, fault));
+                self.observer.hear(now, sign);
+            }
+            GroupAct::Lift { number } => {
+                self.relay.lift(number);
+                if let Some((pairs, fault)) = self.laid.remove(&number) {
+                    let sign = Sign::Healed { pairs, cut: fault.cuts(), mild: fault.is_mild() };
+                    self.observer.hear(now, sign);
+                }
+            }
+            GroupAct::Kill { who, empty } => self.kill(who, empty).await,
+            GroupAct::Term { who } => {
+                self.fronts[who].closed.store(true, Ordering::Relaxed);
+                self.members[who].process.signal(Signal::SIGTERM);
+                self.members[who].process.wanted = false;
+            }
+            GroupAct::Start { who } => {
+                if !self.members[who].process.wanted && self.members[who].up {
+                    // Told to stop before: by now it has ended, or is ended.
+                    self.kill(who, false).await;
+                }
+                self.start_one(who)?;
+            }
+            GroupAct::Pause { who } => {
+                if self.members[who].up && !self.members[who].paused {
+                    self.members[who].paused = true;
+                    self.fronts[who].closed.store(true, Ordering::Relaxed);
+                    self.members[who].process.signal(Signal::SIGSTOP);
+                    self.tape.note(now, Seen::BalancerStill { balancer: who as u16, still: true });
+                    self.observer.hear(now, Sign::Paused { who });
+                }
+            }
+            GroupAct::Wake { who } => {
+                if self.members[who].paused {
+                    self.members[who].paused = false;
+                    self.members[who].process.signal(Signal::SIGCONT);
+                    self.fronts[who].closed.store(false, Ordering::Relaxed);
+                    self.tape.note(now, Seen::BalancerStill { balancer: who as u16, still: false });
+                    self.observer.hear(now, Sign::Woke { who });
+                    self.woken.push((who, now));
+                }
+            }
+            GroupAct::StartNamesake { who } => self.start_twin(who)?,
+            GroupAct::StopNamesake { who } => {
+                if let Some(mut twin) = self.members[who].twin.take() {
+                    twin.kill().await;
+                    self.observer.hear(now, Sign::Doubled { who, on: false });
+                }
+            }
+        }
+        Ok(())
+    }
+
+    async fn kill(&mut self, who: usize, empty: bool) {
+        let now = self.clock.now();
+        let member = &mut self.members[who];
+        if !member.up {
+            return;
+        }
+        let told = !member.process.wanted;
+        self.tape.note(now, Seen::BalancerGone { balancer: who as u16 });
+        if member.paused {
+            self.tape.note(now, Seen::BalancerStill { balancer: who as u16, still: false });
+        }
+        member.process.kill().await;
+        (member.up, member.paused) = (false, false);
+        self.tape.note(self.clock.now(), Seen::BalancerGone { balancer: who as u16 });
+        self.observer.hear(now, Sign::Down { who });
+        if !told {
+            self.killed.push((who, now, BTreeMap::new()));
+        }
+        if empty {
+            let folder = self.members[who].folder.clone();
+            let _ = fs::remove_dir_all(&folder);
+            let _ = fs::create_dir_all(&folder);
+            // What no process and no disk has is lost: an order is kept by those that live.
+            if self.members.iter().all(|member| !member.up) {
+                self.free(now);
+            }
+        }
+    }
+
+    /// A second process with a name that is in use, with its configuration at other addresses.
+    fn start_twin(&mut self, who: usize) -> io::Result<()> {
+        let count = self.members.len();
+        let member = &mut self.members[who];
+        let mut text: Value = serde_json::from_str(&fs::read_to_string(member.process.config())?)?;
+        let mut dice = Dice::new(who as u64 ^ u64::from(std::process::id()), "twin");
+        let address = crate::process::free_address(&mut dice)?;
+        text["listen"] = json!(address);
+        text["ops"] = json!(crate::process::free_address(&mut dice)?);
+        text["membership"]["listen"] = json!(self.relay.own(count + who));
+        text["membership"]["advertise"] = json!(self.relay.advertised(count + who));
+        let folder = member.folder.with_extension("twin");
+        fs::create_dir_all(&folder)?;
+        let mut twin = Balancer::new(self.build.clone(), &format!("b{who}-twin"), &folder, address);
+        twin.set_folder(&folder);
+        twin.configure(&text)?;
+        twin.launch()?;
+        member.twin = Some(twin);
+        self.observer.hear(self.clock.now(), Sign::Doubled { who, on: true });
+        Ok(())
+    }
+
+    fn look(&mut self, now: Micros, counted: [Micros; 2]) -> io::Result<()> {
+        let mut cpu = 0;
+        for (who, member) in self.members.iter_mut().enumerate() {
+            member.process.look();
+            cpu += member.process.cpu_us();
+            if !member.up {
+                continue;
+            }
+            if !member.process.is_running() {
+                if member.process.wanted {
+                    return Err(io::Error::other(format!("balancer b{who} has ended by itself")));
+                }
+                (member.up, member.paused) = (false, false);
+                self.tape.note(now, Seen::BalancerGone { balancer: who as u16 });
+                self.observer.hear(now, Sign::Down { who });
+                continue;
+            }
+            if member.paused || !self.group.knows {
+                continue;
+            }
+            let (heard, clock) = (Rc::clone(&self.heard), self.clock);
+            let (life, operators) = (member.life, member.operators);
+            spawn_local(async move {
+                let Ok((200, body)) = call(operators, "GET", "/admin/members").await else { return };
+                if let Ok(account) = serde_json::from_slice(&body) {
+                    heard.borrow_mut().push_back(Heard::Account { who, life, at: clock.now(), account });
+                }
+            });
+        }
+        match self.cpu_at {
+            None if now >= counted[0] => self.cpu_at = Some((now, cpu)),
+            Some((at, before)) if now <= counted[1] && now > at => {
+                let seconds = to_ms(now - at) / 1e3;
+                self.outcome.cpu_us_per_s =
+                    (cpu.saturating_sub(before)) as f64 / seconds.max(0.1) / self.members.len() as f64;
+            }
+            _ => {}
+        }
+        Ok(())
+    }
+
+    fn hear(&mut self) {
+        loop {
+            let Some(heard) = self.heard.borrow_mut().pop_front() else { return };
+            match heard {
+                Heard::Account { who, life, at, account } => {
+                    let member = &self.members[who];
+                    // One that was asked before it was paused or killed speaks of another time.
+                    if !member.up || member.paused || member.life != life {
+                        continue;
+                    }
+                    self.measure(at, who, &account);
+                    if self.barred && account.cordons.iter().any(|host| host == HOST.0) {
+                        self.tape
+                            .note(at, Seen::Barred { host: HOST.1, balancer: Some(who as u16), on: true });
+                    }
+                    self.observer.hear(at, Sign::Said { who, account });
+                }
+                Heard::Ordered { yes, cordon } => {
+                    self.outcome.orders_yes += u64::from(yes);
+                    self.outcome.orders_no += u64::from(!yes);
+                    if yes && cordon {
+                        let now = self.clock.now();
+                        self.barred = true;
+                        self.observer.hear(now, Sign::Barred { host: HOST.0.to_string() });
+                        self.tape.note(now, Seen::Barred { host: HOST.1, balancer: None, on: true });
+                    }
+                }
+            }
+        }
+    }
+
+    fn measure(&mut self, at: Micros, who: usize, account: &Account) {
+        let others = self.members.iter().filter(|member| member.up && !member.paused).count();
+        let mut by_all = Vec::new();
+        for (dead, killed_at, seen) in &mut self.killed {
+            let name = format!("b{dead}");
+            let verdict = account.members.iter().find(|of| of.name == name && of.state == "failed");
+            if let Some(of) = verdict.filter(|_| !self.members[*dead].up && !seen.contains_key(&who)) {
+                let after = to_ms(at - *killed_at) - of.since_ms as f64;
+                // Held failed since before it was killed: for another reason.
+                if after > 0.0 {
+                    seen.insert(who, after);
+                    self.outcome.detected_ms.push(after);
+                    if seen.len() == others {
+                        by_all.push(seen.values().copied().fold(0.0, f64::max));
+                    }
+                }
+            }
+        }
+        self.outcome.detected_by_all_ms.extend(by_all);
+        let alive = |who: &usize| {
+            account.members.iter().any(|of| of.name == format!("b{who}") && of.state == "alive")
+        };
+        let back: Vec<usize> = self
+            .woken
+            .iter()
+            .enumerate()
+            .filter(|(_, (woken, _))| *woken != who && alive(woken))
+            .map(|(i, _)| i)
+            .collect();
+        for i in back.into_iter().rev() {
+            let (_, woke) = self.woken.remove(i);
+            self.outcome.woken_ms.push(to_ms(at - woke));
+        }
+    }
+
+    /// An operator's order at some member's door, one at a time in this run: cordons mostly, and their end.
+    fn order(&mut self) {
+        let up: Vec<usize> = (0..self.members.len()).filter(|who| self.members[*who].up).collect();
+        if up.is_empty() {
+            return;
+        }
+        let who = up[self.dice.below(up.len() as u64) as usize];
+        let cordon = self.dice.happens(0.6);
+        let path = format!("/admin/{}/{}?scope=group", if cordon { "cordon" } else { "uncordon" }, HOST.0);
+        if !cordon {
+            self.free(self.clock.now());
+        }
+        let (heard, operators) = (Rc::clone(&self.heard), self.members[who].operators);
+        spawn_local(async move {
+            let answer = call(operators, "POST", &path).await;
+            heard.borrow_mut().push_back(Heard::Ordered { yes: matches!(answer, Ok((200, _))), cordon });
+        });
+    }
+
+    /// From now on the host may be used again, whatever becomes of the order.
+    fn free(&mut self, now: Micros) {
+        self.barred = false;
+        self.observer.hear(now, Sign::Freed { host: HOST.0.to_string() });
+        self.tape.note(now, Seen::Barred { host: HOST.1, balancer: None, on: false });
+    }
+
+    fn throw_rubbish(&mut self, socket: &std::net::UdpSocket) {
+        let each = (self.group.rubbish_per_s / 100.0).ceil() as usize;
+        for who in 0..self.members.len() {
+            for _ in 0..each {
+                let length = self.dice.below(1400) as usize;
+                let bytes: Vec<u8> = (0..length).map(|_| self.dice.below(256) as u8).collect();
+                // Straight at its own address: it need not come over the relay.
+                let _ = socket.send_to(&bytes, self.relay.own(who));
+            }
+        }
+    }
+
+    /// Ends all processes and says what was seen.
+    pub async fn end(mut self) -> (GroupOutcome, Vec<Balancer>) {
+        let now = self.clock.now();
+        self.hear();
+        let mut processes = Vec::new();
+        for member in &mut self.members {
+            if let Some(mut twin) = member.twin.take() {
+                twin.kill().await;
+            }
+            member.process.kill().await;
+        }
+        for member in self.members {
+            processes.push(member.process);
+        }
+        let carried = self.relay.end();
+        let seconds = (to_ms(now) / 1e3).max(1.0) * processes.len().max(1) as f64;
+        self.outcome.datagrams_per_s = carried.datagrams as f64 / seconds;
+        self.outcome.bytes_per_s = carried.bytes as f64 / seconds;
+        self.outcome.report = match self.group.knows {
+            true => self.observer.finish(now),
+            false => GroupReport::default(),
+        };
+        (self.outcome, processes)
+    }
+}
+
+/// One call at an operators' door: status and body.
+async fn call(to: SocketAddr, method: &str, path: &str) -> io::Result<(u16, Vec<u8>)> {
+    let whole = async {
+        let mut socket = TcpStream::connect(to).await?;
+        socket.write_all(format!("{method} {path} HTTP/1.1\r\nHost: lab\r\n\r\n").as_bytes()).await?;
+        let mut answer = Vec::new();
+        socket.take(LARGEST_ANSWER).read_to_end(&mut answer).await?;
+        let odd = || io::Error::from(io::ErrorKind::InvalidData);
+        let end = answer.windows(4).position(|four| four == b"\r\n\r\n").ok_or_else(odd)?;
+        let head = std::str::from_utf8(&answer[..end]).map_err(|_| odd())?;
+        let status = head.split(' ').nth(1).and_then(|word| word.parse().ok()).ok_or_else(odd)?;
+        Ok((status, answer[end + 4..].to_vec()))
+    };
+    timeout(ANSWER_LIMIT, whole).await.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
+}
+
+/// How long a run goes on after its last trouble: until all must be whole, and a while.
+pub fn rest_after(group: &Group) -> Micros {
+    from_ms(group.whole_again_s * 1e3) + SECOND
+}
--- a/crates/stairfront-lab/src/process.rs
+++ b/crates/stairfront-lab/src/process.rs
@@ -48,8 +48,11 @@
     name: String,
     config: PathBuf,
     log: PathBuf,
+    /// For what is to outlive a process of it.
+    folder: Option<PathBuf>,
     pub address: SocketAddr,
     child: Option<Child>,
+    started: Instant,
     /// It is to run: an end by itself is a crash.
     pub wanted: bool,
     /// From the start of the process to its first `+PONG`, each time.
@@ -83,8 +86,10 @@
             name: name.to_string(),
             config: folder.join(format!("{name}.json")),
             log: folder.join(format!("{name}.log")),
+            folder: None,
             address,
             child: None,
+            started: Instant::now(),
             wanted: false,
             ready_ms: Vec::new(),
             ended_cpu_us: 0,
@@ -94,6 +99,15 @@
         }
     }
 
+    /// Its own folder for what is to outlive a process.
+    pub fn set_folder(&mut self, folder: &Path) {
+        self.folder = Some(folder.to_path_buf());
+    }
+
+    pub fn config(&self) -> &Path {
+        &self.config
+    }
+
     pub fn name(&self) -> &str {
         &self.name
     }
@@ -105,15 +119,31 @@
 
     /// Starts it and waits until it is ready.
     pub async fn start(&mut self) -> io::Result<()> {
+        self.launch()?;
+        self.until_ready().await
+    }
+
+    /// Starts it.
+    pub fn launch(&mut self) -> io::Result<()> {
         let log = File::options().create(true).append(true).open(&self.log)?;
         let mut command = Command::new(&self.build.program);
         command.args(&self.build.arguments).env("ROUTER_CONFIG", &self.config).env("ROUTER_NAME", &self.name);
         command.env("ROUTER_LISTEN", self.address.to_string()).kill_on_drop(true);
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
-        let started = Instant::now();
+        if let Some(folder) = &self.folder {
+            command.env("TMPDIR", folder);
+        }
         let named =
             |problem: io::Error| io::Error::other(format!("{}: {problem}", self.build.program.display()));
         self.child = Some(command.spawn().map_err(named)?);
+        self.wanted = true;
+        self.started = Instant::now();
+        Ok(())
+    }
+
+    /// Waits until one that was started is ready.
+    pub async fn until_ready(&mut self) -> io::Result<()> {
+        let started = self.started;
         while !self.answers_ping().await {
             let ended = self.child.as_mut().and_then(|child| child.try_wait().ok().flatten());
             if ended.is_some() || started.elapsed() > READY_LIMIT {
@@ -123,7 +153,6 @@
             }
             sleep(READY_POLL).await;
         }
-        self.wanted = true;
         self.ready_ms.push(started.elapsed().as_secs_f64() * 1e3);
         Ok(())
     }
--- a/crates/stairfront-models/src/faults.rs
+++ b/crates/stairfront-models/src/faults.rs
@@ -61,6 +61,19 @@
     },
 }
 
+impl Fault {
+    /// Whether it befalls balancers' processes.
+    pub fn is_of_balancers(self) -> bool {
+        matches!(
+            self,
+            Fault::BalancerKilled
+                | Fault::BalancerRestarted
+                | Fault::BalancerFrozen
+                | Fault::RollingRestart { .. }
+        )
+    }
+}
+
 /// One entry of an experiment's script.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct TimedFault {
--- a/crates/stairfront-models/src/group.rs
+++ b/crates/stairfront-models/src/group.rs
@@ -28,6 +28,9 @@
     pub name: String,
     pub state: String,
     pub incarnation: u64,
+    /// How long it has been so, by the one who says it.
+    #[serde(default)]
+    pub since_ms: u64,
 }
 
 /// What really happened, or was said.
@@ -237,6 +240,19 @@
         }
     }
 
+    /// Whether a process that starts now can ask enough of the others what is held: more than half are up and awake,
+    /// itself among them, and nothing is done to the links between.
+    pub fn can_ask(&self, now: Micros, who: usize) -> bool {
+        let count = self.names.len();
+        let there = (0..count).filter(|other| {
+            let process = &self.processes[*other];
+            let ways = [who * count + other, other * count + who];
+            let open = ways.into_iter().all(|road| self.roads[road].cuts == 0 && self.roads[road].hurts == 0);
+            *other == who || (process.up && !process.paused && now - process.since > SECOND && open)
+        });
+        there.count() * 2 > count
+    }
+
     fn breach(&mut self, now: Micros, what: String) {
         self.report.broken += 1;
         if self.report.examples.len() < MOST_EXAMPLES {
--- a/crates/stairfront-models/src/group_script.rs
+++ b/crates/stairfront-models/src/group_script.rs
@@ -274,6 +274,15 @@
         }
     }
 
+    /// All that it names.
+    pub fn touched(&self) -> Vec<usize> {
+        match self {
+            Trouble::Links { pairs, .. } => pairs.iter().flat_map(|(from, to)| [*from, *to]).collect(),
+            Trouble::Split { side } | Trouble::MovingSplit { side, .. } => side.clone(),
+            _ => self.processes(),
+        }
+    }
+
     fn words(&self, members: usize) -> String {
         match self {
             Trouble::Links { pairs, fault } if pairs.len() == members * (members - 1) => {
