--- a/crates/stairfront/src/command_line.rs
+++ b/crates/stairfront/src/command_line.rs
@@ -57,6 +57,11 @@
     /// Run one stand-in server until Ctrl-C.
     #[command(subcommand)]
     StandIn(StandIn),
+    /// Show who is there of a balancer's group, as that balancer sees it.
+    #[command(after_help = "Examples:\n  stairfront members --ops 127.0.0.1:19000\n  \
+                            stairfront members --ops 127.0.0.1:19000 --watch\n\n\
+                            Exit codes: 0 the group is whole, 1 it is not, 2 the balancer does not answer or is in none.")]
+    Members(MembersArguments),
     /// Run an experiment with stand-ins, clients and balancer processes on this machine.
     #[command(after_help = "Examples:\n  stairfront lab experiments/one-slow-cache.toml\n  \
                             stairfront lab experiments/knee.toml --json knee.json --report knee.html\n\n\
@@ -64,6 +69,19 @@
     Lab(LabArguments),
 }
 
+#[derive(Args)]
+pub struct MembersArguments {
+    /// Where that balancer's operators call (`ops` in its configuration).
+    #[arg(long)]
+    pub ops: SocketAddr,
+    /// Ask again each second until Ctrl-C.
+    #[arg(long)]
+    pub watch: bool,
+    /// What the balancer says, as it says it: JSON, one line an answer.
+    #[arg(long)]
+    pub json: bool,
+}
+
 #[derive(Args)]
 pub struct LabArguments {
     /// The experiment.
--- a/crates/stairfront/src/main.rs
+++ b/crates/stairfront/src/main.rs
@@ -3,6 +3,7 @@
 mod command_line;
 mod demo;
 mod lab;
+mod members;
 mod serve;
 mod stand_in;
 
@@ -22,6 +23,7 @@
         Some(Command::Check { config }) => check::check(&config),
         Some(Command::Demo) => demo::demo(),
         Some(Command::StandIn(what)) => stand_in::stand_in(what),
+        Some(Command::Members(arguments)) => members::members(&arguments),
         Some(Command::Lab(arguments)) => lab::lab(&arguments),
     }
 }
--- /dev/null
+++ b/crates/stairfront/src/members.rs
@@ -0,0 +1,120 @@
+//! Who is there of a balancer's group, for a person: what `GET /admin/members` says, as a table.
+use std::io::{self, Write};
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::{SinkExt, StreamExt};
+use stairfront_members::Report;
+use stairfront_wire::budget::Budget;
+use stairfront_wire::http::{Body, HttpCodec, Request};
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
+use tokio_util::codec::Framed;
+
+use crate::command_line::MembersArguments;
+use crate::FAULTY;
+
+/// The door answers within a second.
+const LIMIT: Duration = Duration::from_secs(2);
+const WATCH_EVERY: Duration = Duration::from_secs(1);
+/// Some thousand members.
+const LARGEST: usize = 1 << 20;
+
+pub fn members(arguments: &MembersArguments) -> ExitCode {
+    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(problem) => return failed(&problem.to_string()),
+    };
+    runtime.block_on(async {
+        loop {
+            let told = ask(arguments.ops).await.and_then(|report| tell(&report, arguments.json));
+            match (told, arguments.watch) {
+                (Ok(whole), false) => return if whole { ExitCode::SUCCESS } else { ExitCode::FAILURE },
+                (Err(problem), false) => return failed(&format!("{}: {problem}", arguments.ops)),
+                // Whoever reads it no more has seen enough.
+                (Err(problem), true) if problem.kind() == io::ErrorKind::BrokenPipe => {
+                    return ExitCode::SUCCESS
+                }
+                (Err(problem), true) => eprintln!("{}: {problem}", arguments.ops),
+                (Ok(_), true) => {}
+            }
+            sleep(WATCH_EVERY).await;
+        }
+    })
+}
+
+fn failed(problem: &str) -> ExitCode {
+    eprintln!("{problem}");
+    ExitCode::from(FAULTY)
+}
+
+async fn ask(ops: SocketAddr) -> io::Result<Report> {
+    let whole = async {
+        let socket = TcpStream::connect(ops).await?;
+        let mut wire = Framed::new(socket, HttpCodec::new(LARGEST, &Budget::new(LARGEST)));
+        let host = Bytes::from(ops.to_string());
+        let headers = vec![("Host", host)];
+        let request =
+            Request { method: "GET", target: "/admin/members".to_string(), headers, body: Body::None };
+        wire.send(request).await.map_err(io::Error::other)?;
+        let answer = wire.next().await.ok_or(io::ErrorKind::UnexpectedEof)?.map_err(io::Error::other)?;
+        if answer.status != 200 {
+            let text = String::from_utf8_lossy(&answer.body).trim().to_string();
+            return Err(io::Error::other(format!("status {}: {text}", answer.status)));
+        }
+        serde_json::from_slice(&answer.body).map_err(io::Error::other)
+    };
+    timeout(LIMIT, whole).await.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
+}
+
+/// True if there is nothing to look after.
+fn tell(report: &Report, as_json: bool) -> io::Result<bool> {
+    let mut out = io::stdout().lock();
+    if as_json {
+        writeln!(out, "{}", serde_json::to_string(report)?)?;
+    } else {
+        write!(out, "{}", table(report))?;
+    }
+    out.flush()?;
+    let quiet = report.roster_differs.is_empty() && !report.namesake;
+    Ok(quiet && report.standing == stairfront_members::Standing::Whole)
+}
+
+pub fn table(report: &Report) -> String {
+    let seconds = |ms: u64| format!("{:.1} s", ms as f64 / 1e3);
+    let mut text = format!(
+        "{} of group {}: {} for {}, digest {}\n",
+        report.me,
+        report.group,
+        report.standing.word(),
+        seconds(report.standing_since_ms),
+        report.digest
+    );
+    if report.namesake {
+        text += "another living process has this one's name\n";
+    }
+    if !report.roster_differs.is_empty() {
+        text += &format!("another roster at: {}\n", report.roster_differs.join(", "));
+    }
+    if report.disagree_ms > 0 {
+        text += &format!("somebody has seen the group otherwise for {}\n", seconds(report.disagree_ms));
+    }
+    if !report.cordons.is_empty() {
+        text += &format!("out for the group: {}\n", report.cordons.join(", "));
+    }
+    text += &format!("{:20}{:24}{:10}{:>16}{:>12}\n", "member", "address", "state", "incarnation", "since");
+    for member in &report.members {
+        let address = member.address.map_or("never heard of".to_string(), |address| address.to_string());
+        text += &format!(
+            "{:20}{:24}{:10}{:>16}{:>12}\n",
+            member.name,
+            address,
+            member.state.word(),
+            member.incarnation,
+            seconds(member.since_ms)
+        );
+    }
+    text
+}
