--- a/crates/stairfront-lab/src/pack.rs
+++ b/crates/stairfront-lab/src/pack.rs
@@ -140,6 +140,7 @@
     pub folder: &'a Path,
     pub seed: u64,
     pub clock: RunClock,
+    pub relay: Relay,
 }
 
 pub struct Pack {
@@ -177,14 +178,11 @@
     pub fn new(
         plan: PackPlan<'_>,
         fronts: Vec<Front>,
-        operators: &[SocketAddr],
         tape: Tape,
         config: impl Fn(usize, SocketAddr) -> Value,
     ) -> io::Result<Pack> {
-        let PackPlan { group, build, folder, seed, clock } = plan;
+        let PackPlan { group, build, folder, seed, clock, relay } = plan;
         let count = fronts.len();
-        // A twin of each may come, at an address of its own.
-        let relay = Relay::start(count * 2, seed, clock)?;
         let all: Vec<SocketAddr> = (0..count).map(|who| relay.advertised(who)).collect();
         let mut members = Vec::new();
         for (who, front) in fronts.iter().enumerate() {
@@ -193,10 +191,10 @@
             let mut process = Balancer::new(build.clone(), &format!("b{who}"), folder, front.address);
             process.set_folder(&own);
             let mut text = config(who, front.address);
-            text["ops"] = json!(operators[who]);
+            let [_, operators] = relay.doors(who);
+            text["ops"] = json!(operators);
             group.configure(&mut text, who, (relay.own(who), relay.advertised(who)), &all);
             process.configure(&text)?;
-            let operators = operators[who];
             members.push(Member {
                 process,
                 twin: None,
@@ -401,10 +399,9 @@
         let count = self.members.len();
         let member = &mut self.members[who];
         let mut text: Value = serde_json::from_str(&fs::read_to_string(member.process.config())?)?;
-        let mut dice = Dice::new(who as u64 ^ u64::from(std::process::id()), "twin");
-        let address = crate::process::free_address(&mut dice)?;
+        let [address, operators] = self.relay.doors(count + who);
         text["listen"] = json!(address);
-        text["ops"] = json!(crate::process::free_address(&mut dice)?);
+        text["ops"] = json!(operators);
         text["membership"]["listen"] = json!(self.relay.own(count + who));
         text["membership"]["advertise"] = json!(self.relay.advertised(count + who));
         let folder = member.folder.with_extension("twin");
--- a/crates/stairfront-lab/src/relay.rs
+++ b/crates/stairfront-lab/src/relay.rs
@@ -5,12 +5,13 @@
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::rc::Rc;
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc as std_mpsc;
 use std::thread::JoinHandle;
 use std::time::Duration;
 
 use rustc_hash::FxHashMap;
+use stairfront_models::dice::Dice;
 use stairfront_models::links::{LinkFault, Links, Passage};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -24,10 +25,13 @@
 /// Where processes listen, and where the relay stands for each of them, on the process's own address.
 const OWN_PORT: u16 = 7946;
 const RELAY_PORT: u16 = 7947;
+const CLIENT_PORTS: [u16; 2] = [6379, 19000];
 /// What a silent link's bytes wait before they are looked at again, and until the stream is given up.
 const LOOK_AGAIN: Duration = Duration::from_millis(50);
 const GIVE_UP: u32 = 200;
 const LARGEST: usize = 65_536;
+/// Rows of addresses tried until one is free.
+const MOST_TRIES: usize = 50;
 
 #[derive(Clone, Debug)]
 enum Word {
@@ -51,15 +55,10 @@
     thread: Option<JoinHandle<Carried>>,
 }
 
-/// Loopback addresses that no other run of this machine has: by process and by run.
-fn addresses(count: usize) -> Vec<Ipv4Addr> {
-    static RUNS: AtomicU8 = AtomicU8::new(0);
-    let run = RUNS.fetch_add(1, Ordering::Relaxed);
-    let process = std::process::id();
-    // Two runs at once of one process, or of neighbours, differ in the second or the third part.
-    let second = 70 + (process % 50) as u8;
-    let blocks = count.div_ceil(200) as u8;
-    let third = run.wrapping_mul(blocks).wrapping_add((process / 50) as u8);
+/// A row of loopback addresses by chance. Another run on this machine may have it, which the relay's own sockets tell:
+/// all addresses of a run are taken by them first.
+fn addresses(count: usize, dice: &mut Dice) -> Vec<Ipv4Addr> {
+    let (second, third) = (64 + dice.below(180) as u8, dice.below(250) as u8);
     let one = |i: usize| Ipv4Addr::new(127, second, third.wrapping_add((i / 200) as u8), 1 + (i % 200) as u8);
     (0..count).map(one).collect()
 }
@@ -67,7 +66,22 @@
 impl Relay {
     /// For so many processes; the seed is that of the links' chance.
     pub fn start(count: usize, seed: u64, clock: RunClock) -> io::Result<Relay> {
-        let ips = addresses(count);
+        static RUNS: AtomicU64 = AtomicU64::new(0);
+        let run = RUNS.fetch_add(1, Ordering::Relaxed);
+        let mut dice = Dice::new(u64::from(std::process::id()) << 20 ^ run, "loopback");
+        let mut tried = Self::start_at(addresses(count, &mut dice), seed, clock);
+        for _ in 0..MOST_TRIES {
+            match tried {
+                Err(problem) if problem.kind() == io::ErrorKind::AddrInUse => {
+                    tried = Self::start_at(addresses(count, &mut dice), seed, clock);
+                }
+                done => return done,
+            }
+        }
+        tried
+    }
+
+    fn start_at(ips: Vec<Ipv4Addr>, seed: u64, clock: RunClock) -> io::Result<Relay> {
         let (words, heard) = mpsc::unbounded_channel();
         let (ready, is_ready) = std_mpsc::channel();
         let own = ips.clone();
@@ -91,6 +105,11 @@
         SocketAddr::from((self.ips[who], OWN_PORT))
     }
 
+    /// Where clients come to it, and operators: addresses that no other run has, also while the process is down.
+    pub fn doors(&self, who: usize) -> [SocketAddr; 2] {
+        CLIENT_PORTS.map(|port| SocketAddr::from((self.ips[who], port)))
+    }
+
     /// Where others reach it.
     pub fn advertised(&self, who: usize) -> SocketAddr {
         SocketAddr::from((self.ips[who], RELAY_PORT))
--- a/crates/stairfront-lab/src/run.rs
+++ b/crates/stairfront-lab/src/run.rs
@@ -27,6 +27,7 @@
 use crate::load::{self, Front, LoadPlan};
 use crate::pack::{Group, GroupOutcome, Pack, PackPlan};
 use crate::process::{free_address, Balancer, Build};
+use crate::relay::Relay;
 use crate::tally::{Counts, Tally};
 use crate::tape::{record, Recorded, Tape, INTERVAL};
 
@@ -244,22 +245,30 @@
         if clock.now() >= 0 {
             return Err(io::Error::other("the balancers were not ready when the requests were to begin"));
         }
-        let addresses = match (self.variant.direct, &group) {
+        // Twice as many addresses as there are balancers: a second process of each name may come.
+        let relay = match &group {
+            Some(_) if !self.variant.direct => Some(Relay::start(count * 2, self.seed, clock)?),
+            _ => None,
+        };
+        let addresses = match (self.variant.direct, &relay) {
             (true, _) => fleet.hosts().to_vec(),
             (false, None) => balancers.iter().map(|balancer| balancer.address).collect(),
-            (false, Some(_)) => (0..count).map(|_| free_address(&mut dice)).collect::<io::Result<_>>()?,
+            (false, Some(relay)) => (0..count).map(|who| relay.doors(who)[0]).collect(),
         };
         let front = |address| Front { address, closed: Arc::default() };
         let fronts: Vec<Front> = addresses.into_iter().map(front).collect();
-        let mut pack = match &group {
-            Some(group) if !self.variant.direct => {
-                let operators: Vec<SocketAddr> =
-                    (0..count).map(|_| free_address(&mut dice)).collect::<io::Result<_>>()?;
-                let plan =
-                    PackPlan { group, build: self.build(), folder: self.folder, seed: self.seed, clock };
+        let mut pack = match (&group, relay) {
+            (Some(group), Some(relay)) => {
+                let plan = PackPlan {
+                    group,
+                    build: self.build(),
+                    folder: self.folder,
+                    seed: self.seed,
+                    clock,
+                    relay,
+                };
                 let config = |who, listen| self.config(who, listen, &fleet, false);
-                let mut pack =
-                    Pack::new(plan, fronts.clone(), &operators, Tape::new(clock, tapes.clone()), config)?;
+                let mut pack = Pack::new(plan, fronts.clone(), Tape::new(clock, tapes.clone()), config)?;
                 pack.start().await?;
                 Some(pack)
             }
--- a/crates/stairfront-membership/src/core.rs
+++ b/crates/stairfront-membership/src/core.rs
@@ -164,6 +164,8 @@
     roster: u64,
     incarnation: Incarnation,
     leaving: bool,
+    /// Digest of the view, until something in it changes.
+    view: Option<u64>,
     rival: Option<Rival>,
     /// The last process of this name, other than this one, that was heard of.
     other_run: Option<u64>,
@@ -211,6 +213,7 @@
             roster: xxh3_64(roster.join("\0").as_bytes()),
             incarnation: set.born_ms.max(1),
             leaving: false,
+            view: None,
             rival: None,
             other_run: None,
             namesake_told: Micros::MIN / 2,
@@ -470,6 +473,7 @@
             let Some(Suspicion { began, by }) = peer.suspicion.take() else { continue };
             self.figures.failures += 1;
             peer.turn(now, State::Failed);
+            self.view = None;
             let (incarnation, lasted) = (peer.incarnation, (now - began) / MS);
             self.out.push(Action::Log(format!(
                 "{name} has failed: suspect for {lasted} ms by {}, and has not refuted it",
@@ -543,7 +547,7 @@
     }
 
     /// All that this member knows.
-    fn whole(&self, reply: bool) -> Vec<u8> {
+    fn whole(&mut self, reply: bool) -> Vec<u8> {
         let mut writer = Writer::new(self.mark, &self.sender(), &Body::Exchange { reply }, LARGEST_EXCHANGE);
         let rumours = self.table.rumours(&self.set.me).into_iter().map(Item::Member);
         for item in self.ledger.entries().map(Item::Cordon).chain(rumours) {
@@ -556,14 +560,19 @@
 
     // --- telling ---
 
-    fn sender(&self) -> Sender {
+    fn view(&mut self) -> u64 {
+        let (table, me, leaving) = (&self.table, &self.set.me, self.leaving);
+        *self.view.get_or_insert_with(|| table.digest(me, leaving))
+    }
+
+    fn sender(&mut self) -> Sender {
         Sender {
             name: self.set.me.clone(),
             address: self.set.advertise,
             run: self.set.run,
             incarnation: self.incarnation,
             roster: self.roster,
-            view: self.table.digest(&self.set.me, self.leaving),
+            view: self.view(),
             ledger: self.ledger.digest(),
             namesake: self.rival.is_some(),
         }
@@ -618,6 +627,7 @@
     pub fn leave(&mut self, now: Micros) {
         self.awake(now);
         self.leaving = true;
+        self.view = None;
         let claim = self.own_claim();
         for (_, to) in self.some_reachable(TELL_OF_LEAVING, None) {
             self.send(to, &Body::Gossip, vec![claim.clone()]);
@@ -692,7 +702,7 @@
             // It is told what is believed of it, and can refute that: one whose clock has stepped back, for one.
             self.tell_what_is_believed(&from);
         }
-        let own_view = self.table.digest(&self.set.me, self.leaving);
+        let own_view = self.view();
         if let Some(peer) = self.table.peers.get_mut(&from.name).filter(|_| is_current) {
             if peer.is_there() {
                 let (roster, view, ledger) = (from.roster, from.view, from.ledger);
@@ -843,6 +853,7 @@
                 self.out.push(Action::Log(format!("{about} has left on purpose: {cause}")));
             }
         }
+        self.view = None;
         self.queue.push(Item::Member(rumour));
     }
 
--- a/crates/stairfront-membership/tests/sim/mod.rs
+++ b/crates/stairfront-membership/tests/sim/mod.rs
@@ -3,7 +3,7 @@
 #![allow(dead_code)]
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
 use stairfront_membership::cordons::Entry;
 use stairfront_membership::{Action, Membership, Micros, Settings, State, Times, MS, SECOND};
@@ -22,8 +22,8 @@
 enum Event {
     Tick(usize),
     Datagram { to: usize, twin: bool, bytes: Vec<u8> },
-    Asked { from: usize, to: usize, twin: bool, bytes: Vec<u8> },
-    Answered { to: usize, bytes: Vec<u8> },
+    Asked { from: (usize, bool), to: usize, twin: bool, bytes: Vec<u8> },
+    Answered { to: (usize, bool), bytes: Vec<u8> },
     ExchangeFailed { who: usize },
     Applied { who: usize, life: u64, host: String },
     Look,
@@ -256,7 +256,10 @@
     }
 
     fn target(&self, at: SocketAddr) -> Option<(usize, bool)> {
-        (0..self.nodes.len()).flat_map(|i| [(i, false), (i, true)]).find(|(i, twin)| address(*i, *twin) == at)
+        let IpAddr::V4(ip) = at.ip() else { return None };
+        let [_, _, high, low] = ip.octets();
+        let who = usize::from(high) * 250 + usize::from(low) - 1;
+        (who < self.nodes.len()).then_some((who, at.port() == 9001))
     }
 
     fn carry_out(&mut self, who: usize, twin: bool) {
@@ -277,12 +280,9 @@
                 Action::Exchange { with, bytes } => {
                     let Some((to, to_twin)) = self.target(with) else { continue };
                     match self.links.stream(self.now, who, to, bytes.len()) {
-                        // The answer comes to the process, not to its twin: enough here.
-                        Passage::After(after) if !twin => {
-                            self.at(
-                                self.now + after * 2,
-                                Event::Asked { from: who, to, twin: to_twin, bytes },
-                            );
+                        Passage::After(after) => {
+                            let asked = Event::Asked { from: (who, twin), to, twin: to_twin, bytes };
+                            self.at(self.now + after * 2, asked);
                         }
                         _ => self.at(self.now + 1500 * MS, Event::ExchangeFailed { who }),
                     }
@@ -335,7 +335,7 @@
                 true => {}
                 false => self.hear(to, twin, &bytes),
             },
-            Event::Asked { from, to, twin, bytes } => {
+            Event::Asked { from: (from, from_twin), to, twin, bytes } => {
                 let now = self.now;
                 let node = &mut self.nodes[to];
                 let awake = twin || !node.paused;
@@ -344,16 +344,17 @@
                 self.carry_out(to, twin);
                 match reply.map(|reply| (self.links.stream(now, to, from, reply.len()), reply)) {
                     Some((Passage::After(after), reply)) => {
-                        self.at(now + after, Event::Answered { to: from, bytes: reply });
+                        self.at(now + after, Event::Answered { to: (from, from_twin), bytes: reply });
                     }
                     _ => self.at(now + 1500 * MS, Event::ExchangeFailed { who: from }),
                 }
             }
-            Event::Answered { to, bytes } => {
+            Event::Answered { to: (to, twin), bytes } => {
                 let node = &mut self.nodes[to];
-                if let Some(core) = node.core.as_mut().filter(|_| !node.paused) {
+                let (paused, core) = (node.paused, if twin { &mut node.twin } else { &mut node.core });
+                if let Some(core) = core.as_mut().filter(|_| twin || !paused) {
                     core.exchanged(self.now, &bytes);
-                    self.carry_out(to, false);
+                    self.carry_out(to, twin);
                 }
             }
             Event::ExchangeFailed { who } => {
