--- a/crates/stairfront-membership/tests/hard_cases.rs
+++ b/crates/stairfront-membership/tests/hard_cases.rs
@@ -290,3 +290,20 @@
     sim.until_whole(5 * SECOND);
     assert_eq!(sim.finish().broken, 0);
 }
+
+/// Danger: an order that was lost on its way to one would never have its yes, or worse, be taken for done.
+#[test]
+fn an_order_goes_on_being_told_until_all_have_confirmed_it() {
+    let mut sim = whole(7, 15);
+    let bursts = LinkFault::Bursts { chance: 0.07, datagrams: 6.0 };
+    lay(&mut sim, 1, &border(7, &[6]), LinkFault::Cut);
+    lay(&mut sim, 2, &all_links(7), bursts);
+    assert!(sim.order(0, true));
+    let progress = |sim: &Sim| sim.nodes[0].core.as_ref().unwrap().progress(1).unwrap();
+    until(&mut sim, 4 * SECOND, |sim| progress(sim).missing.len() == 1);
+    assert_eq!(progress(&sim).missing[0].name, name(6));
+    run_for(&mut sim, 4 * SECOND);
+    assert!(!progress(&sim).done);
+    sim.act(GroupAct::Lift { number: 1 });
+    until(&mut sim, 4 * SECOND, |sim| progress(sim).done);
+}
