Two of one name tell each other twice a second, and are believed apart 3 s after the last word

Besides, the two only answered each other, so that one lost word ended the exchange. Now each tells by its own clock.

--- a/crates/stairfront-membership/src/core.rs
+++ b/crates/stairfront-membership/src/core.rs
@@ -54,8 +54,8 @@
 /// Between two questions to those who have not answered at a start.
 const ASK_EVERY: Micros = 60 * MS;
 /// One namesake is told of so often, and believed in for so long.
-const NAMESAKE_EVERY: Micros = 2 * SECOND;
-const NAMESAKE_LASTS: Micros = 6 * SECOND;
+const NAMESAKE_EVERY: Micros = 500 * MS;
+const NAMESAKE_LASTS: Micros = 3 * SECOND;
 /// One log line for so many packets of another group or version.
 const ODD_LOG_EVERY: u64 = 1000;
 
@@ -130,6 +130,7 @@
 #[derive(Clone, Debug)]
 struct Rival {
     run: u64,
+    address: SocketAddr,
     until: Micros,
     /// It was started first: it keeps the name, this one no longer claims it.
     keeps: bool,
@@ -286,6 +287,11 @@
         for turn in self.hearsay.tick(now) {
             self.turn_hearsay(turn);
         }
+        // Danger: of two that only answered each other, one lost word would have both believe that they are alone.
+        let rival = self.rival.as_ref().map(|rival| rival.address);
+        if let Some(address) = rival.filter(|_| now - self.namesake_told >= NAMESAKE_EVERY) {
+            self.tell_namesake(now, address);
+        }
         if self.rival.as_ref().is_some_and(|rival| rival.until <= now) {
             self.rival = None;
             self.other_run = None;
@@ -920,7 +926,7 @@
             )));
         }
         let first = self.rival.is_none();
-        self.rival = Some(Rival { run: from.run, until, keeps });
+        self.rival = Some(Rival { run: from.run, address: from.address, until, keeps });
         if first && !keeps {
             self.refute(now, self.incarnation.max(from.incarnation) + 1);
         }
--- a/crates/stairfront-membership/tests/hard_cases.rs
+++ b/crates/stairfront-membership/tests/hard_cases.rs
@@ -175,12 +175,16 @@
     hold_for(&mut sim, 60 * SECOND, |sim| nobody_failed(sim, None));
     assert!(incarnation(&sim) - settled <= 2, "they refute each other for ever");
     assert_eq!(loud(&sim), 2, "loud once");
+    lay(&mut sim, 1, &all_links(5), LinkFault::Loss { chance: 0.1 });
+    hold_for(&mut sim, 30 * SECOND, |sim| nobody_failed(sim, None));
+    assert_eq!(loud(&sim), 2, "a lost word is no end of either");
+    sim.act(GroupAct::Lift { number: 1 });
     // No yes for the group while one of the two was not asked.
     sim.order(0, true);
     run_for(&mut sim, 3 * SECOND);
     assert!(sim.nodes[0].core.as_ref().unwrap().progress(1).is_some_and(|progress| !progress.done));
     sim.act(GroupAct::StopNamesake { who: 1 });
-    until(&mut sim, 12 * SECOND, all_whole);
+    until(&mut sim, 6 * SECOND, all_whole);
 }
 
 #[test]
@@ -307,3 +311,15 @@
     sim.act(GroupAct::Lift { number: 1 });
     until(&mut sim, 4 * SECOND, |sim| progress(sim).done);
 }
+
+/// Danger: one whose own answers come late takes all others for late, and the whole group hears of it.
+#[test]
+fn one_that_hears_late_doubts_itself_first() {
+    let mut sim = whole(7, 16);
+    let late = LinkFault::Slow { latency_ms: 255.0, jitter_ms: 10.0 };
+    lay(&mut sim, 1, &border(7, &[0]), late);
+    run_for(&mut sim, 60 * SECOND);
+    let figures = sim.nodes[0].core.as_ref().unwrap().figures;
+    assert!(figures.probes > 100 && figures.probes_failed * 10 < figures.probes * 7, "{figures:?}");
+    assert!(nobody_failed(&sim, None));
+}
