--- a/crates/stairfront-balancer/src/engine.rs
+++ b/crates/stairfront-balancer/src/engine.rs
@@ -129,7 +129,12 @@
     ) {
         // Before the list is known, so that nothing ever goes to a cache host that was taken out.
         self.restore_cordons();
+        let index = known.index;
         self.learn(known, true);
+        if let Some(members) = &self.members {
+            // What others tell of older lists than this one is nothing new.
+            members.told(&Told { index, hosts: self.caches(), leaving: Vec::new() });
+        }
         if let Some(Legacy { knowledge, listed }) = inherited {
             info!("took over what the running process knew");
             self.tell(Event::Inherited(&knowledge));
@@ -307,7 +312,11 @@
             let listed = |name: &str| list.lines.iter().any(|line| line.name == name);
             leaving.extend(self.names.values().filter(|name| !listed(name)).cloned());
         }
-        leaving.retain(|name| self.servers.contains_key(&cache_id(name)));
+        // Those that leave now, not those that have been leaving.
+        let in_use = |name: &String| {
+            self.servers.get(&cache_id(name)).is_some_and(|member| member.state == MemberState::Ready)
+        };
+        leaving.retain(in_use);
         Told { index: list.index, hosts: 0, leaving }
     }
 
--- a/crates/stairfront-balancer/src/operators.rs
+++ b/crates/stairfront-balancer/src/operators.rs
@@ -157,7 +157,7 @@
         return no(503, "Service Unavailable", &problem);
     }
     // A name that was never listed here is asked of the engine first: a slip of the pen must not go to all.
-    if cordon && !members.holds(&host) {
+    if !members.holds(&host) {
         match timeout(ORDER_LIMIT, here(Order::Known(host.clone()), Word::Operators, desk)).await {
             Ok(Some(Done::Yes)) => {}
             Ok(Some(_)) => return no(404, "Not Found", "no cache host of this name was ever listed"),
--- a/crates/stairfront-membership/src/table.rs
+++ b/crates/stairfront-membership/src/table.rs
@@ -207,8 +207,8 @@
     let mut say = |claim| all.push(Rumour { about: name.to_string(), incarnation: peer.incarnation, claim });
     match (peer.state, &peer.suspicion) {
         (State::Suspect, Some(suspicion)) => {
-            let by = suspicion.by.first().cloned().unwrap_or_else(|| me.to_string());
-            say(Claim::Suspect { by });
+            // With all who share it: one that has just started would wait for longer than the others.
+            suspicion.by.iter().cloned().for_each(|by| say(Claim::Suspect { by }));
         }
         (State::Failed, _) => say(Claim::Failed { by: me.to_string() }),
         (State::Left, _) => say(Claim::Left),
