--- a/crates/stairfront-members/src/driver.rs
+++ b/crates/stairfront-members/src/driver.rs
@@ -26,9 +26,9 @@
 pub const DESCRIPTORS: usize = 2 + 2 * EXCHANGES;
 /// Exchanges at once, made and taken each.
 const EXCHANGES: usize = 4;
-const TICK: Duration = Duration::from_millis(20);
+const TICK: Duration = Duration::from_millis(50);
 /// Datagrams heard between two ticks. Danger: a flood at the peers' address would take the requests' time. In a group
-/// of 300 a member hears less than one a tick.
+/// of 300 a member hears one or two a tick.
 const MOST_HEARD: usize = 100;
 /// At a start the others are asked for so long what is held, before the first request.
 const ASK_LIMIT: Duration = Duration::from_millis(300);
--- a/crates/stairfront-membership/src/core.rs
+++ b/crates/stairfront-membership/src/core.rs
@@ -21,7 +21,7 @@
 use crate::standing::{Stand, Standing};
 use crate::table::{suspicion_lasts, Peer, Suspicion, Table, View};
 
-/// Nobody calls for so long unless the process stood still: the driver ticks fifty times a second.
+/// Nobody calls for so long unless the process stood still: the driver ticks twenty times a second.
 const SLEPT: Micros = 800 * MS;
 /// Between two packets of items alone, while there are any, and how many members get one.
 const GOSSIP_EVERY: Micros = 100 * MS;
@@ -270,7 +270,7 @@
 
     // --- time ---
 
-    /// To be called some fifty times a second.
+    /// To be called some twenty times a second.
     pub fn tick(&mut self, now: Micros) {
         self.awake(now);
         self.probe(now);
--- a/crates/stairfront-membership/tests/sim/mod.rs
+++ b/crates/stairfront-membership/tests/sim/mod.rs
@@ -12,7 +12,7 @@
 use stairfront_models::group_script::{GroupAct, GroupScript};
 use stairfront_models::links::{LinkFault, Links, Passage};
 
-const TICK: Micros = 20 * MS;
+const TICK: Micros = 50 * MS;
 const LOOK: Micros = 200 * MS;
 /// What a socket holds of a process that does not read.
 const SOCKET: usize = 200;
