The observer takes one told to stop for gone at once, as the others may

Cause: of 24 drawn scripts on processes two were called broken (114, 140): a member told to stop had left and said so, and the observer saw its end a look (0.2 s) later.

--- a/crates/stairfront-lab/src/pack.rs
+++ b/crates/stairfront-lab/src/pack.rs
@@ -339,6 +339,8 @@
                 self.fronts[who].closed.store(true, Ordering::Relaxed);
                 self.members[who].process.signal(Signal::SIGTERM);
                 self.members[who].process.wanted = false;
+                // Danger: its end is seen a look later than the others hear that it has left.
+                self.observer.hear(now, Sign::Paused { who });
             }
             GroupAct::Start { who } => {
                 if !self.members[who].process.wanted && self.members[who].up {
