--- a/crates/stairfront-balancer/src/clients.rs
+++ b/crates/stairfront-balancer/src/clients.rs
@@ -145,7 +145,7 @@
 const SPARE_LIMIT: Duration = Duration::from_millis(250);
 
 /// What a connection holds of the limit on sockets, given back as it ends.
-struct Place {
+struct Slot {
     spare: bool,
     _hold: Hold,
 }
@@ -182,7 +182,7 @@
         };
         match Came::<T>::adopt(one) {
             Ok(came) => {
-                let place = Place { spare: false, _hold: hold };
+                let place = Slot { spare: false, _hold: hold };
                 spawn_local(tasks.track_future(run_connection(came, Rc::clone(&context), place)));
             }
             Err(problem) => warn!("a connection of the old process is lost: {problem}"),
@@ -263,8 +263,8 @@
     spares: &Arc<Semaphore>,
     crowd: &Crowd,
     patience: Duration,
-) -> Result<Place, AcquireError> {
-    let own = |permit| Place { spare: false, _hold: Hold::Permit(permit) };
+) -> Result<Slot, AcquireError> {
+    let own = |permit| Slot { spare: false, _hold: Hold::Permit(permit) };
     if let Ok(permit) = Arc::clone(places).try_acquire_owned() {
         return Ok(own(permit));
     }
@@ -278,7 +278,7 @@
         biased;
         permit = Arc::clone(places).acquire_owned() => permit.map(own),
         permit = Arc::clone(spares).acquire_owned() => {
-            permit.map(|permit| Place { spare: true, _hold: Hold::Permit(permit) })
+            permit.map(|permit| Slot { spare: true, _hold: Hold::Permit(permit) })
         }
     }
 }
@@ -359,7 +359,7 @@
     half_read: usize,
     /// A large command waits for room for so many bytes.
     no_room: Option<usize>,
-    place: Place,
+    place: Slot,
     /// Until when a spare connection may wait for its next command.
     spare_until: Option<Instant>,
     /// Something was written to it.
@@ -399,7 +399,7 @@
     HandedOver,
 }
 
-async fn run_connection<T: Stream>(came: Came<T>, context: Rc<Context>, place: Place) {
+async fn run_connection<T: Stream>(came: Came<T>, context: Rc<Context>, place: Slot) {
     context.counters.client_connections_open.add();
     let mut connection = Connection::new(came, Rc::clone(&context), place);
     let mut end = connection.run().await;
@@ -434,7 +434,7 @@
 
 /// Gives a connection to the process that takes over, with what was read of the next command, and its place back. Where
 /// that fails it stays: what was read of it is owed an answer here.
-async fn hand_over<T: Stream>(connection: Connection<T>) -> Result<Place, Option<Connection<T>>> {
+async fn hand_over<T: Stream>(connection: Connection<T>) -> Result<Slot, Option<Connection<T>>> {
     let Connection { wire, context, standing, place, answered, .. } = connection;
     let used = matches!(standing, Standing::Used);
     let FramedParts { io, read_buf, .. } = wire.into_parts();
@@ -455,7 +455,7 @@
 }
 
 impl<T: Stream> Connection<T> {
-    fn new(came: Came<T>, context: Rc<Context>, place: Place) -> Self {
+    fn new(came: Came<T>, context: Rc<Context>, place: Slot) -> Self {
         let Came { socket, used, unread } = came;
         let mut parts = FramedParts::new::<Answer>(socket, ClientCodec::new(&context.budget, &context.large));
         parts.read_buf = BytesMut::with_capacity(READ_BUFFER.max(unread.len()));
@@ -621,7 +621,7 @@
     fn is_spare(&mut self) -> bool {
         if self.place.spare {
             if let Ok(permit) = Arc::clone(&self.context.places).try_acquire_owned() {
-                self.place = Place { spare: false, _hold: Hold::Permit(permit) };
+                self.place = Slot { spare: false, _hold: Hold::Permit(permit) };
                 self.spare_until = None;
             }
         }
--- a/crates/stairfront-balancer/src/engine.rs
+++ b/crates/stairfront-balancer/src/engine.rs
@@ -7,7 +7,7 @@
 
 use rustc_hash::{FxHashMap, FxHashSet};
 use stairfront_members::{Members, Told};
-use stairfront_operations::{Done, Order, Roll, Word};
+use stairfront_operations::{Done, HostRegistry, Order, Word};
 use stairfront_overload::Door;
 use stairfront_policy::interface::{
     Action, CacheId, CacheMode, Event, ListNews, Load, Member, MemberState, Micros, Outcome, RequestId,
@@ -22,8 +22,8 @@
 use crate::clock::{duration, Clock};
 use crate::cordon_record::CordonRecord;
 use crate::counters::{Counters, OriginUse};
+use crate::handover_state::{HandoverState, Snapshot};
 use crate::heartbeat::{door_settings, Vitals};
-use crate::legacy::{Legacy, Snapshot};
 use crate::limits::{stall_limit, Memory};
 use crate::messages::{Answer, Arrival, AttemptEnd, AttemptId, Input, Job};
 use crate::orders::Ordered;
@@ -75,7 +75,7 @@
     /// Names of the cache hosts in the list, where there is a group to tell.
     names: FxHashMap<CacheId, String>,
     /// Every cache host ever listed, and who is taken out.
-    roll: Roll,
+    registry: HostRegistry,
     /// Cache hosts that somebody else's discovery says leave, and this one's does not say so yet.
     hearsay: FxHashSet<CacheId>,
     members: Option<Rc<Members>>,
@@ -101,8 +101,8 @@
         let Shared { vitals: Vitals { clock, door, counters }, ready, record, terms, members, origin } =
             shared;
         let (members, held) = members.unzip();
-        let mut roll = Roll::default();
-        held.into_iter().flatten().for_each(|name| roll.hold(cache_id(&name), &name));
+        let mut registry = HostRegistry::default();
+        held.into_iter().flatten().for_each(|name| registry.hold(cache_id(&name), &name));
         let Start { mut settings, host, .. } = start;
         // The agent is watched at no cost from the start, whatever the simulator's discovery would ask for.
         settings.discovery = stairfront_policy::interface::Discovery::Push;
@@ -119,7 +119,7 @@
             life_left: life_left(&settings),
             servers: FxHashMap::default(),
             names: FxHashMap::default(),
-            roll,
+            registry,
             hearsay: FxHashSet::default(),
             members,
             sent: FxHashMap::default(),
@@ -135,7 +135,7 @@
     pub async fn run(
         mut self,
         known: ServerList,
-        inherited: Option<Legacy>,
+        inherited: Option<HandoverState>,
         mut inputs: mpsc::Receiver<Input>,
         mut orders: mpsc::Receiver<Ordered>,
     ) {
@@ -147,13 +147,13 @@
             // What others tell of older lists than this one is nothing new.
             members.told(&Told { index, hosts: self.caches(), leaving: Vec::new() });
         }
-        if let Some(Legacy { knowledge, listed }) = inherited {
+        if let Some(HandoverState { knowledge, listed }) = inherited {
             info!("took over what the running process knew");
             self.tell(Event::Inherited(&knowledge));
             let servers = &self.servers;
             listed
                 .into_iter()
-                .for_each(|id| self.roll.inherit(CacheId(id), |other| servers.contains_key(&other)));
+                .for_each(|id| self.registry.inherit(CacheId(id), |other| servers.contains_key(&other)));
         }
         loop {
             tokio::select! {
@@ -235,21 +235,21 @@
 
     fn snapshot(&mut self, to: oneshot::Sender<Snapshot>) {
         let knowledge = self.policy.knowledge(self.clock.now());
-        let legacy = Legacy { knowledge, listed: self.roll.known().map(|id| id.0).collect() };
+        let state = HandoverState { knowledge, listed: self.registry.known().map(|id| id.0).collect() };
         // Numbers and lists of them alone, which cannot fail; without it the successor learns by itself.
-        let legacy = serde_json::to_vec(&legacy).unwrap_or_default();
+        let state = serde_json::to_vec(&state).unwrap_or_default();
         // A successor that has left meanwhile is told of by its post.
-        let _ = to.send(Snapshot { legacy, servers: self.pool.share() });
+        let _ = to.send(Snapshot { state, servers: self.pool.share() });
     }
 
     fn restore_cordons(&mut self) {
         for name in self.record.read() {
             let cache = cache_id(&name);
             info!("{name} (server {:012x}) is cordoned, as on record", cache.0);
-            self.roll.restore(cache, &name);
+            self.registry.restore(cache, &name);
         }
-        self.counters.cordoned.set(self.roll.out() as u64);
-        let out: Vec<CacheId> = self.roll.all_out().collect();
+        self.counters.cordoned.set(self.registry.out() as u64);
+        let out: Vec<CacheId> = self.registry.all_out().collect();
         out.into_iter().for_each(|cache| self.tell(Event::Cordon { cache, on: true }));
     }
 
@@ -262,43 +262,43 @@
         | Order::Use(name)) = order;
         let cache = cache_id(name);
         if word == Word::Vouched {
-            self.roll.listed(cache);
+            self.registry.listed(cache);
         }
-        let before = self.roll.is_cordoned(cache);
+        let before = self.registry.is_cordoned(cache);
         let known = match order {
-            Order::Cordon(_) => self.roll.cordon(cache, name).is_ok(),
-            Order::Uncordon(_) => self.roll.uncordon(cache).is_ok(),
-            Order::Known(_) => return if self.roll.is_known(cache) { Done::Yes } else { Done::Unknown },
+            Order::Cordon(_) => self.registry.cordon(cache, name).is_ok(),
+            Order::Uncordon(_) => self.registry.uncordon(cache).is_ok(),
+            Order::Known(_) => return if self.registry.is_known(cache) { Done::Yes } else { Done::Unknown },
             Order::Use(_) => {
                 let sent = self.sent.get(&cache).copied().unwrap_or(0);
                 return Done::Use { open: self.pool.in_use(cache), sent };
             }
             Order::Hold(_) => {
-                self.roll.hold(cache, name);
+                self.registry.hold(cache, name);
                 true
             }
             Order::Release(_) => {
-                self.roll.release(cache);
+                self.registry.release(cache);
                 true
             }
         };
         if !known {
             return Done::Unknown;
         }
-        let on = self.roll.is_cordoned(cache);
+        let on = self.registry.is_cordoned(cache);
         if on != before {
-            self.counters.cordoned.set(self.roll.out() as u64);
+            self.counters.cordoned.set(self.registry.out() as u64);
             self.tell(Event::Cordon { cache, on });
             self.bar(cache);
         }
         match order {
             // The member has them on record.
             Order::Hold(_) | Order::Release(_) => return Done::Yes,
-            Order::Uncordon(_) if self.roll.is_held(cache) => return Done::Held,
+            Order::Uncordon(_) if self.registry.is_held(cache) => return Done::Held,
             _ => {}
         }
         // Written again at a repeated call too: the first may have failed.
-        match self.record.write(self.roll.cordoned().map(|(_, name)| name)) {
+        match self.record.write(self.registry.cordoned().map(|(_, name)| name)) {
             Ok(()) => Done::Yes,
             Err(problem) => {
                 warn!("cordons not recorded, and would be lost with this process: {problem}");
@@ -311,7 +311,7 @@
     /// and idle connections close. What is under way goes on.
     fn bar(&mut self, cache: CacheId) {
         let listed = self.servers.get(&cache).is_some_and(|member| member.state == MemberState::Ready);
-        let barred = !listed || self.roll.is_cordoned(cache) || self.hearsay.contains(&cache);
+        let barred = !listed || self.registry.is_cordoned(cache) || self.hearsay.contains(&cache);
         self.pool.bar(cache, barred);
         if barred {
             self.pool.end_waiting(cache, &mut self.ends);
@@ -540,7 +540,7 @@
             info!("server {:012x} is {} at {}", member.id.0, line.name, line.address);
         }
         if !origin {
-            self.roll.listed(member.id);
+            self.registry.listed(member.id);
             if self.members.is_some() {
                 self.names.insert(member.id, line.name.clone());
             }
@@ -558,7 +558,7 @@
         self.sent.remove(&id);
         self.hearsay.remove(&id);
         let servers = &self.servers;
-        self.roll.left(id, |other| servers.contains_key(&other));
+        self.registry.left(id, |other| servers.contains_key(&other));
         self.pool.bar(id, true);
         self.pool.end_waiting(id, &mut self.ends);
         self.pool.forget(id);
--- a/crates/stairfront-balancer/src/handover.rs
+++ b/crates/stairfront-balancer/src/handover.rs
@@ -17,10 +17,10 @@
 use tracing::{debug, info, warn};
 
 use crate::clock::{sleep, timeout};
-use crate::legacy::{Legacy, Snapshot};
+use crate::handover_socket::{HandoverListener, HandoverSocket};
+use crate::handover_state::{HandoverState, Snapshot};
 use crate::messages::Input;
 use crate::orders::Ordered;
-use crate::post::{Letterbox, Post};
 use crate::shutdown::Phase;
 
 /// What the old process may take to answer its successor, which has 6 s in all to say that it can serve.
@@ -28,7 +28,7 @@
 /// An order is owed an answer in a second; the other process has this part of it. Danger: a successor that hangs would
 /// keep this one from ending, too, with connections that wait to be handed over.
 const RELAY_LIMIT: Duration = Duration::from_millis(300);
-/// Pause after a letterbox that could not be opened or heard.
+/// Pause after a handover listener that could not be opened or heard.
 const PAUSE: Duration = Duration::from_millis(500);
 /// Most bytes read ahead on a connection that can be handed over.
 pub const MOST_UNREAD: usize = LARGEST_PART;
@@ -44,19 +44,19 @@
 
 /// What a new process got from the old one.
 pub struct Predecessor {
-    post: Post,
+    socket: HandoverSocket,
     /// Places of clients and connections to servers that are the old one's until its end.
     pub clients: usize,
     pub servers: usize,
-    pub legacy: Option<Legacy>,
+    pub state: Option<HandoverState>,
 }
 
 /// Asks the process that serves now for its listener and what it knows; none where there is no such process, or it is
 /// silent, of another version, or listens elsewhere. Then the new one starts as if it were the first.
 pub async fn ask(path: &Path, name: &str, listen: SocketAddr) -> Option<(TcpListener, Predecessor)> {
     // Nobody there: the usual start.
-    let post = Post::connect(path).ok()?;
-    match timeout(ANSWER_LIMIT, hear_out(post, name, listen)).await {
+    let socket = HandoverSocket::connect(path).ok()?;
+    match timeout(ANSWER_LIMIT, hear_out(socket, name, listen)).await {
         Ok(Ok(heard)) => Some(heard),
         Ok(Err(problem)) => {
             warn!("the running process hands nothing over: {problem}");
@@ -69,10 +69,14 @@
     }
 }
 
-async fn hear_out(post: Post, name: &str, listen: SocketAddr) -> io::Result<(TcpListener, Predecessor)> {
+async fn hear_out(
+    socket: HandoverSocket,
+    name: &str,
+    listen: SocketAddr,
+) -> io::Result<(TcpListener, Predecessor)> {
     let odd = |what: &str| io::Error::other(what.to_string());
-    post.send(&Message::Hello { name: name.to_string() }, None).await?;
-    let (clients, servers, listener) = match post.receive().await? {
+    socket.send(&Message::Hello { name: name.to_string() }, None).await?;
+    let (clients, servers, listener) = match socket.receive().await? {
         Some((Message::Welcome { clients, servers }, Some(socket))) => {
             (clients, servers, TcpListener::from(socket))
         }
@@ -86,8 +90,8 @@
     }
     listener.set_nonblocking(true)?;
     let mut parts = Parts::default();
-    let legacy = loop {
-        match post.receive().await? {
+    let state = loop {
+        match socket.receive().await? {
             Some((Message::Knowledge { part, last }, _)) => {
                 if let Some(whole) = parts.take(&part, last).map_err(io::Error::other)? {
                     break whole;
@@ -97,16 +101,16 @@
             None => return Err(odd("it has ended")),
         }
     };
-    let legacy = serde_json::from_slice(&legacy)
+    let state = serde_json::from_slice(&state)
         .map_err(|problem| warn!("what the running process knows is not readable here: {problem}"))
         .ok();
-    Ok((listener, Predecessor { post, clients, servers, legacy }))
+    Ok((listener, Predecessor { socket, clients, servers, state }))
 }
 
-/// One process's end of a post, while there is one.
+/// One process's end of a handover socket, while there is one.
 #[derive(Default)]
 pub struct Link {
-    post: RefCell<Option<Rc<Post>>>,
+    socket: RefCell<Option<Rc<HandoverSocket>>>,
     /// Orders that the other process has not answered, by number.
     waiting: RefCell<FxHashMap<u32, oneshot::Sender<Done>>>,
     next: Cell<u32>,
@@ -114,22 +118,25 @@
 
 impl Link {
     pub fn is_up(&self) -> bool {
-        self.post.borrow().is_some()
+        self.socket.borrow().is_some()
     }
 
-    fn post(&self) -> Option<Rc<Post>> {
-        self.post.borrow().clone()
+    fn socket(&self) -> Option<Rc<HandoverSocket>> {
+        self.socket.borrow().clone()
     }
 
     /// Has the other process carry an order out too; none where there is no other. One that does not answer in time has
     /// not done it as far as anyone knows.
     pub async fn relay(&self, order: &Order, word: Word) -> Option<Result<Done, ()>> {
-        let post = self.post()?;
+        let socket = self.socket()?;
         let number = self.next.replace(self.next.get().wrapping_add(1));
         let (done, is_done) = oneshot::channel();
         self.waiting.borrow_mut().insert(number, done);
         let asked = async {
-            post.send(&Message::Order { number, order: order.clone(), word }, None).await.map_err(|_| ())?;
+            socket
+                .send(&Message::Order { number, order: order.clone(), word }, None)
+                .await
+                .map_err(|_| ())?;
             is_done.await.map_err(|_| ())
         };
         let answer = timeout(RELAY_LIMIT, asked).await;
@@ -144,18 +151,23 @@
     /// Hands a client's connection over. Danger: the descriptor here is closed only after the other side has its own, or
     /// the connection would end in the client's face.
     pub async fn hand_over(&self, handed: &Handed) -> io::Result<()> {
-        let post = self.post().ok_or(io::ErrorKind::NotConnected)?;
+        let socket = self.socket().ok_or(io::ErrorKind::NotConnected)?;
         let message = Message::Connection { used: handed.used, unread: handed.unread.clone() };
-        let sent = timeout(RELAY_LIMIT, post.send(&message, Some(handed.socket.as_fd()))).await;
+        let sent = timeout(RELAY_LIMIT, socket.send(&message, Some(handed.socket.as_fd()))).await;
         sent.unwrap_or(Err(io::ErrorKind::TimedOut.into()))
     }
 
     /// Hears the other process until its end. `handed` takes the connections that come.
-    async fn keep(&self, post: Post, orders: &mpsc::Sender<Ordered>, handed: Option<&mpsc::Sender<Handed>>) {
-        let post = Rc::new(post);
-        self.post.replace(Some(Rc::clone(&post)));
+    async fn keep(
+        &self,
+        socket: HandoverSocket,
+        orders: &mpsc::Sender<Ordered>,
+        handed: Option<&mpsc::Sender<Handed>>,
+    ) {
+        let socket = Rc::new(socket);
+        self.socket.replace(Some(Rc::clone(&socket)));
         loop {
-            let (message, beside) = match post.receive().await {
+            let (message, beside) = match socket.receive().await {
                 Ok(Some(received)) => received,
                 Ok(None) => break,
                 Err(problem) => {
@@ -170,7 +182,7 @@
                         break;
                     }
                     let Ok(done) = is_done.await else { break };
-                    if post.send(&Message::Done { number, done }, None).await.is_err() {
+                    if socket.send(&Message::Done { number, done }, None).await.is_err() {
                         break;
                     }
                 }
@@ -188,7 +200,7 @@
                 (message, ..) => debug!("not expected of the other process: {message:?}"),
             }
         }
-        self.post.replace(None);
+        self.socket.replace(None);
         self.waiting.borrow_mut().clear();
     }
 }
@@ -205,7 +217,7 @@
 impl Succession {
     pub async fn run(self) {
         let Succession { predecessor, link, orders, handed, inbox } = self;
-        link.keep(predecessor.post, &orders, Some(&handed)).await;
+        link.keep(predecessor.socket, &orders, Some(&handed)).await;
         info!("the old process has ended; all descriptors are this one's");
         // The engine is gone only when the whole balancer ends.
         let _ = inbox.send(Input::TakeAll).await;
@@ -251,14 +263,14 @@
     }
 
     async fn attend_one(&self) -> io::Result<()> {
-        let post = Letterbox::open(&self.path)?.accept().await?;
-        let welcomed = timeout(ANSWER_LIMIT, self.welcome(&post)).await;
+        let socket = HandoverListener::open(&self.path)?.accept().await?;
+        let welcomed = timeout(ANSWER_LIMIT, self.welcome(&socket)).await;
         if let Err(problem) = welcomed.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into())) {
             self.take_all().await;
             return Err(problem);
         }
         info!("a successor has started and has the listener");
-        self.link.keep(post, &self.orders, None).await;
+        self.link.keep(socket, &self.orders, None).await;
         warn!("the successor has ended; all descriptors are this one's again");
         self.take_all().await;
         Ok(())
@@ -268,8 +280,8 @@
         let _ = self.inbox.send(Input::TakeAll).await;
     }
 
-    async fn welcome(&self, post: &Post) -> io::Result<()> {
-        match post.receive().await? {
+    async fn welcome(&self, socket: &HandoverSocket) -> io::Result<()> {
+        match socket.receive().await? {
             Some((Message::Hello { name }, _)) if name == self.name => {}
             Some((message, _)) => return Err(io::Error::other(format!("not a successor: {message:?}"))),
             None => return Err(io::ErrorKind::UnexpectedEof.into()),
@@ -280,11 +292,11 @@
             .send(Input::Snapshot(snapshot))
             .await
             .map_err(|_| io::Error::other("the engine has ended"))?;
-        let Snapshot { legacy, servers } = taken.await.map_err(gone)?;
+        let Snapshot { state, servers } = taken.await.map_err(gone)?;
         let clients = self.most_clients.saturating_sub(self.places.available_permits());
-        post.send(&Message::Welcome { clients, servers }, Some(self.listener.as_fd())).await?;
-        for message in Parts::of(&legacy) {
-            post.send(&message, None).await?;
+        socket.send(&Message::Welcome { clients, servers }, Some(self.listener.as_fd())).await?;
+        for message in Parts::of(&state) {
+            socket.send(&message, None).await?;
         }
         Ok(())
     }
--- a/crates/stairfront-balancer/src/post.rs
+++ b/crates/stairfront-balancer/src/handover_socket.rs
@@ -22,12 +22,12 @@
     folder.join(format!("stairfront-{:016x}.sock", xxh3_64(balancer.as_bytes())))
 }
 
-/// Both ends see the end of the other as the end of their post.
+/// Both ends see the end of the other as the end of the connection.
 ///
 /// The socket keeps packets apart (`SOCK_SEQPACKET`); tokio's stream type serves as the owner that waits for it.
-pub struct Post(UnixStream);
+pub struct HandoverSocket(UnixStream);
 
-impl Post {
+impl HandoverSocket {
     pub fn connect(path: &Path) -> io::Result<Self> {
         let socket = Socket::new(Domain::UNIX, Type::SEQPACKET, None)?;
         reach(path, |address| socket.connect(address))?;
@@ -36,7 +36,7 @@
 
     fn over(socket: Socket) -> io::Result<Self> {
         socket.set_nonblocking(true)?;
-        Ok(Post(UnixStream::from_std(OwnedFd::from(socket).into())?))
+        Ok(HandoverSocket(UnixStream::from_std(OwnedFd::from(socket).into())?))
     }
 
     /// A message goes whole or not at all. `beside` stays open here; the other side gets one of its own.
@@ -82,9 +82,9 @@
 }
 
 /// Where a successor asks.
-pub struct Letterbox(UnixListener);
+pub struct HandoverListener(UnixListener);
 
-impl Letterbox {
+impl HandoverListener {
     /// Takes the path over from whoever had it before.
     pub fn open(path: &Path) -> io::Result<Self> {
         let socket = Socket::new(Domain::UNIX, Type::SEQPACKET, None)?;
@@ -95,11 +95,11 @@
         reach(path, |address| socket.bind(address))?;
         socket.listen(BACKLOG)?;
         socket.set_nonblocking(true)?;
-        Ok(Letterbox(UnixListener::from_std(OwnedFd::from(socket).into())?))
+        Ok(HandoverListener(UnixListener::from_std(OwnedFd::from(socket).into())?))
     }
 
-    pub async fn accept(&self) -> io::Result<Post> {
-        self.0.accept().await.map(|(socket, _)| Post(socket))
+    pub async fn accept(&self) -> io::Result<HandoverSocket> {
+        self.0.accept().await.map(|(socket, _)| HandoverSocket(socket))
     }
 }
 
--- a/crates/stairfront-balancer/src/legacy.rs
+++ b/crates/stairfront-balancer/src/handover_state.rs
@@ -4,7 +4,7 @@
 
 /// What one process leaves to the next.
 #[derive(Debug, Default, Serialize, Deserialize)]
-pub struct Legacy {
+pub struct HandoverState {
     pub knowledge: Knowledge,
     /// Numbers of all cache hosts that were ever listed: operators may name them still.
     pub listed: Vec<u64>,
@@ -12,8 +12,8 @@
 
 /// What the engine has to give to a successor.
 pub struct Snapshot {
-    /// A `Legacy` as JSON.
-    pub legacy: Vec<u8>,
+    /// A `HandoverState` as JSON.
+    pub state: Vec<u8>,
     /// Connections to servers that this process keeps.
     pub servers: usize,
 }
--- a/crates/stairfront-balancer/src/messages.rs
+++ b/crates/stairfront-balancer/src/messages.rs
@@ -11,7 +11,7 @@
 use tokio::sync::{mpsc, oneshot, OwnedSemaphorePermit};
 
 use crate::clock::Instant;
-use crate::legacy::Snapshot;
+use crate::handover_state::Snapshot;
 use crate::server_list::ServerList;
 
 /// The final answer to one request, or an immediate one to a command that needs no decision.
--- a/crates/stairfront-balancer/src/server.rs
+++ b/crates/stairfront-balancer/src/server.rs
@@ -24,13 +24,13 @@
 use crate::engine::{Engine, Shared};
 use crate::group::Carrier;
 use crate::handover::{self, Attendant, Link, Predecessor, Succession, MOST_HANDED};
+use crate::handover_socket;
 use crate::heartbeat::{self, Vitals};
 use crate::limits::stall_limit;
 use crate::maintenance::{Keeper, Parts, Plans};
 use crate::messages::Input;
 use crate::operators::{self, Desk};
 use crate::orders;
-use crate::post;
 use crate::reload::{self, Reloads};
 use crate::shutdown::{watch_signals, Phase};
 use crate::stages::route::Decide;
@@ -48,8 +48,8 @@
         // Caught before the first connection can come, and so before the first +PONG.
         let hangups = reload::catch_hangups()?;
         let folder = std::env::var_os("TMPDIR").map(PathBuf::from);
-        let post = folder.as_deref().map(|folder| post::path(folder, &config.name));
-        let inherited = match &post {
+        let handover_path = folder.as_deref().map(|folder| handover_socket::path(folder, &config.name));
+        let inherited = match &handover_path {
             Some(path) => handover::ask(path, &config.name, config.listen).await,
             None => None,
         };
@@ -261,7 +261,7 @@
     }
     if let Some(folder) = &folder {
         let attendant = Attendant {
-            path: post::path(folder, &name),
+            path: handover_socket::path(folder, &name),
             name,
             listener: listener.duplicate()?,
             link: successor,
@@ -277,7 +277,7 @@
     let (handed, connections) = mpsc::channel(MOST_HANDED);
     let mut inherited = None;
     if let Some(mut predecessor) = predecessor {
-        inherited = predecessor.legacy.take();
+        inherited = predecessor.state.take();
         let orders = orders.clone();
         let succession = Succession { predecessor, link: before, orders, handed, inbox };
         watching.push(spawn_local(succession.run()));
--- a/crates/stairfront-operations/src/roll.rs
+++ b/crates/stairfront-operations/src/host_registry.rs
@@ -14,7 +14,7 @@
 
 /// Who may be taken out, and who is.
 #[derive(Debug, Default)]
-pub struct Roll {
+pub struct HostRegistry {
     known: FxHashSet<CacheId>,
     /// Those that are listed no more, the one longest gone first; some may have come back since.
     past: VecDeque<CacheId>,
@@ -24,7 +24,7 @@
     held: BTreeMap<CacheId, String>,
 }
 
-impl Roll {
+impl HostRegistry {
     /// A cache host stands in the list.
     pub fn listed(&mut self, id: CacheId) {
         self.known.insert(id);
--- a/crates/stairfront-operations/tests/roll.rs
+++ b/crates/stairfront-operations/tests/host_registry.rs
@@ -1,28 +1,28 @@
 //! Names are remembered in a bound, and the bound forgets nobody who matters; records are read whole or not at all.
-use stairfront_operations::{record, Roll, Unknown};
+use stairfront_operations::{record, HostRegistry, Unknown};
 use stairfront_policy::interface::CacheId;
 
 #[test]
 fn a_long_day_of_new_ids_pushes_out_neither_live_nor_cordoned_names() {
-    let mut roll = Roll::default();
+    let mut registry = HostRegistry::default();
     let (live, out, back) = (CacheId(1), CacheId(2), CacheId(3));
     for id in [live, out, back] {
-        roll.listed(id);
+        registry.listed(id);
     }
     let is_live = |id: CacheId| id == live || id == back;
-    roll.cordon(out, "s-2").unwrap();
-    roll.left(out, is_live);
-    roll.left(back, is_live);
+    registry.cordon(out, "s-2").unwrap();
+    registry.left(out, is_live);
+    registry.left(back, is_live);
     for id in 10..100_000 {
-        roll.listed(CacheId(id));
-        roll.left(CacheId(id), is_live);
+        registry.listed(CacheId(id));
+        registry.left(CacheId(id), is_live);
     }
-    assert!(roll.is_cordoned(out));
-    assert_eq!(roll.uncordon(out), Ok(true));
-    assert_eq!((roll.cordon(live, "s-1"), roll.cordon(back, "s-3")), (Ok(true), Ok(true)));
-    assert_eq!(roll.cordon(CacheId(99_999), "late"), Ok(true), "one that has just left is known");
-    assert_eq!(roll.cordon(CacheId(10), "early"), Err(Unknown), "the bound holds");
-    assert_eq!(roll.cordon(CacheId(5), "never"), Err(Unknown));
+    assert!(registry.is_cordoned(out));
+    assert_eq!(registry.uncordon(out), Ok(true));
+    assert_eq!((registry.cordon(live, "s-1"), registry.cordon(back, "s-3")), (Ok(true), Ok(true)));
+    assert_eq!(registry.cordon(CacheId(99_999), "late"), Ok(true), "one that has just left is known");
+    assert_eq!(registry.cordon(CacheId(10), "early"), Err(Unknown), "the bound holds");
+    assert_eq!(registry.cordon(CacheId(5), "never"), Err(Unknown));
 }
 
 #[test]
