Hosts that a list drops are still sent to where only draining binds, by own outcomes

Where it is set, a host that a list lacks or calls gone without having been listed as draining stays where it is on the ring; its own outcomes decide: after three failed attempts in a row it goes.

The defence meets any list that lacks running hosts, empty ones too; it hurts by a few failed attempts at each host that has really left without draining. In the balancer such a host keeps its address, 4,096 at most.

--- a/crates/stairfront-balancer/src/engine.rs
+++ b/crates/stairfront-balancer/src/engine.rs
@@ -35,6 +35,9 @@
 use crate::terms::Terms;
 use crate::transport::Network;
 
+/// Hosts kept that no list names any more: more than a list may call gone by mistake, and bounded.
+const MOST_DROPPED: usize = 4096;
+
 enum Due {
     /// A timer of the decision module.
     Token(u64),
@@ -68,6 +71,9 @@
     ready: watch::Sender<bool>,
     mode: CacheMode,
     most_attempts: u8,
+    dropped_stay_open: bool,
+    /// Hosts that no list names any more and that may still be sent to, the one dropped first at the front.
+    dropped: VecDeque<CacheId>,
     /// How long this process may live once it has been told to end.
     life_left: Micros,
     /// What each server of the list was last said to be.
@@ -116,6 +122,8 @@
             ready,
             mode: settings.mode,
             most_attempts: settings.limits.most_attempts,
+            dropped_stay_open: settings.rules.dropped_stay_open,
+            dropped: VecDeque::new(),
             life_left: life_left(&settings),
             servers: FxHashMap::default(),
             names: FxHashMap::default(),
@@ -225,6 +233,7 @@
         settings.discovery = stairfront_policy::interface::Discovery::Push;
         self.most_attempts = settings.limits.most_attempts;
         self.life_left = life_left(&settings);
+        self.dropped_stay_open = settings.rules.dropped_stay_open;
         self.table.set_most(host.open_requests);
         let stall = stall_limit(&settings);
         self.pool.retune(duration(settings.limits.connect_timeout), duration(host.idle), stall);
@@ -508,7 +517,7 @@
         if list.full {
             let listed = |id: &CacheId| members.iter().any(|member| member.id == *id);
             let left: Vec<CacheId> = self.servers.keys().copied().filter(|id| !listed(id)).collect();
-            left.into_iter().for_each(|id| self.forget(id));
+            left.into_iter().for_each(|id| self.delist(id));
         }
         list.lines.iter().for_each(|line| self.place(line));
         // Danger: a list that is older than what was heard would have the host used again.
@@ -529,12 +538,13 @@
     fn place(&mut self, line: &Line) {
         let member = line.member;
         if member.state == MemberState::Gone {
-            return self.forget(member.id);
+            return self.delist(member.id);
         }
         let origin = self.is_origin(&member);
         let protocol = if origin { Protocol::Http } else { Protocol::Resp };
         self.pool.set(member.id, Endpoint { address: line.address, protocol });
         let before = self.servers.insert(member.id, member);
+        self.dropped.retain(|other| *other != member.id);
         if before.is_none() {
             // The module knows servers by number alone, and so do its log lines.
             info!("server {:012x} is {} at {}", member.id.0, line.name, line.address);
@@ -552,6 +562,22 @@
         self.bar(member.id);
     }
 
+    /// A list lacks a server or calls it gone. Where that alone does not bind the module goes by the server's own outcomes, and
+    /// may go on sending: its address stays.
+    fn delist(&mut self, id: CacheId) {
+        let stays = |member: &Member| member.state == MemberState::Ready;
+        if !self.dropped_stay_open || !self.servers.get(&id).is_some_and(stays) {
+            return self.forget(id);
+        }
+        self.dropped.retain(|other| *other != id);
+        self.dropped.push_back(id);
+        if self.dropped.len() > MOST_DROPPED {
+            if let Some(oldest) = self.dropped.pop_front() {
+                self.forget(oldest);
+            }
+        }
+    }
+
     fn forget(&mut self, id: CacheId) {
         self.servers.remove(&id);
         self.names.remove(&id);
--- a/crates/stairfront-balancer/src/product.rs
+++ b/crates/stairfront-balancer/src/product.rs
@@ -178,6 +178,8 @@
 struct ProductRules {
     drain_grace_ms: f64,
     #[serde(default)]
+    dropped_stay_open: bool,
+    #[serde(default)]
     answer_slack_ms: f64,
     cold_from: f64,
     warm_up_ms: f64,
@@ -232,6 +234,7 @@
                 "report": {"fields": self.report},
                 "score_parts": {"slow_end": self.slow_end.weight, "borne_misses": self.slow_end.borne_misses},
                 "rules": {"answer_slack": rules.answer_slack_ms, "stop_sending_within": rules.drain_grace_ms,
+                          "dropped_stay_open": rules.dropped_stay_open,
                           "cold_from": rules.cold_from, "warm_up": rules.warm_up_ms,
                           "fall_multiple": rules.fall_multiple, "fall": rules.fall_ms}
             }
--- a/crates/stairfront-balancer/tests/discovery.rs
+++ b/crates/stairfront-balancer/tests/discovery.rs
@@ -249,3 +249,33 @@
         assert!(targets[3].starts_with("GET /api/targets?from=4&"), "{targets:?}");
     });
 }
+
+/// Danger: a list that calls running hosts gone. Where the settings say that draining alone binds they are still sent to, at
+/// the address that was theirs; one that drains is not, in either case.
+#[test]
+fn hosts_that_a_list_drops_are_still_sent_to_where_only_draining_binds() {
+    for stays in [true, false] {
+        run(async {
+            let log = Log::default();
+            let (one, two) =
+                (cache("one", &log, |_, _| hit("one")).await, cache("two", &log, |_, _| hit("two")).await);
+            let mut drains = line("c3", two, "box");
+            drains["status"] = "DRAINING".into();
+            let agent = origin("agent", &log, move |n, _| match n {
+                0 => list(5, true, &[line("c1", one, "box"), drains.clone()]),
+                1 => list(6, true, &[]),
+                _ => Step::Silence,
+            });
+            let lines = [line("c1", one, "box"), line("c3", two, "box")];
+            let set = |text: &mut Value| text["settings"]["rules"]["dropped_stay_open"] = stays.into();
+            let balancer = Balancer::start_with(agent.await, &lines, set).await;
+            until(|| targets(&log).len() > 2).await;
+            let mut client = balancer.client().await;
+            for i in 0..20 {
+                let answer = client.get(&format!("k{i}"), &i.to_string(), 900).await;
+                assert_eq!(answer == bulk("one"), stays, "{answer}");
+            }
+            assert_eq!(commands(&log, "two").len(), 0);
+        });
+    }
+}
--- a/crates/stairfront-policy/src/interface.rs
+++ b/crates/stairfront-policy/src/interface.rs
@@ -129,6 +129,8 @@
     pub answer_slack: Micros,
     pub ask_every: Micros,
     pub stop_sending_within: Micros,
+    /// Only a host that was listed as draining may get nothing new; one that a list drops without that still may.
+    pub dropped_stay_open: bool,
     /// A cold cache starts at no less than this fraction of its capacity...
     pub cold_from: f64,
     /// ...and is warm no later than this after its start.
--- a/crates/stairfront-policy/src/policy.rs
+++ b/crates/stairfront-policy/src/policy.rs
@@ -176,11 +176,9 @@
             ListNews::Delta(lines) => lines,
             ListNews::Full(lines) | ListNews::Cached(lines) => {
                 self.fleet = lines.len() as f64;
-                for server in self.servers.values_mut() {
-                    if !lines.iter().any(|line| line.id == server.member.id) {
-                        (server.member.state, server.listed.state) = (MemberState::Gone, MemberState::Gone);
-                    }
-                }
+                let missing = |s: &&mut Server| !lines.iter().any(|line| line.id == s.member.id);
+                let doubted = self.set.rules.dropped_stay_open;
+                self.servers.values_mut().filter(missing).for_each(|server| server.delist(doubted));
                 lines
             }
         };
@@ -242,11 +240,14 @@
         let blank = Server { member, role, window, step, cold_at, ..Server::default() };
         let fresh = |inflight| Server { keys: mean, inflight, ..blank };
         let server = self.servers.entry(line.id).or_insert_with(|| fresh(0));
+        if line.state == MemberState::Gone {
+            return server.delist(self.set.rules.dropped_stay_open);
+        }
         // Danger: a restarted process comes back empty under its old id; its old keys would flood it.
         if line.born > server.member.born {
             *server = fresh(server.inflight);
         }
-        (server.member, server.listed) = (*line, *listed);
+        (server.member, server.listed, server.dropped) = (*line, *listed, false);
     }
 
     fn mean_keys(&self, newcomer: CacheId) -> i64 {
@@ -587,6 +588,7 @@
 
     fn on_settled(&mut self, now: Micros, s: Settled, actions: &mut Vec<Action>) {
         self.observe(now, &s, actions);
+        self.confirm_delisted(s.cache);
         let noise = self.servers.get(&s.cache).is_some_and(|server| server.faults <= FAULT_ROW);
         if let Some(p) = self.pending.get_mut(&s.id) {
             if let Some(out) = p.out.take_if(|out| out.attempt == s.attempt) {
@@ -804,6 +806,16 @@
         }
     }
 
+    /// What a doubted list has dropped goes as its own attempts fail. Holds for any list that lacks hosts which
+    /// serve, and for hosts that have left for good; it hurts by a few failed attempts at each of those.
+    fn confirm_delisted(&mut self, cache: CacheId) {
+        let left = |s: &&mut Server| s.dropped && s.faults > FAULT_ROW;
+        if let Some(server) = self.servers.get_mut(&cache).filter(left) {
+            server.delist(false);
+            self.rebuild_ring();
+        }
+    }
+
     /// Learns after what idle time connections are dropped unseen; whether this attempt may be lost so.
     fn learn_idle(&mut self, now: Micros, idle: Micros, outcome: Outcome, actions: &mut Vec<Action>) -> bool {
         let lost = matches!(outcome, Outcome::TimedOut | Outcome::Cancelled | Outcome::Reset);
@@ -855,6 +867,15 @@
 }
 
 impl Server {
+    /// Danger: a list that calls most of the fleet gone sends all to the few that are left, which fall one by
+    /// one. Where only draining binds, who has not drained stays, and its own outcomes decide.
+    fn delist(&mut self, doubted: bool) {
+        self.dropped = doubted && self.member.state == MemberState::Ready;
+        if !self.dropped {
+            (self.member.state, self.listed.state) = (MemberState::Gone, MemberState::Gone);
+        }
+    }
+
     /// Danger: many balancers with one request each crowd a server. A window below one is part of the `gap`.
     fn has_room(&self, now: Micros, gap: f64) -> bool {
         if self.window >= 1.0 || self.inflight > 0 {
--- a/crates/stairfront-policy/src/state.rs
+++ b/crates/stairfront-policy/src/state.rs
@@ -31,6 +31,8 @@
     /// Keys that this balancer has placed here, on this process.
     pub keys: i64,
     pub inflight: u32,
+    /// The list lacks it or calls it gone, where that does not bind: its own outcomes decide.
+    pub dropped: bool,
     /// Lost connections, spoilt answers and silent attempts since the last good one.
     pub faults: u32,
     /// Part of the attempts lately that ended without a word.
--- a/crates/stairfront-policy/tests/common/mod.rs
+++ b/crates/stairfront-policy/tests/common/mod.rs
@@ -36,6 +36,7 @@
             answer_slack: 20 * MS,
             ask_every: 10 * SECOND,
             stop_sending_within: 500 * MS,
+            dropped_stay_open: false,
             cold_from: 0.2,
             warm_up: 10 * SECOND,
             fall_multiple: 3.0,
--- a/crates/stairfront-settings/src/lib.rs
+++ b/crates/stairfront-settings/src/lib.rs
@@ -196,6 +196,8 @@
     ask_every: f64,
     #[serde(default)]
     stop_sending_within: f64,
+    #[serde(default)]
+    dropped_stay_open: bool,
     #[serde(default = "full")]
     cold_from: f64,
     #[serde(default)]
@@ -400,6 +402,7 @@
             answer_slack: us(self.answer_slack),
             ask_every: us(self.ask_every),
             stop_sending_within: us(self.stop_sending_within),
+            dropped_stay_open: self.dropped_stay_open,
             cold_from: self.cold_from,
             warm_up: us(self.warm_up),
             fall_multiple: self.fall_multiple,
