--- a/crates/stairfront-policy/src/policy.rs
+++ b/crates/stairfront-policy/src/policy.rs
@@ -2,6 +2,8 @@
 //!
 //! Ordinary path: two-point ring placement after Byers, Considine and Mitzenmacher. Everything else here
 //! is what that design leaves open: list, health, repeats, cold caches, origin, overload, fairness.
+use std::collections::BTreeSet;
+
 use crate::interface::*;
 use crate::measure::{add_part, median, point, Majority, Random};
 use crate::state::*;
@@ -88,6 +90,8 @@
 /// Requests that the shares of traffic remember, and for how many the quotas stand in at the start.
 const FAIR_MEMORY: f64 = 400.0;
 const FAIR_PRIOR: f64 = 20.0;
+/// Part of the hosts in use from which a list that drops them at once is doubted.
+const DOUBTED: f64 = 0.25;
 /// Part of requests that may find candidates full or end late before the shed level rises, and one's step.
 const PRESSED: f64 = 0.08;
 const PRESSED_STEP: f64 = 0.06;
@@ -173,12 +177,19 @@
                 self.list_failures = (self.list_failures + 1).min(4);
                 return self.ask_later(actions);
             }
-            ListNews::Delta(lines) => lines,
+            ListNews::Delta(lines) => {
+                let gone = lines.iter().filter(|line| line.state == MemberState::Gone);
+                self.doubts(&gone.map(|line| line.id).collect::<Vec<_>>());
+                lines
+            }
             ListNews::Full(lines) | ListNews::Cached(lines) => {
                 self.fleet = lines.len() as f64;
-                let missing = |s: &&mut Server| !lines.iter().any(|line| line.id == s.member.id);
-                let doubted = self.set.rules.dropped_stay_open;
-                self.servers.values_mut().filter(missing).for_each(|server| server.delist(doubted));
+                let named: BTreeSet<CacheId> = lines.iter().map(|line| line.id).collect();
+                let missing = |s: &&Server| !named.contains(&s.member.id);
+                let lacking: Vec<CacheId> =
+                    self.servers.values().filter(missing).map(|s| s.member.id).collect();
+                self.doubts(&lacking);
+                lacking.iter().for_each(|id| self.delist(*id));
                 lines
             }
         };
@@ -194,6 +205,25 @@
         }
     }
 
+    /// Danger: a list that calls much of the fleet gone sends all to the few that are left, which fall one
+    /// by one. Where only draining binds such a list is doubted: so many do not die in one change of it, and
+    /// whoever has died is found out by attempts. A few at once likely have, and come back cold.
+    fn doubts(&mut self, leaving: &[CacheId]) {
+        let ready = |s: &&Server| s.member.state == MemberState::Ready;
+        let leave = leaving.iter().filter_map(|id| self.servers.get(id)).filter(ready).count();
+        let all = self.servers.values().filter(ready).count();
+        self.doubting = self.set.rules.dropped_stay_open && leave as f64 >= DOUBTED * all as f64;
+    }
+
+    /// Who drains, or is taken out, has left for good, doubted or not.
+    fn delist(&mut self, id: CacheId) {
+        let Some(server) = self.servers.get_mut(&id) else { return };
+        server.dropped = (self.doubting || server.dropped) && server.member.state == MemberState::Ready;
+        if !server.dropped {
+            (server.member.state, server.listed.state) = (MemberState::Gone, MemberState::Gone);
+        }
+    }
+
     /// Danger: after a mass restart every balancer asks discovery at once and all calls fail, over and over.
     fn ask_later(&mut self, actions: &mut Vec<Action>) {
         if self.set.discovery == Discovery::Ask {
@@ -241,7 +271,7 @@
         let fresh = |inflight| Server { keys: mean, inflight, ..blank };
         let server = self.servers.entry(line.id).or_insert_with(|| fresh(0));
         if line.state == MemberState::Gone {
-            return server.delist(self.set.rules.dropped_stay_open);
+            return self.delist(listed.id);
         }
         // Danger: a restarted process comes back empty under its old id; its old keys would flood it.
         if line.born > server.member.born {
@@ -806,12 +836,13 @@
         }
     }
 
-    /// What a doubted list has dropped goes as its own attempts fail. Holds for any list that lacks hosts which
-    /// serve, and for hosts that have left for good; it hurts by a few failed attempts at each of those.
+    /// What a doubted list has dropped goes as its own attempts fail. Holds for any list that lacks hosts
+    /// that serve, and for hosts that have left for good; it hurts by a few failed attempts at each of those.
     fn confirm_delisted(&mut self, cache: CacheId) {
         let left = |s: &&mut Server| s.dropped && s.faults > FAULT_ROW;
         if let Some(server) = self.servers.get_mut(&cache).filter(left) {
-            server.delist(false);
+            (server.dropped, self.doubting) = (false, false);
+            self.delist(cache);
             self.rebuild_ring();
         }
     }
@@ -867,15 +898,6 @@
 }
 
 impl Server {
-    /// Danger: a list that calls most of the fleet gone sends all to the few that are left, which fall one by
-    /// one. Where only draining binds, who has not drained stays, and its own outcomes decide.
-    fn delist(&mut self, doubted: bool) {
-        self.dropped = doubted && self.member.state == MemberState::Ready;
-        if !self.dropped {
-            (self.member.state, self.listed.state) = (MemberState::Gone, MemberState::Gone);
-        }
-    }
-
     /// Danger: many balancers with one request each crowd a server. A window below one is part of the `gap`.
     fn has_room(&self, now: Micros, gap: f64) -> bool {
         if self.window >= 1.0 || self.inflight > 0 {
--- a/crates/stairfront-policy/src/state.rs
+++ b/crates/stairfront-policy/src/state.rs
@@ -131,6 +131,8 @@
     pub(crate) shed_level: f64,
     pub(crate) shedding: bool,
     pub(crate) started: bool,
+    /// What the list in hand drops is judged by its own outcomes.
+    pub(crate) doubting: bool,
     pub(crate) subscribed: bool,
     pub(crate) list_failures: u32,
     /// Part of the likely misses that are admitted, when it last grew and was cut, and the part of them that end late.
