--- a/crates/stairfront-policy/src/state.rs
+++ b/crates/stairfront-policy/src/state.rs
@@ -104,7 +104,7 @@
 pub struct Policy {
     pub(crate) set: Settings,
     pub(crate) random: Random,
-    pub(crate) servers: BTreeMap<CacheId, Server>,
+    pub(crate) servers: FxHashMap<CacheId, Server>,
     pub(crate) cordons: BTreeMap<CacheId, Cordon>,
     /// Servers in the last whole list.
     pub(crate) fleet: f64,
