--- a/crates/stairfront-policy/src/knowledge.rs
+++ b/crates/stairfront-policy/src/knowledge.rs
@@ -50,7 +50,8 @@
 
 impl Policy {
     pub fn knowledge(&self, now: Micros) -> Knowledge {
-        let servers: Vec<KnownServer> = self.servers.values().map(KnownServer::of).collect();
+        let mut servers: Vec<KnownServer> = self.servers.values().map(KnownServer::of).collect();
+        servers.sort_unstable_by_key(|server| server.id);
         let position = |cache: CacheId| servers.binary_search_by_key(&cache.0, |s| s.id).ok();
         let known = |(key, entry): (&Key, &Placement)| {
             let at = position(entry.cache).filter(|i| servers[*i].born == entry.born)?;
--- a/crates/stairfront-policy/src/policy.rs
+++ b/crates/stairfront-policy/src/policy.rs
@@ -670,7 +670,8 @@
 
     fn origin(&self) -> Option<CacheId> {
         let ready = |s: &&Server| s.role == Role::Origin && s.member.state == MemberState::Ready;
-        self.servers.values().filter(ready).min_by_key(|s| s.inflight).map(|s| s.member.id)
+        let least = self.servers.values().filter(ready).min_by_key(|s| (s.inflight, s.member.id));
+        least.map(|s| s.member.id)
     }
 
     fn lead(&mut self, now: Micros, id: RequestId, actions: &mut Vec<Action>) {
