--- a/crates/stairfront-balancer/src/server.rs
+++ b/crates/stairfront-balancer/src/server.rs
@@ -24,11 +24,13 @@
 use crate::engine::{Engine, Shared};
 use crate::group::Carrier;
 use crate::handover::{self, Attendant, Link, Predecessor, Succession, MOST_HANDED};
+use crate::handover_socket;
 use crate::heartbeat::{self, Vitals};
+use crate::limits::stall_limit;
 use crate::maintenance::{Keeper, Parts, Plans};
+use crate::messages::Input;
 use crate::operators::{self, Desk};
 use crate::orders;
-use crate::post;
 use crate::reload::{self, Reloads};
 use crate::shutdown::{watch_signals, Phase};
 use crate::stages::route::Decide;
@@ -46,8 +48,8 @@
         // Caught before the first connection can come, and so before the first +PONG.
         let hangups = reload::catch_hangups()?;
         let folder = std::env::var_os("TMPDIR").map(PathBuf::from);
-        let post = folder.as_deref().map(|folder| post::path(folder, &config.name));
-        let inherited = match &post {
+        let handover_path = folder.as_deref().map(|folder| handover_socket::path(folder, &config.name));
+        let inherited = match &handover_path {
             Some(path) => handover::ask(path, &config.name, config.listen).await,
             None => None,
         };
@@ -93,6 +95,14 @@
     }))
 }
 
+/// Tells the engine once that this process is to end.
+async fn tell_of_the_end(mut phase: watch::Receiver<Phase>, inbox: mpsc::Sender<Input>) {
+    if phase.wait_for(|phase| *phase != Phase::Running).await.is_ok() {
+        // The engine is gone only when the whole balancer ends.
+        let _ = inbox.send(Input::Ending).await;
+    }
+}
+
 /// What a balancer finds round itself: its network, its clock and those who tell it to stop or to read again.
 pub struct Around<N, L> {
     pub network: N,
@@ -148,6 +158,7 @@
         elsewhere: servers_elsewhere,
         connect_timeout: duration(start.settings.limits.connect_timeout),
         servers_idle_limit: duration(start.host.idle),
+        stall_limit: stall_limit(&start.settings),
         memory,
     };
     let pool =
@@ -209,6 +220,7 @@
     info!("{name} serves on {} with {} known servers", listener.local_address()?, known.lines.len());
     let reloads = Reloads::new(config, agent, lists, Rc::clone(&counters));
     let beating = heartbeat::beat(vitals);
+    watching.push(spawn_local(tell_of_the_end(phase.clone(), inbox.clone())));
     watching.extend([spawn_local(beating), spawn_local(watch.run()), spawn_local(reloads.run(hangups))]);
     if let Some(members) = &members {
         let links = [Rc::clone(&before), Rc::clone(&successor)];
@@ -249,7 +261,7 @@
     }
     if let Some(folder) = &folder {
         let attendant = Attendant {
-            path: post::path(folder, &name),
+            path: handover_socket::path(folder, &name),
             name,
             listener: listener.duplicate()?,
             link: successor,
@@ -265,7 +277,7 @@
     let (handed, connections) = mpsc::channel(MOST_HANDED);
     let mut inherited = None;
     if let Some(mut predecessor) = predecessor {
-        inherited = predecessor.legacy.take();
+        inherited = predecessor.state.take();
         let orders = orders.clone();
         let succession = Succession { predecessor, link: before, orders, handed, inbox };
         watching.push(spawn_local(succession.run()));
