A server's close behind an answer has no connections rest

Cause, connection.rs: what is not quiet after an answer counted as more than was asked for, an end of the connection too. The test fails with the line as it was.

--- a/crates/stairfront-balancer/src/connection.rs
+++ b/crates/stairfront-balancer/src/connection.rs
@@ -106,6 +106,8 @@
                 }
             };
             let surplus = reusable && !is_quiet(&wire);
+            // One that its server has closed behind the answer brings nothing more.
+            let more = surplus && has_more(&wire);
             if surplus {
                 self.common.counters.server_connections_surplus.add();
             }
@@ -113,7 +115,7 @@
                 // Danger: late bytes must never reach another request, and the attempt must be over for the
                 // server before another one is sent. So the socket is closed before the end is told.
                 drop(wire);
-                return self.closed_with(end, None, surplus).await;
+                return self.closed_with(end, None, more).await;
             }
             self.tell(PoolNews::Idle { connection: self.id, end }).await;
             let until = used + self.common.idle_limit.get();
@@ -123,7 +125,7 @@
                 // Danger: a loop that stood still finds the job and the end of the time at once.
                 Some(next) if quiet && Instant::now() < until => job = next,
                 next => {
-                    let surplus = !wire.read_buffer().is_empty() || wire.get_ref().unread() == Unread::Bytes;
+                    let surplus = has_more(&wire);
                     if surplus {
                         self.common.counters.server_connections_surplus.add();
                     }
@@ -181,6 +183,11 @@
     wire.read_buffer().is_empty() && wire.get_ref().unread() == Unread::Nothing
 }
 
+/// Bytes stand behind what was asked for.
+fn has_more<T: Stream, S>(wire: &Framed<T, S>) -> bool {
+    !wire.read_buffer().is_empty() || wire.get_ref().unread() == Unread::Bytes
+}
+
 async fn cancelled(cancel: &mut oneshot::Receiver<()>) {
     if cancel.await.is_err() {
         std::future::pending().await
--- a/crates/stairfront-balancer/tests/pool.rs
+++ b/crates/stairfront-balancer/tests/pool.rs
@@ -291,3 +291,33 @@
         assert_eq!(opened(&log), before);
     });
 }
+
+/// The false alarm: a server that closes its connection behind an answer has sent nothing more, and no connection rests for it.
+/// Danger: where servers close often every attempt would have a new connection.
+#[test]
+fn a_connection_that_its_server_closes_behind_an_answer_has_none_rest() {
+    run(async {
+        let log = Log::default();
+        let closing = |n: usize, _: &[String]| match hit("v") {
+            Step::Say(bytes) if n == 0 => Step::Cut(bytes),
+            step => step,
+        };
+        let address = cache("cache", &log, closing).await;
+        let (mut pool, mut inputs) = pool(address, 4);
+        for id in 1..=6 {
+            let (job, _kept) = job(id);
+            assert!(pool.dispatch(job).is_none());
+            let mut ended: Vec<AttemptEnd> = Vec::new();
+            while ended.is_empty() {
+                match inputs.recv().await {
+                    Some(Input::Pool(news)) => pool.hear(news, &mut ended),
+                    _ => panic!("nothing else is told"),
+                }
+            }
+            assert_eq!(ended[0].verdict.outcome, Outcome::Served);
+            // The end of the first connection is heard before the next attempt.
+            tokio::time::sleep(ms(5)).await;
+        }
+        assert_eq!(count(&log, &Seen::Opened("cache")), 2);
+    });
+}
