--- a/crates/stairfront-balancer/tests/pool.rs
+++ b/crates/stairfront-balancer/tests/pool.rs
@@ -284,7 +284,7 @@
             }
             at_once = true;
         }
-        // Rested, they are used again; without room for another one a connection does not rest.
+        // Rested, they are used again.
         tokio::time::sleep(ms(60)).await;
         let before = opened(&log);
         serve(&mut pool, &mut inputs, 100).await;
