--- a/crates/stairfront-balancer/src/clients.rs
+++ b/crates/stairfront-balancer/src/clients.rs
@@ -15,7 +15,7 @@
 use stairfront_policy::interface::RequestId;
 use stairfront_wire::budget::{Budget, Claim};
 use stairfront_wire::resp::{put_bulk, put_line, put_number, shrink, CommandReader, RespError};
-use tokio::io::AsyncReadExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::sync::{mpsc, oneshot, watch, AcquireError, Notify, OwnedSemaphorePermit, Semaphore};
 use tokio::task::{spawn_local, yield_now};
 use tokio_util::codec::{Decoder, Encoder, Framed, FramedParts};
@@ -507,7 +507,7 @@
                 return End::HandedOver;
             }
             // What has not been read the successor reads; of a command that is too large to move, the rest.
-            let waiting = self.no_room.is_some_and(|bytes| context.large.left() < bytes);
+            let waiting = self.waits_for_room();
             let reading =
                 self.last.is_none() && self.owed.len() < MOST_OPEN && !(handing && movable) && !waiting;
             // Read from, a connection tells its end by itself.
@@ -544,7 +544,7 @@
                 // polled again the sockets have been looked at, and the read above comes first.
                 () = yield_now(), if leaving => {
                     if !self.input_waits() {
-                        return self.own_end();
+                        return self.end_here();
                     }
                 }
                 // A spare one has no place to give.
@@ -570,6 +570,17 @@
         }
     }
 
+    /// Danger: whatever comes between the last look at the socket and the end of this side crosses it, and its client has
+    /// to come again. So the one follows the other.
+    fn end_here(&mut self) -> End {
+        let end = self.own_end();
+        if matches!(end, End::Stopped) {
+            // All answers have been written; what fails here fails again as it lingers.
+            let _ = self.wire.get_mut().shutdown().now_or_never();
+        }
+        end
+    }
+
     /// How it ends of the balancer's own accord.
     fn own_end(&self) -> End {
         let stopping = self.stays || *self.context.phase.borrow() != Phase::Running;
@@ -628,6 +639,11 @@
         self.place.spare
     }
 
+    /// A large command at the front has no room yet.
+    fn waits_for_room(&self) -> bool {
+        self.no_room.is_some_and(|bytes| self.context.large.left() < bytes)
+    }
+
     /// Asks the kernel itself, as the last thing before a close. Danger: on a small part of a core much time can pass
     /// after the event loop has looked, and what came meanwhile counts as taken.
     fn input_waits(&self) -> bool {
@@ -662,7 +678,13 @@
     /// a balancer that is behind can least afford.
     async fn take_what_is_there(&mut self) -> Result<(), End> {
         let handing = !self.stays && self.context.phase.borrow().hands_over();
-        while !handing && !self.owed.is_empty() && self.last.is_none() && self.owed.len() < MOST_OPEN {
+        // Danger: read on behind a command that waits for room, all that its client sends would stand here.
+        while !handing
+            && !self.owed.is_empty()
+            && self.last.is_none()
+            && self.owed.len() < MOST_OPEN
+            && !self.waits_for_room()
+        {
             let Some(command) = self.wire.next().now_or_never() else { return Ok(()) };
             self.hear(command).await?;
         }
