An answer over HTTP without a length is whole at the proper end of its connection alone

Until now every answer without a length was spoilt, whole ones too (http.rs read_head, "no length"), so a request that the origin had answered failed or ran again. A body without a length is now read to the end of input, bounded by the largest value and the readers' budget, and becomes an answer in decode_eof; a reset is an I/O error and stays `Reset`; a cut length or chunk stays an error.

--- a/crates/stairfront-balancer/src/origin.rs
+++ b/crates/stairfront-balancer/src/origin.rs
@@ -1,6 +1,5 @@
 //! How the origin is spoken to: HTTP/1.1, one request at a time on a connection.
 use std::fmt::Write as _;
-use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -31,9 +30,7 @@
 
     fn decode_eof(&mut self, src: &mut BytesMut) -> Result<Option<Part<Response>>, HttpError> {
         match self.http.next_part(src)? {
-            None if self.http.is_within() || !src.is_empty() => {
-                Err(io::Error::from(io::ErrorKind::UnexpectedEof).into())
-            }
+            None => Ok(self.http.end(src)?.map(Part::Whole)),
             part => Ok(part),
         }
     }
--- a/crates/stairfront-balancer/tests/common/mod.rs
+++ b/crates/stairfront-balancer/tests/common/mod.rs
@@ -88,6 +88,8 @@
     End,
     /// Says a part of an answer and ends the connection.
     Cut(Vec<u8>),
+    /// The same with a reset.
+    Broken(Vec<u8>),
 }
 
 pub fn hit(value: &str) -> Step {
@@ -187,6 +189,11 @@
                     socket.write_all(&bytes).await.unwrap_or_default();
                     break 'connection;
                 }
+                Step::Broken(bytes) => {
+                    socket.write_all(&bytes).await.unwrap_or_default();
+                    socket.set_zero_linger().unwrap();
+                    break 'connection;
+                }
             }
         }
         match socket.read(&mut chunk).await {
--- a/crates/stairfront-wire/src/http.rs
+++ b/crates/stairfront-wire/src/http.rs
@@ -57,6 +57,8 @@
     Sized(usize),
     /// What has come of it so far.
     Chunked(BytesMut),
+    /// By the proper end of the connection alone.
+    Closed,
 }
 
 /// Reads one response after the other; `largest_body` bounds each.
@@ -118,8 +120,9 @@
         if matches!(response.status, 100..=199 | 204 | 304) {
             body = Some(Told::Sized(0));
         }
-        // Danger: a body that ends with its connection cannot be told from one that was cut short.
-        let body = body.ok_or(HttpError::Malformed("no length"))?;
+        // Danger: cut short by a reset such a body looks whole; only a connection that was ended properly tells its end.
+        let body = body.unwrap_or(Told::Closed);
+        response.last |= matches!(body, Told::Closed);
         src.advance(end);
         Ok(Some((response, body)))
     }
@@ -169,6 +172,10 @@
         let needed = match &body {
             Told::Sized(length) => *length,
             Told::Chunked(done) => done.len() + src.len(),
+            Told::Closed if src.len() > self.largest_body => {
+                return Err(HttpError::Malformed("body too large"))
+            }
+            Told::Closed => src.len(),
         };
         if !self.claim.hold(needed) {
             return Err(HttpError::Malformed("no memory for so large a body"));
@@ -182,6 +189,7 @@
             Told::Chunked(done) => {
                 Self::read_chunks(src, done, self.largest_body)?.then(|| std::mem::take(done).freeze())
             }
+            Told::Closed => None,
         };
         match whole {
             Some(bytes) => {
@@ -241,9 +249,19 @@
         }
     }
 
-    /// Whether an answer has begun and is not over.
-    pub fn is_within(&self) -> bool {
-        self.head.is_some() || self.large.is_some()
+    /// What the proper end of the connection makes whole, where the reader has found no more; whatever else has begun is cut.
+    pub fn end(&mut self, src: &mut BytesMut) -> Result<Option<Response>, HttpError> {
+        if let Some((response, Told::Closed)) = &mut self.head {
+            let length = src.len();
+            let whole = Response { body: cut_frame(src, length), ..std::mem::take(response) };
+            self.head = None;
+            let _ = self.claim.hold(0);
+            return Ok(Some(whole));
+        }
+        match self.head.is_some() || self.large.is_some() || !src.is_empty() {
+            true => Err(io::Error::from(io::ErrorKind::UnexpectedEof).into()),
+            false => Ok(None),
+        }
     }
 }
 
@@ -257,9 +275,7 @@
 
     fn decode_eof(&mut self, src: &mut BytesMut) -> Result<Option<Response>, HttpError> {
         match self.next(src)? {
-            None if self.head.is_some() || !src.is_empty() => {
-                Err(io::Error::from(io::ErrorKind::UnexpectedEof).into())
-            }
+            None => self.end(src),
             response => Ok(response),
         }
     }
