Cold budgets go by what warm caches of the same kind take on, not by the mean sent

It took the mean rate sent to all warm caches, and the one that fell was of the weakest kind (0.3 of the mean).

Now each kind has its own mean over its warm caches, of attempts that they took on (not full, not unconnected); a kind with none warm keeps its last.

--- a/crates/stairfront-policy/src/policy.rs
+++ b/crates/stairfront-policy/src/policy.rs
@@ -2,7 +2,7 @@
 //!
 //! Ordinary path: two-point ring placement after Byers, Considine and Mitzenmacher. Everything else here
 //! is what that design leaves open: list, health, repeats, cold caches, origin, overload, fairness.
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::interface::*;
 use crate::measure::{add_part, median, point, Majority, Random};
@@ -79,8 +79,9 @@
 const SENT_SPAN: f64 = 4.0 * SECOND as f64;
 /// Most that counts as the usual time between two own requests to a cache.
 const GAP_MOST: f64 = 30.0 * SECOND as f64;
-/// Time between two looks over the whole fleet, which are not taken for each request.
-const LOOK_GAP: Micros = 100 * MS;
+/// Time between two looks over the whole fleet, which are not taken for each request: a tenth of the span of
+/// what they look at.
+const LOOK_GAP: Micros = SENT_SPAN as Micros / 10;
 /// Part of the time allowed without a call to discovery within which this balancer makes one.
 const ASK_PART: f64 = 0.7;
 /// A tenant counts as over its share beyond this multiple of the median use of quotas here.
@@ -264,7 +265,10 @@
         let origin = matches!(self.set.mode, CacheMode::Aside { origin } if origin == line.kind);
         // An origin is as strong as the fleet that it stands behind is large; a cache is not.
         let scale = if origin { (self.fleet / WINDOW_START).max(1.0) } else { 1.0 };
-        let (mean, step) = (self.mean_keys(line.id), scale / f64::from(self.set.balancers));
+        // A walk over all of them, for a newcomer alone.
+        let known = self.servers.get(&line.id).is_some_and(|s| line.born <= s.member.born);
+        let mean = if known { 0 } else { self.mean_keys(line.id) };
+        let step = scale / f64::from(self.set.balancers);
         let role = if origin { Role::Origin } else { Role::Cache };
         let (member, window, cold_at) = (*line, (WINDOW_START * step).max(1.0), now);
         let blank = Server { member, role, window, step, cold_at, ..Server::default() };
@@ -462,21 +466,31 @@
         steps.filter(|c| !tried.contains(&Some(*c))).find(|c| self.servers.get(c).is_some_and(&fit))
     }
 
+    fn warm(&self, server: &Server, now: Micros) -> bool {
+        server.member.state == MemberState::Ready && self.warmth(server, now) >= 1.0
+    }
+
     /// May an ordinary request go there now?
     fn open(&self, server: &Server, now: Micros) -> bool {
-        let warm = || self.warmth(server, now) >= 1.0 || self.cold_tokens(server, now) > self.draw;
-        server.member.state == MemberState::Ready && warm()
+        let drawn = || self.cold_tokens(server, now) > self.draw;
+        self.warm(server, now) || server.member.state == MemberState::Ready && drawn()
     }
 
-    /// The mean rate sent to a warm cache: it needs a walk over all of them.
+    /// The mean rate sent to a warm cache, and the mean that one of each kind bears: they need a walk over all
+    /// of them. A kind of which none is warm keeps what it bore last.
     fn look_over(&mut self, now: Micros) {
         if now - self.looked_at < LOOK_GAP {
             return;
         }
         self.looked_at = now;
-        let warm = self.ring_servers().filter(|s| self.warmth(s, now) >= 1.0);
-        let (sum, n) = warm.fold((0.0, 0), |(sum, n), s| (sum + s.sent.per_second(now, SENT_SPAN), n + 1));
-        self.warm_rate = sum / f64::from(n.max(1));
+        let (mut kinds, mut sum, mut n) = (BTreeMap::<Kind, (f64, f64)>::new(), 0.0, 0.0);
+        for s in self.ring_servers().filter(|s| self.warmth(s, now) >= 1.0) {
+            (sum, n) = (sum + s.sent.per_second(now, SENT_SPAN), n + 1.0);
+            let of = kinds.entry(s.member.kind).or_default();
+            *of = (of.0 + s.borne.per_second(now, SENT_SPAN), of.1 + 1.0);
+        }
+        self.warm_rate = sum / f64::max(n, 1.0);
+        self.kind_rates.extend(kinds.into_iter().map(|(kind, (sum, n))| (kind, sum / n)));
     }
 
     /// Fraction of its capacity that a cache surely has by its stated warm-up.
@@ -492,7 +506,10 @@
     /// balancer sends to a warm cache stands for its part of the capacity, so no other balancer is asked.
     fn cold_tokens(&self, server: &Server, now: Micros) -> f64 {
         let trickle = COLD_TRICKLE / f64::from(self.set.balancers);
-        let rate = (self.warm_rate * self.warmth(server, now)).max(trickle) / SECOND as f64;
+        // Danger: the mean of all machines is a multiple of what the weakest kind can do, and what a full one
+        // turned away is no work that it can bear.
+        let usual = self.kind_rates.get(&server.member.kind).copied().unwrap_or(self.warm_rate);
+        let rate = (usual * self.warmth(server, now)).max(trickle) / SECOND as f64;
         // Danger: whole tokens, saved up by each of hundreds of balancers, all go out in one burst. What may
         // be saved is a part of the budget; where that is below one, a request draws for it.
         let (multiple, span) = (self.set.rules.fall_multiple.max(1.0), self.set.rules.fall.max(SECOND));
@@ -788,6 +805,9 @@
         if error && aside {
             server.fault(now, 0);
         }
+        if !matches!(s.outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot) {
+            server.borne.add(now, SENT_SPAN);
+        }
         // Danger: fetches past what the origin can do hold up caches, and what they still have. Keys that
         // this balancer has not seen served are likely misses; their late answers show it.
         let answered = !s.outcome.never_ran() && s.outcome != Outcome::Reset;
--- a/crates/stairfront-policy/src/state.rs
+++ b/crates/stairfront-policy/src/state.rs
@@ -46,6 +46,8 @@
     pub pace: Average,
     pub stress: Average,
     pub sent: Rate,
+    /// What it has taken on of that.
+    pub borne: Rate,
     /// Last sign of use of a connection there, 0 for none, and for how long it was idle when the last attempt went
     /// out on it; 0 for one that was new or in use.
     pub used: Micros,
@@ -117,6 +119,8 @@
     /// Attempts out at caches.
     pub(crate) out: u32,
     pub(crate) warm_rate: f64,
+    /// What a warm cache of each kind of machine bears.
+    pub(crate) kind_rates: BTreeMap<Kind, f64>,
     /// This request's draw for a part of a cold cache's token.
     pub(crate) draw: f64,
     pub(crate) looked_at: Micros,
--- a/crates/stairfront-policy/tests/protection.rs
+++ b/crates/stairfront-policy/tests/protection.rs
@@ -67,6 +67,46 @@
     assert!(cold[0] > 0, "but it gets some, to warm");
 }
 
+/// Danger: the mean of all machines is a multiple of what the weakest kind can do, and so is what is sent there where most of
+/// it is turned away unseen. All balancers would push a weak cold cache over together.
+#[test]
+fn a_weak_cold_cache_gets_by_what_warm_ones_of_its_kind_take_on() {
+    let weak = |id: u64| id % 2 == 0;
+    let kind_of = |id: u64| Kind([0, 2][usize::from(weak(id))]);
+    let list: Vec<Member> = ready(1..=6).into_iter().map(|m| Member { kind: kind_of(m.id.0), ..m }).collect();
+    let mut rig = Rig::new(through(), &list);
+    // What the weak ones were sent and took on.
+    let (mut key, mut sent, mut taken) = (0, 0, 0);
+    let mut play = |rig: &mut Rig, seconds: i64, told: &mut dyn FnMut(u64, bool)| {
+        for _ in 0..100 * seconds {
+            key += 1;
+            let id = rig.ask(key);
+            while let (Some(cache), 0) = (rig.last_cache(id), rig.finals(id)) {
+                let takes = !weak(cache.0) || key % 4 == 0;
+                told(cache.0, takes);
+                rig.settle(id, if takes { Outcome::Served } else { Outcome::Full });
+                if takes {
+                    break;
+                }
+            }
+            rig.now += 10 * MS;
+        }
+    };
+    play(&mut rig, 12, &mut |cache, takes| {
+        sent += u32::from(weak(cache));
+        taken += u32::from(weak(cache) && takes);
+    });
+    assert!(sent > 2 * taken, "{sent} sent, {taken} taken on");
+    let born = rig.now;
+    let restarted = Member { born, kind: Kind(2), ..member(4, MemberState::Ready) };
+    rig.event(Event::List(ListNews::Delta(&[restarted])));
+    let mut cold = 0;
+    play(&mut rig, 5, &mut |cache, _| cold += u32::from(cache == 4));
+    // Over the first five of ten seconds it has 0.4 of its capacity on average.
+    let budget = 5.0 * 0.4 * f64::from(taken) / 3.0 / 12.0;
+    assert!(cold > 0 && f64::from(cold) < 1.6 * budget, "{cold} sent while cold, a budget of {budget:.1}");
+}
+
 #[test]
 fn with_only_cold_caches_requests_still_get_their_one_answer() {
     let mut rig = Rig::new(through(), &[]);
