Told to end before its first list, twice, or into a reload: forced on the real program

A process without a list (dead agent, no known hosts) refuses what it is asked, is told to end twice, serves a new connection in its half second and ends in under 1.5 s; another reads its configuration anew (other deadlines, another agent) and is told to end twice with a request out, which is answered.

--- a/crates/stairfront/tests/process.rs
+++ b/crates/stairfront/tests/process.rs
@@ -9,10 +9,10 @@
 use std::time::Instant;
 
 use common::{
-    bulk, cache, command, config, get, hit, http, line, listing_agent as agent, ms, origin, quiet_agent, run,
-    Client, Log, Step,
+    bulk, cache, command, commands, config, dead_address, get, hit, http, line, listing_agent as agent, ms,
+    origin, quiet_agent, run, until, Client, Log, Step,
 };
-use processes::Process;
+use processes::{own_address, Process};
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
@@ -150,3 +150,50 @@
         process.ended().await;
     });
 }
+
+/// Danger: a process that is told to end has not learned its list yet, is told again, or is just reading its configuration
+/// anew. What it has taken and still takes is owed an answer all the same, and its end may not wait for any of that.
+#[test]
+fn sigterm_before_the_first_list_again_and_into_a_reload_still_answers_all_that_was_taken() {
+    run(async {
+        let mut text = config(own_address(), dead_address().await, &[], 1024);
+        text["known"]["index"] = 0.into();
+        let mut process = Process::begin("no-list", text, None);
+        let mut early = loop {
+            match Client::connect(process.address).await {
+                Ok(client) => break client,
+                Err(_) => sleep(ms(5)).await,
+            }
+        };
+        assert!(early.ask(&["PING"]).await.starts_with("-LOADING"), "it has no list");
+        early.send(&get("k", "early", 1400)).await;
+        assert!(early.answer().await.unwrap().starts_with("-BUSY"));
+        let mut late = Client::connect(process.address).await.unwrap();
+        let told = Instant::now();
+        process.signal("-TERM");
+        process.signal("-TERM");
+        assert_eq!(early.answer().await, None, "between requests");
+        late.send(&get("k", "late", 1400)).await;
+        assert!(late.answer().await.unwrap().starts_with("-BUSY"));
+        assert_eq!(late.answer().await, None);
+        process.ended().await;
+        assert!(told.elapsed() < ms(1500), "{:?}", told.elapsed());
+    });
+    run(async {
+        let log = Log::default();
+        let (agent, host) = (quiet_agent(&log).await, cache("cache", &log, slow(400)).await);
+        let mut process = Process::start("into-reload", agent, host).await;
+        let mut client = Client::connect(process.address).await.unwrap();
+        client.send(&get("k", "open", 1400)).await;
+        until(|| commands(&log, "cache").len() == 1).await;
+        let mut other = config(process.address, dead_address().await, &[line("c", host, "box")], 1024);
+        other["settings"]["profiles"][0]["deadline"] = 900.0.into();
+        process.rewrite(other);
+        process.signal("-HUP");
+        process.signal("-TERM");
+        process.signal("-TERM");
+        assert_eq!(client.answer().await.unwrap(), bulk("k"));
+        assert_eq!(client.answer().await, None);
+        process.ended().await;
+    });
+}
