--- a/crates/stairfront-policy/src/policy.rs
+++ b/crates/stairfront-policy/src/policy.rs
@@ -430,8 +430,8 @@
         pick.or_else(|| self.relieve(now, key, &tried)).or(resort)
     }
 
-    /// Its cores were in use by its last answer, unless that is too long ago. Danger: of hundreds of balancers
-    /// each has one request out at a cache that many keys are hot at, and all of them wait past their aim.
+    /// Its cores were in use by its last answer, unless that is too long ago. Danger: of hundreds of
+    /// balancers each has one request out at a cache where many keys are hot, and all wait past their aim.
     fn reports_busy(&self, server: &Server, now: Micros) -> bool {
         (BUSY..UNTOLD).contains(&server.busy) && ((now - server.sent.at) as f64) < PAUSE_LAST
     }
@@ -484,8 +484,8 @@
         self.warm(server, now) || server.member.state == MemberState::Ready && drawn()
     }
 
-    /// The mean rate sent to a warm cache, and the mean that one of each kind bears: they need a walk over all
-    /// of them. A kind of which none is warm keeps what it bore last.
+    /// The mean rate sent to a warm cache, and the mean that one of each kind bears: they need a walk over
+    /// all of them. A kind of which none is warm keeps what it bore last.
     fn look_over(&mut self, now: Micros) {
         if now - self.looked_at < LOOK_GAP {
             return;
