--- a/crates/stairfront-balancer/tests/crossings.rs
+++ b/crates/stairfront-balancer/tests/crossings.rs
@@ -258,6 +258,7 @@
         let answer = |body: &str| format!("HTTP/1.1 200 OK\r\n\r\n{body}").into_bytes();
         let db = origin("db", &log, move |n, words| match (n, words[0].starts_with("GET /whole ")) {
             (_, true) => Step::Cut(answer("all of it")),
+            (_, _) if words[0].starts_with("GET /endless ") => Step::Say(answer("so far")),
             (1, _) => Step::Broken(answer("half of")),
             (_, _) => Step::Cut(answer("half of it and the rest")),
         })
@@ -268,5 +269,9 @@
         assert_eq!(client.get("whole", "a", 1400).await, bulk("all of it"));
         assert_eq!(client.get("broken", "b", 1400).await, bulk("half of it and the rest"));
         assert_eq!(commands(&log, "db").len(), 3, "one answer, one reset, one more");
+        // One that never ends is no answer, and its request is answered in its time.
+        let asked = Instant::now();
+        let answer = client.get("endless", "c", 500).await;
+        assert!(answer.starts_with("-BUSY") && asked.elapsed() < ms(550), "{answer} {:?}", asked.elapsed());
     });
 }
