--- a/crates/stairfront-balancer/tests/common/mod.rs
+++ b/crates/stairfront-balancer/tests/common/mod.rs
@@ -130,7 +130,7 @@
 /// Removes one whole message from the front of a buffer.
 type Cut = fn(&mut Vec<u8>) -> Option<Vec<String>>;
 
-fn cut_resp(buffer: &mut Vec<u8>) -> Option<Vec<String>> {
+pub fn cut_resp(buffer: &mut Vec<u8>) -> Option<Vec<String>> {
     fn line(buffer: &[u8], at: &mut usize) -> Option<String> {
         let end = buffer[*at..].windows(2).position(|w| w == b"\r\n")? + *at;
         let text = String::from_utf8(buffer[*at..end].to_vec()).unwrap();
--- /dev/null
+++ b/crates/stairfront/tests/stray_answers/repeating_host.rs
@@ -0,0 +1,158 @@
+//! A cache host that answers some requests a second time: after a drawn delay, behind or before the answers of later
+//! requests. It answers each command in order, begins the requests of a connection one after the other, and counts how
+//! often each was begun.
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::ops::RangeInclusive;
+use std::rc::Rc;
+
+use stairfront_common::random::SeededRng;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+use super::common::{cut_resp, ms};
+
+/// What comes the second time.
+#[derive(Clone, Copy, Debug)]
+pub enum Repeat {
+    /// The answer itself.
+    Copy,
+    /// A refusal, which claims that the request never ran.
+    Busy,
+    /// The answer with that of the command behind it, as where a part of the stream is sent twice.
+    WithNext,
+}
+
+/// How often and how late answers are repeated.
+#[derive(Clone, Debug)]
+pub struct Faults {
+    pub repeat: Repeat,
+    /// One answer in so many.
+    pub one_in: u64,
+    /// Delay of the second answer.
+    pub delay_ms: RangeInclusive<u64>,
+    /// Time that a request takes.
+    pub work_ms: RangeInclusive<u64>,
+}
+
+/// What all cache hosts of a test have seen.
+#[derive(Default)]
+pub struct HostLog {
+    /// How often each request was begun, by id.
+    pub begun: RefCell<HashMap<String, u32>>,
+    pub repeated: Cell<u64>,
+    pub connections: Cell<u64>,
+}
+
+struct Host {
+    faults: Faults,
+    random: RefCell<SeededRng>,
+    log: Rc<HostLog>,
+}
+
+/// The value that a host answers for a request; no other request has the same.
+pub fn value_of(id: &str) -> String {
+    format!("value-of-{id}")
+}
+
+/// Starts a host; its address.
+pub async fn start(faults: Faults, seed: u64, log: &Rc<HostLog>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let random = RefCell::new(SeededRng::for_part(seed, "repeating host"));
+    let host = Rc::new(Host {
+        faults,
+        random,
+        log: Rc::clone(log),
+    });
+    spawn_local(async move {
+        while let Ok((socket, _)) = listener.accept().await {
+            host.log.connections.set(host.log.connections.get() + 1);
+            socket.set_nodelay(true).unwrap();
+            spawn_local(Rc::clone(&host).serve(socket));
+        }
+    });
+    address
+}
+
+impl Host {
+    fn draw(&self, range: &RangeInclusive<u64>) -> u64 {
+        range.start()
+            + self
+                .random
+                .borrow_mut()
+                .below(range.end() - range.start() + 1)
+    }
+
+    async fn serve(self: Rc<Self>, socket: TcpStream) {
+        let (mut input, mut output) = socket.into_split();
+        let (answers, mut to_write) = mpsc::unbounded_channel::<Vec<u8>>();
+        spawn_local(async move {
+            while let Some(bytes) = to_write.recv().await {
+                if output.write_all(&bytes).await.is_err() {
+                    return;
+                }
+            }
+        });
+        let (commands, queue) = mpsc::unbounded_channel();
+        spawn_local(Rc::clone(&self).answer_in_order(queue, answers));
+        let mut buffer = Vec::new();
+        let mut chunk = [0; 4096];
+        loop {
+            match input.read(&mut chunk).await {
+                Ok(0) | Err(_) => return,
+                Ok(n) => buffer.extend_from_slice(&chunk[..n]),
+            }
+            while let Some(words) = cut_resp(&mut buffer) {
+                let _ = commands.send(words);
+            }
+        }
+    }
+
+    async fn answer_in_order(
+        self: Rc<Self>,
+        mut commands: mpsc::UnboundedReceiver<Vec<String>>,
+        answers: mpsc::UnboundedSender<Vec<u8>>,
+    ) {
+        // An answer that comes again together with the one behind it.
+        let mut repeated_with_next = None;
+        while let Some(words) = commands.recv().await {
+            if !words[0].starts_with("C.") {
+                let answer = b"+OK\r\n";
+                let _ = answers.send(answer.to_vec());
+                if let Some(first) = repeated_with_next.take() {
+                    self.repeat_late([first, answer.to_vec()].concat(), &answers);
+                }
+                continue;
+            }
+            let id = &words[2];
+            *self.log.begun.borrow_mut().entry(id.clone()).or_default() += 1;
+            sleep(ms(self.draw(&self.faults.work_ms))).await;
+            let value = value_of(id);
+            let answer = format!("*3\r\n${}\r\n{value}\r\n$3\r\nhit\r\n$-1\r\n", value.len());
+            let _ = answers.send(answer.clone().into_bytes());
+            if self.draw(&(1..=self.faults.one_in)) > 1 {
+                continue;
+            }
+            match self.faults.repeat {
+                Repeat::Copy => self.repeat_late(answer.into_bytes(), &answers),
+                Repeat::Busy => self.repeat_late(b"-BUSY\r\n".to_vec(), &answers),
+                Repeat::WithNext => repeated_with_next = Some(answer.into_bytes()),
+            }
+        }
+    }
+
+    fn repeat_late(&self, answer: Vec<u8>, answers: &mpsc::UnboundedSender<Vec<u8>>) {
+        let delay = ms(self.draw(&self.faults.delay_ms));
+        let answers = answers.clone();
+        self.log.repeated.set(self.log.repeated.get() + 1);
+        spawn_local(async move {
+            sleep(delay).await;
+            let _ = answers.send(answer);
+        });
+    }
+}
