An answer counts only where it is proved to be the request's own

Cause: an answer names no request, and a connection whose state was not known was used again (connection.rs, carry and wait_for_job: quiet at this moment counted as clean). The guard against it, REST_PERIOD for SURPLUS_TTL, began after the first surplus that was seen, held for 50 ms, and lapsed where sockets were short. Class of bug: desynchronised replies on a reused connection; quiet now is no proof.

Change: a connection carries a request only with a proof for its answer (proof.rs). The first needs none: no other request was written before. Behind the second a marker is written (SELECT), and the answer counts only if the marker's reply follows it; no marker was sent before on that connection, so its reply cannot be a repeat, and answers come in order. There is no third proof, so the connection ends. The last chunk of a large value is held back until the proof. An answer without a proof is malformed: the attempt may have run, whatever a stray -BUSY says. HTTP has no such marker, so the origin gets one request a connection. The rest stays, for service alone. Kept for on-call: a line at warn (once a minute) with connection, address and request where more came than one answer, one at debug for each connection that ends.

--- a/crates/stairfront-balancer/src/upstream/cache_host.rs
+++ b/crates/stairfront-balancer/src/upstream/cache_host.rs
@@ -11,7 +11,7 @@
 use tokio_util::codec::{Decoder, Encoder};
 
 use crate::messages::{AttemptOutcome, Outgoing, Verb};
-use crate::upstream::connection::{InterpretedReply, UpstreamProtocol};
+use crate::upstream::connection::UpstreamProtocol;
 use crate::upstream::load_report::load_report;
 
 /// Longest word on the key's state, in bytes.
@@ -65,21 +65,23 @@
 impl UpstreamProtocol for CacheCodec {
     type Reply = Value;
     const VALUE_TERMINATOR: &'static [u8] = b"\r\n";
+    const MARKER: &'static [u8] = b"*2\r\n$6\r\nSELECT\r\n$1\r\n0\r\n";
 
     fn new(_: SocketAddr, max_value_bytes: usize, budget: &Rc<Budget>) -> Self {
         CacheCodec::new(max_value_bytes, budget)
     }
 
-    fn interpret(reply: Value, report_fields: &[String]) -> InterpretedReply {
+    fn interpret(reply: Value, report_fields: &[String]) -> AttemptOutcome {
         let result = match reply {
             Value::Array(items) => cache_reply(items, report_fields),
             Value::Error(line) => error_reply(&line, report_fields),
             _ => None,
         };
-        result.map_or_else(InterpretedReply::malformed, |result| InterpretedReply {
-            result,
-            reusable: true,
-        })
+        result.unwrap_or_else(|| AttemptOutcome::without_report(Outcome::Malformed))
+    }
+
+    fn is_marker_reply(reply: &Value) -> bool {
+        matches!(reply, Value::Simple(text) if &text[..] == b"OK")
     }
 
     fn is_malformed(error: &RespError) -> bool {
--- a/crates/stairfront-balancer/src/upstream/connection.rs
+++ b/crates/stairfront-balancer/src/upstream/connection.rs
@@ -1,17 +1,20 @@
 //! One connection to a server: a task that owns the socket, carries one attempt at a time, and ends by closing the socket.
+//!
+//! It carries as many attempts as there are proofs that an answer is the attempt's own (`proof.rs`).
 use std::cell::Cell;
 use std::fmt::{Debug, Display};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use futures_util::StreamExt;
 use stairfront_codec::budget::Budget;
 use stairfront_codec::message_part::MessagePart;
 use stairfront_policy::interface::Outcome;
 use tokio::sync::mpsc;
 use tokio_util::codec::{Decoder, Encoder, Framed};
-use tracing::debug;
+use tracing::{debug, warn};
 
 use crate::clock::{timeout, timeout_at, Instant};
 use crate::counters::Counters;
@@ -21,6 +24,7 @@
 };
 use crate::transport::{Network, Stream, Unread};
 use crate::upstream::exchange::{cancelled, exchange, ExchangeOutcome};
+use crate::upstream::proof::AnswerProof;
 
 /// Chunks of a large value that wait for its client.
 const MAX_QUEUED_CHUNKS: usize = 1;
@@ -29,6 +33,8 @@
 const CHUNK_BYTES: usize = 32 * 1024;
 /// With less free space than this a buffer is not read into any more.
 const MIN_BUFFER_SPACE: usize = 4 * 1024;
+/// Time between two log lines on a surplus.
+const SURPLUS_LOG_INTERVAL: Duration = Duration::from_secs(60);
 
 /// The protocol of one kind of server.
 pub trait UpstreamProtocol:
@@ -40,33 +46,19 @@
     type Reply: Debug;
     /// Bytes that follow a value that was written separately from its command.
     const VALUE_TERMINATOR: &'static [u8];
+    /// A command that has no effect, and whose reply comes in order and equals that of no request; empty where the protocol has
+    /// none, so that a connection carries one request.
+    const MARKER: &'static [u8];
     /// A codec for one connection.
     fn new(address: SocketAddr, max_value_bytes: usize, budget: &Rc<Budget>) -> Self;
-    /// Interprets a reply; `report_fields` names the load report's fields in the order of the settings.
-    fn interpret(reply: Self::Reply, report_fields: &[String]) -> InterpretedReply;
+    /// Interprets a reply, which is malformed if it has none of the protocol's forms; `report_fields` names the load report's fields in the order of the settings.
+    fn interpret(reply: Self::Reply, report_fields: &[String]) -> AttemptOutcome;
+    /// Whether a reply is that of the marker.
+    fn is_marker_reply(reply: &Self::Reply) -> bool;
     /// Whether the input could not be read, as opposed to a connection that failed.
     fn is_malformed(error: &<Self as Decoder>::Error) -> bool;
 }
 
-/// A reply as the decision module and the client need it.
-#[derive(Debug)]
-pub struct InterpretedReply {
-    /// The result of the attempt.
-    pub result: AttemptOutcome,
-    /// Whether the connection can carry another request.
-    pub reusable: bool,
-}
-
-impl InterpretedReply {
-    /// A reply in none of the protocol's forms: the attempt may have run, and the connection cannot be used again.
-    pub fn malformed() -> Self {
-        InterpretedReply {
-            result: AttemptOutcome::without_report(Outcome::Malformed),
-            reusable: false,
-        }
-    }
-}
-
 /// Shared by the tasks of all connections.
 pub struct ConnectionContext<N> {
     /// Makes connections.
@@ -87,6 +79,8 @@
     pub max_value_bytes: usize,
     /// Memory for replies that have not come as a whole.
     pub budget: Rc<Budget>,
+    /// When a surplus was last logged.
+    pub surplus_logged_at: Cell<Option<Instant>>,
 }
 
 /// The owner of one socket.
@@ -130,10 +124,14 @@
         };
         // In each case the socket is closed before its end is reported: late bytes must never reach another request, and
         // the attempt must be over for the server before another one is sent.
+        let mut proof = AnswerProof::FirstRequest;
         loop {
-            if let Err(closing) = self.carry(&mut framed, job).await {
-                drop(framed);
-                return self.report_closed(closing).await;
+            match self.carry(&mut framed, job, proof).await {
+                Ok(next) => proof = next,
+                Err(closing) => {
+                    drop(framed);
+                    return self.report_closed(closing).await;
+                }
             }
             match self.wait_for_job(&mut framed).await {
                 Ok(next) => job = next,
@@ -166,47 +164,84 @@
         }
     }
 
-    /// Carries one attempt and reports its end; an error if the connection cannot carry another one.
+    /// Carries one attempt and reports its end; what will prove the answer to another one, or an error if the connection cannot
+    /// carry another one.
     async fn carry<P: UpstreamProtocol>(
         &mut self,
         framed: &mut Framed<N::Stream, P>,
         mut job: Job,
-    ) -> Result<(), Box<Closing>> {
+        proof: AnswerProof,
+    ) -> Result<AnswerProof, Box<Closing>> {
         if self.barred.get() {
             // Not a byte of the attempt was written.
             return Err(closing_after(&job, Outcome::NeverSent));
         }
         self.used_at = Instant::now();
-        let outcome = if job.may_begin() {
-            exchange(framed, &mut job, &self.context.report_fields).await
-        } else {
+        if !job.may_begin() {
             // Nothing was written, and the connection can be used again.
-            ExchangeOutcome::Finished(InterpretedReply {
-                result: AttemptOutcome::without_report(Outcome::NeverSent),
-                reusable: true,
-            })
-        };
-        let (end, reusable) = match outcome {
-            ExchangeOutcome::Finished(reply) => (Some(job.end(reply.result)), reply.reusable),
+            let end = job.end(AttemptOutcome::without_report(Outcome::NeverSent));
+            self.report_idle(Some(end)).await;
+            return Ok(proof);
+        }
+        let (end, next) = match exchange(framed, &mut job, proof, &self.context.report_fields).await
+        {
+            ExchangeOutcome::Finished(result) => (Some(job.end(result)), proof.next::<P>()),
             ExchangeOutcome::BodyStarted { result, length } => {
-                (None, self.stream_body(framed, &job, result, length).await)
+                let body = LargeBody { length, proof };
+                let complete = self.stream_body(framed, &job, result, body).await;
+                (None, proof.next::<P>().filter(|_| complete))
+            }
+            ExchangeOutcome::Failed(outcome) => {
+                (Some(job.end(AttemptOutcome::without_report(outcome))), None)
+            }
+            ExchangeOutcome::Unproven => {
+                self.record_surplus(&job);
+                let end = job.end(AttemptOutcome::without_report(Outcome::Malformed));
+                return Err(Box::new(Closing {
+                    end: Some(end),
+                    surplus: true,
+                    ..Closing::default()
+                }));
             }
         };
-        let has_surplus = reusable && !is_quiet(framed);
-        if reusable && !has_surplus {
-            let connection = self.id;
-            self.report(PoolEvent::Idle { connection, end }).await;
-            return Ok(());
+        // A connection that the server has closed behind the answer brings nothing more.
+        let surplus = has_more_input(framed);
+        if surplus {
+            self.record_surplus(&job);
         }
-        if has_surplus {
-            self.context.counters.server_connections_surplus.add();
+        match next {
+            Some(next) if is_quiet(framed) => {
+                self.report_idle(end).await;
+                Ok(next)
+            }
+            _ => Err(Box::new(Closing {
+                end,
+                unsent: None,
+                surplus,
+            })),
+        }
+    }
+
+    async fn report_idle(&self, end: Option<AttemptEnd>) {
+        let connection = self.id;
+        self.report(PoolEvent::Idle { connection, end }).await;
+    }
+
+    /// Counts and logs that more came on this connection than the answer to a request.
+    fn record_surplus(&self, job: &Job) {
+        self.context.counters.server_connections_surplus.add();
+        let now = Instant::now();
+        let logged_at = self.context.surplus_logged_at.get();
+        if logged_at.is_some_and(|at| now < at + SURPLUS_LOG_INTERVAL) {
+            return;
         }
-        Err(Box::new(Closing {
-            end,
-            unsent: None,
-            // A connection that the server has closed behind the answer brings nothing more.
-            surplus: has_surplus && has_more_input(framed),
-        }))
+        self.context.surplus_logged_at.set(Some(now));
+        warn!(
+            connection = self.id.0,
+            address = %self.address,
+            request = %job.command.id.escape_ascii(),
+            "more came than one answer"
+        );
     }
 
     /// Reports that a large value has begun to come, and forwards it; whether the connection can be used again.
@@ -215,15 +250,16 @@
         framed: &mut Framed<N::Stream, P>,
         job: &Job,
         result: AttemptOutcome,
-        length: usize,
+        body: LargeBody,
     ) -> bool {
         let (sender, chunks) = mpsc::channel(MAX_QUEUED_CHUNKS);
+        let length = body.length;
         let end = AttemptEnd {
             body: Some(AnswerBody { length, chunks }),
             ..job.end(result)
         };
         self.report(PoolEvent::BodyStarted { end }).await;
-        forward_body(framed, &sender, &self.context).await
+        forward_body(framed, body, &sender, &self.context).await
     }
 
     /// The next attempt for this connection; an error if the connection has ended, was idle too long or is to close.
@@ -259,6 +295,14 @@
     }
 
     async fn report_closed(self, closing: Box<Closing>) {
+        debug!(
+            connection = self.id.0,
+            address = %self.address,
+            outcome = ?closing.end.as_ref().map(|end| end.result.outcome),
+            unsent = closing.unsent.is_some(),
+            surplus = closing.surplus,
+            "server connection closed"
+        );
         self.report(PoolEvent::Closed {
             connection: self.id,
             end: closing.end,
@@ -293,41 +337,74 @@
     !framed.read_buffer().is_empty() || framed.get_ref().unread() == Unread::Bytes
 }
 
-/// Forwards a large value as it comes; whether the connection can be used again. Only one chunk is read ahead of the
-/// client, since such values together may be far larger than the memory limit; the rest stays with the server.
+/// A large value that has begun to come.
+#[derive(Clone, Copy)]
+struct LargeBody {
+    /// Its length in bytes.
+    length: usize,
+    /// What proves that it answers the request.
+    proof: AnswerProof,
+}
+
+/// Forwards a large value as it comes; whether it came as a whole and was proved. Only one chunk is read ahead of the client,
+/// since such values together may be far larger than the memory limit; the rest stays with the server. The last chunk is held
+/// back until the proof is there, so that the client can tell that a value without it is not complete.
 async fn forward_body<T: Stream, P: UpstreamProtocol, N>(
     framed: &mut Framed<T, P>,
+    body: LargeBody,
     chunks: &mpsc::Sender<BodyChunk>,
     context: &ConnectionContext<N>,
 ) -> bool {
-    loop {
-        let Some(part) = read_body_part(framed, context.stall_timeout.get()).await else {
-            break;
-        };
-        let (chunk, reusable) = match part {
-            MessagePart::Chunk(bytes) => (BodyChunk::Bytes(bytes), None),
+    let stall_timeout = context.stall_timeout.get();
+    let mut remaining = body.length;
+    let mut last = None;
+    while let Some(part) = read_body_part(framed, stall_timeout).await {
+        match part {
+            MessagePart::Chunk(bytes) => {
+                remaining = remaining.saturating_sub(bytes.len());
+                if remaining == 0 {
+                    last = Some(bytes);
+                } else if chunks.send(BodyChunk::Bytes(bytes)).await.is_err() {
+                    // The client has left, or reads nothing.
+                    return false;
+                }
+            }
             MessagePart::End(reply) => {
-                let reply = P::interpret(reply, &context.report_fields);
+                let result = P::interpret(reply, &context.report_fields);
                 // Bytes behind the value belong to no answer, so the value may be wrong as well.
-                if reply.result.outcome != Outcome::Served {
+                if result.outcome != Outcome::Served
+                    || !is_proved(framed, body.proof, stall_timeout).await
+                {
                     break;
                 }
-                (BodyChunk::End, Some(reply.reusable))
+                return send_last(chunks, last).await;
             }
             MessagePart::Complete(_) | MessagePart::Head { .. } => break,
-        };
-        // The client has left, or reads nothing.
-        if chunks.send(chunk).await.is_err() {
-            return false;
-        }
-        if let Some(reusable) = reusable {
-            return reusable;
         }
     }
     context.counters.streams_broken.add();
     false
 }
 
+/// Whether the proof of a large value comes within a time.
+async fn is_proved<T: Stream, P: UpstreamProtocol>(
+    framed: &mut Framed<T, P>,
+    proof: AnswerProof,
+    limit: Duration,
+) -> bool {
+    timeout(limit, proof.confirm(framed)).await == Ok(Ok(()))
+}
+
+/// Forwards the end of a large value; whether its client was still there.
+async fn send_last(chunks: &mpsc::Sender<BodyChunk>, last: Option<Bytes>) -> bool {
+    if let Some(bytes) = last {
+        if chunks.send(BodyChunk::Bytes(bytes)).await.is_err() {
+            return false;
+        }
+    }
+    chunks.send(BodyChunk::End).await.is_ok()
+}
+
 /// The next part of a large value; `None` if the server stalls or the connection fails.
 async fn read_body_part<T: Stream, P: UpstreamProtocol>(
     framed: &mut Framed<T, P>,
--- a/crates/stairfront-balancer/src/upstream/exchange.rs
+++ b/crates/stairfront-balancer/src/upstream/exchange.rs
@@ -12,33 +12,29 @@
 use crate::clock::{sleep_until, timeout_at, Instant};
 use crate::messages::{AttemptOutcome, Job, Outgoing};
 use crate::transport::Stream;
-use crate::upstream::connection::{InterpretedReply, UpstreamProtocol};
+use crate::upstream::connection::UpstreamProtocol;
+use crate::upstream::proof::{AnswerProof, ProofError};
 
 /// The result of sending a command.
 pub(super) enum ExchangeOutcome {
-    /// The attempt has ended.
-    Finished(InterpretedReply),
-    /// A large value has begun to come.
+    /// The attempt has ended with a reply that is proved to be its own.
+    Finished(AttemptOutcome),
+    /// A large value has begun to come, whose proof follows it.
     BodyStarted {
         result: AttemptOutcome,
         length: usize,
     },
-}
-
-impl ExchangeOutcome {
-    /// The attempt has failed, and the connection cannot be used again.
-    fn failed(outcome: Outcome) -> Self {
-        ExchangeOutcome::Finished(InterpretedReply {
-            result: AttemptOutcome::without_report(outcome),
-            reusable: false,
-        })
-    }
+    /// The attempt has ended without a reply that counts.
+    Failed(Outcome),
+    /// Something came that may be the reply to another request, so nothing is known of this one.
+    Unproven,
 }
 
 /// Sends the command of a job and reads the head of the reply, until the job is cancelled or its time is over.
 pub(super) async fn exchange<T: Stream, P: UpstreamProtocol>(
     framed: &mut Framed<T, P>,
     job: &mut Job,
+    proof: AnswerProof,
     report_fields: &[String],
 ) -> ExchangeOutcome {
     let left = job.give_up_at.saturating_duration_since(Instant::now());
@@ -53,14 +49,19 @@
             Ok(Ok(())) => {}
             Ok(Err(error)) => {
                 debug!(%error, "request not written");
-                return ExchangeOutcome::failed(Outcome::ConnectFailed);
+                return ExchangeOutcome::Failed(Outcome::ConnectFailed);
             }
             // The connection is closed before the last byte is written, so the request never runs.
-            Err(_) => return ExchangeOutcome::failed(Outcome::ConnectFailed),
+            Err(_) => return ExchangeOutcome::Failed(Outcome::ConnectFailed),
         }
+        // From here on it may run, whatever becomes of the marker.
         written = true;
         shrink(framed.write_buffer_mut());
-        read_reply(framed, report_fields).await
+        if let Err(error) = framed.get_mut().write_all(proof.marker::<P>()).await {
+            debug!(%error, "marker not written");
+            return ExchangeOutcome::Failed(Outcome::Reset);
+        }
+        read_reply(framed, proof, report_fields).await
     };
     let outcome = tokio::select! {
         biased;
@@ -70,9 +71,9 @@
     };
     // A request that was not written as a whole never runs.
     if !written && outcome == Outcome::TimedOut {
-        return ExchangeOutcome::failed(Outcome::ConnectFailed);
+        return ExchangeOutcome::Failed(Outcome::ConnectFailed);
     }
-    ExchangeOutcome::failed(outcome)
+    ExchangeOutcome::Failed(outcome)
 }
 
 async fn send<T: Stream, P: UpstreamProtocol>(
@@ -93,33 +94,41 @@
 
 async fn read_reply<T: Stream, P: UpstreamProtocol>(
     framed: &mut Framed<T, P>,
+    proof: AnswerProof,
     report_fields: &[String],
 ) -> ExchangeOutcome {
     match framed.next().await {
         Some(Ok(MessagePart::Complete(reply))) => {
-            ExchangeOutcome::Finished(P::interpret(reply, report_fields))
+            let result = P::interpret(reply, report_fields);
+            if result.outcome == Outcome::Malformed {
+                return ExchangeOutcome::Failed(Outcome::Malformed);
+            }
+            match proof.confirm(framed).await {
+                Ok(()) => ExchangeOutcome::Finished(result),
+                Err(ProofError::OtherReply) => ExchangeOutcome::Unproven,
+                Err(ProofError::ConnectionEnded) => ExchangeOutcome::Failed(Outcome::Reset),
+            }
         }
         Some(Ok(MessagePart::Head { length, reply })) => {
-            let reply = P::interpret(reply, report_fields);
             let result = AttemptOutcome {
                 value: None,
-                ..reply.result
+                ..P::interpret(reply, report_fields)
             };
             ExchangeOutcome::BodyStarted { result, length }
         }
         // No codec yields these first.
         Some(Ok(MessagePart::Chunk(_) | MessagePart::End(_))) => {
-            ExchangeOutcome::failed(Outcome::Malformed)
+            ExchangeOutcome::Failed(Outcome::Malformed)
         }
         Some(Err(error)) => {
             debug!(%error, "reply not read");
-            ExchangeOutcome::failed(if P::is_malformed(&error) {
+            ExchangeOutcome::Failed(if P::is_malformed(&error) {
                 Outcome::Malformed
             } else {
                 Outcome::Reset
             })
         }
-        None => ExchangeOutcome::failed(Outcome::Reset),
+        None => ExchangeOutcome::Failed(Outcome::Reset),
     }
 }
 
--- a/crates/stairfront-balancer/src/upstream/mod.rs
+++ b/crates/stairfront-balancer/src/upstream/mod.rs
@@ -4,4 +4,5 @@
 mod exchange;
 pub mod load_report;
 pub mod origin;
+mod proof;
 pub mod upstream_pool;
--- a/crates/stairfront-balancer/src/upstream/origin.rs
+++ b/crates/stairfront-balancer/src/upstream/origin.rs
@@ -1,4 +1,4 @@
-//! The protocol of the origin: HTTP/1.1, one request at a time on a connection.
+//! The protocol of the origin: HTTP/1.1, one request on a connection.
 use std::fmt::Write as _;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -12,7 +12,7 @@
 use tokio_util::codec::{Decoder, Encoder};
 
 use crate::messages::{AttemptOutcome, Outgoing, Verb};
-use crate::upstream::connection::{InterpretedReply, UpstreamProtocol};
+use crate::upstream::connection::UpstreamProtocol;
 use crate::upstream::load_report::load_report;
 
 /// Encodes requests and decodes responses.
@@ -95,6 +95,8 @@
 impl UpstreamProtocol for OriginCodec {
     type Reply = Response;
     const VALUE_TERMINATOR: &'static [u8] = b"";
+    // HTTP has no request without an effect or a cost whose response equals no other.
+    const MARKER: &'static [u8] = b"";
 
     fn new(address: SocketAddr, max_value_bytes: usize, budget: &Rc<Budget>) -> Self {
         OriginCodec {
@@ -103,29 +105,30 @@
         }
     }
 
-    fn interpret(reply: Response, report_fields: &[String]) -> InterpretedReply {
+    fn interpret(reply: Response, report_fields: &[String]) -> AttemptOutcome {
         let outcome = match reply.status {
             200 => Outcome::Served,
             503 | 504 if reply.not_started => Outcome::Full,
             500..=599 => Outcome::Errored,
             // A status that the origin does not use: what it means is not known.
-            _ => return InterpretedReply::malformed(),
+            _ => return AttemptOutcome::without_report(Outcome::Malformed),
         };
         let load = reply.server_load.map_or(LoadReport::default(), |text| {
             load_report(&text, report_fields)
         });
         let value = (outcome == Outcome::Served).then_some(reply.body);
-        InterpretedReply {
-            result: AttemptOutcome {
-                outcome,
-                cache_status: CacheStatus::None,
-                load,
-                value,
-            },
-            reusable: !reply.closes_connection,
+        AttemptOutcome {
+            outcome,
+            cache_status: CacheStatus::None,
+            load,
+            value,
         }
     }
 
+    fn is_marker_reply(_: &Response) -> bool {
+        false
+    }
+
     fn is_malformed(error: &HttpError) -> bool {
         matches!(error, HttpError::Malformed(_))
     }
--- a/crates/stairfront-balancer/src/upstream/upstream_pool.rs
+++ b/crates/stairfront-balancer/src/upstream/upstream_pool.rs
@@ -26,9 +26,9 @@
 /// Part of the servers' own idle timeout after which a connection is closed here. A request written to a connection that
 /// the server is just closing ends as a reset, and may have run.
 const IDLE_TIMEOUT_RATIO: f64 = 0.8;
-/// How long a connection rests between two attempts where surplus answers were seen. A second answer to one request comes
-/// some milliseconds after the first; on a connection that has been used again by then it would answer the next request,
-/// with the value of another one.
+/// How long a connection rests between two attempts where surplus answers were seen. This is for service alone: a second
+/// answer that comes while the next request is out on its connection leaves that one without a proof (`proof.rs`), and it
+/// fails or is sent again.
 const REST_PERIOD: Duration = Duration::from_millis(50);
 /// How long connections rest after one on which more came than was asked for.
 const SURPLUS_TTL: Duration = Duration::from_secs(60);
@@ -135,6 +135,7 @@
             stall_timeout: Cell::new(settings.stall_timeout),
             max_value_bytes: settings.memory.max_value_bytes,
             budget: Budget::new(settings.memory.replies),
+            surplus_logged_at: Cell::default(),
         };
         UpstreamPool {
             context: Rc::new(context),
