Bytes that stand on a new connection answer no request

A server, or something on the path, may send a line before it has got a command, such as a -BUSY for too many connections. The command was written all the same and the line taken for its answer: -BUSY then says that it never ran, while it may. Change: what stands on a new connection is looked for before the first byte; then nothing is written, and the attempt counts as not connected. bytes_on_a_new_connection_answer_no_request fails without it (outcome Full).

--- a/crates/stairfront-balancer/src/upstream/connection.rs
+++ b/crates/stairfront-balancer/src/upstream/connection.rs
@@ -176,6 +176,13 @@
             // Not a byte of the attempt was written.
             return Err(closing_after(&job, Outcome::NeverSent));
         }
+        if proof == AnswerProof::FirstRequest && !is_quiet(framed) {
+            // Nothing was written, and what has come answers no request.
+            if has_more_input(framed) {
+                self.record_surplus(&job);
+            }
+            return Err(closing_after(&job, Outcome::ConnectFailed));
+        }
         self.used_at = Instant::now();
         if !job.may_begin() {
             // Nothing was written, and the connection can be used again.
--- a/crates/stairfront-balancer/tests/upstream_pool.rs
+++ b/crates/stairfront-balancer/tests/upstream_pool.rs
@@ -15,6 +15,7 @@
     PoolSettings, Protocol, UpstreamPool, UpstreamTarget,
 };
 use stairfront_policy::interface::{CacheId, Outcome, RequestId};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::Instant;
@@ -497,3 +498,25 @@
         }
     });
 }
+
+/// What comes on a connection before anything was written to it answers no request, and nothing was written for it either.
+#[test]
+fn bytes_on_a_new_connection_answer_no_request() {
+    run(async {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let (open, gate) = watch::channel(false);
+        let (mut pool, mut events) =
+            pool_on(Late(gate), listener.local_addr().unwrap(), 4, ms(10_000));
+        let (job, _kept) = job(1);
+        assert!(pool.dispatch(job).is_none());
+        let (mut host, _) = listener.accept().await.unwrap();
+        host.write_all(b"-BUSY\r\n").await.unwrap();
+        open.send_replace(true);
+        let ended = end(&mut pool, &mut events).await;
+        assert_eq!(ended.result.outcome, Outcome::ConnectFailed);
+        let mut received = Vec::new();
+        // A reset ends it too, since the line was not read.
+        let _ = host.read_to_end(&mut received).await;
+        assert_eq!(received, b"", "nothing was written");
+    });
+}
