Drawn runs of second answers, signals in series, crowds and clients that stay until the kill

Observers: the value names its request, hosts count what they begin, clients note what was never answered. A request that was read and not begun before its connection ended would not be noticed: hosts are the only witness.

--- a/crates/stairfront-balancer/tests/common/mod.rs
+++ b/crates/stairfront-balancer/tests/common/mod.rs
@@ -460,7 +460,12 @@
     }
 
     pub async fn send(&mut self, bytes: &[u8]) {
-        self.socket.write_all(bytes).await.unwrap();
+        self.try_send(bytes).await.unwrap();
+    }
+
+    /// Sends on a connection that may have ended.
+    pub async fn try_send(&mut self, bytes: &[u8]) -> std::io::Result<()> {
+        self.socket.write_all(bytes).await
     }
 
     pub async fn ask(&mut self, words: &[&str]) -> String {
--- a/crates/stairfront/tests/stray_answers/main.rs
+++ b/crates/stairfront/tests/stray_answers/main.rs
@@ -5,15 +5,17 @@
 #[path = "../../../stairfront-balancer/tests/common/mod.rs"]
 mod common;
 mod repeating_host;
+mod soak;
 
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use balancer_process::{unused_address, BalancerProcess};
-use common::{bulk, command, config, line, ms, quiet_agent, run_within, Client, Log};
+use common::{bulk, command, config, line, quiet_agent, run_within, Client, Log};
 use repeating_host::{value_of, Faults, HostLog, Repeat};
-use serde_json::json;
+use serde_json::{json, Value};
 use tokio::task::spawn_local;
 
 const HOSTS: u64 = 4;
@@ -66,25 +68,48 @@
     }
 }
 
+/// Starts the hosts of a run; their entries in the endpoint list.
+async fn start_hosts(faults: &Faults, seed: u64, log: &Rc<HostLog>) -> Vec<Value> {
+    let mut lines = Vec::new();
+    for i in 0..HOSTS {
+        let host = repeating_host::start(faults.clone(), seed * HOSTS + i, log).await;
+        lines.push(line(&format!("c{i}"), host, "box"));
+    }
+    lines
+}
+
+/// A configuration with a class that may be repeated and one that may not.
+fn configuration_with(agent: SocketAddr, lines: &[Value], sockets: usize) -> Value {
+    let mut configuration = config(unused_address(), agent, lines, sockets);
+    let profiles = configuration["settings"]["profiles"]
+        .as_array_mut()
+        .unwrap();
+    let mut hold = profiles[0].clone();
+    hold["name"] = json!("hold");
+    hold["semantics"] = json!("single_shot");
+    profiles.push(hold);
+    configuration
+}
+
+/// Requests that may not be repeated and were begun more than once.
+fn unrepeatable_begun_twice(log: &HostLog) -> Vec<String> {
+    let begun = log.begun.borrow();
+    let twice = begun
+        .iter()
+        .filter(|(id, begun)| id.ends_with("hold") && **begun > 1);
+    twice
+        .map(|(id, begun)| format!("{id} was begun {begun} times"))
+        .collect()
+}
+
 /// Plays requests through one balancer and asserts that each answer is that of its request, that nothing which must not be
 /// repeated was begun twice, and that service goes on.
 fn assert_answers_are_told_apart(test: &str, faults: Faults, load: Load, seed: u64) {
     run_within(LIMIT, async {
         let (agent_log, host_log) = (Log::default(), Rc::new(HostLog::default()));
         let agent = quiet_agent(&agent_log).await;
-        let mut lines = Vec::new();
-        for i in 0..HOSTS {
-            let host = repeating_host::start(faults.clone(), seed * HOSTS + i, &host_log).await;
-            lines.push(line(&format!("c{i}"), host, "box"));
-        }
-        let mut configuration = config(unused_address(), agent, &lines, load.sockets);
-        let mut hold = configuration["settings"]["profiles"][0].clone();
-        hold["name"] = json!("hold");
-        hold["semantics"] = json!("single_shot");
-        let profiles = configuration["settings"]["profiles"]
-            .as_array_mut()
-            .unwrap();
-        profiles.push(hold);
+        let lines = start_hosts(&faults, seed, &host_log).await;
+        let configuration = configuration_with(agent, &lines, load.sockets);
         let process = BalancerProcess::start_with(test, configuration, None).await;
         let client_log = Rc::new(ClientLog::default());
         let mut clients = Vec::new();
@@ -101,13 +126,7 @@
         for client in clients {
             client.await.unwrap();
         }
-        let begun_twice: Vec<String> = host_log
-            .begun
-            .borrow()
-            .iter()
-            .filter(|(id, begun)| id.ends_with("hold") && **begun > 1)
-            .map(|(id, begun)| format!("{id}: {begun} times"))
-            .collect();
+        let begun_twice = unrepeatable_begun_twice(&host_log);
         let (served, unserved) = (client_log.served.get(), client_log.unserved.get());
         println!(
             "{test}: {served} served, {unserved} unserved, {} repeated, {} connections, {} foreign, {} begun twice",
