Discovery: an older list is never taken for the answer to a poll

An answer of the agent that came a second time was taken for the answer to the next poll on the same connection: a copy of the first list put version 41 in the place of 43, a host that drained by the one in hand got requests again, and the poll behind it waited up to 50 s. Cause: discovery.rs accepted any whole list, however old (poll), on a connection with bytes left between two polls (exchange). Change: a list older than the one in hand is an error, after which the whole list is asked for on a new connection, where an agent that counts anew is believed; between polls the connection is looked at, and one that is not quiet is dropped. a_second_answer_to_an_earlier_poll_brings_no_older_list_back hung before (the old version was polled), passes now.

--- a/crates/stairfront-balancer/src/control/discovery.rs
+++ b/crates/stairfront-balancer/src/control/discovery.rs
@@ -20,7 +20,7 @@
 use crate::control::server_list::{ListError, RawList, ServerList};
 use crate::counters::Counters;
 use crate::messages::EngineEvent;
-use crate::transport::Network;
+use crate::transport::{is_quiet, Network};
 
 /// How long the agent may hold a poll until there is a change; the agent allows 60 s. While discovery is down its changes
 /// count as notified 2 s after the hold is over, so a short hold would have this balancer send to caches that drain.
@@ -63,7 +63,7 @@
     Status(u16),
     #[error("not a list: {0}")]
     Json(#[from] serde_path_to_error::Error<serde_json::Error>),
-    #[error("changes up to version {received} for a list of version {index}")]
+    #[error("version {received} for a list of version {index}")]
     Outdated { index: u64, received: u64 },
     #[error("not a list: {0}")]
     List(#[from] ListError),
@@ -234,8 +234,9 @@
         let raw: RawList = serde_path_to_error::deserialize(&mut deserializer)?;
         let list = raw.read(&self.names)?;
         match self.index {
-            // Changes between versions older than the list in hand say nothing about it.
-            Some(index) if !list.full && list.index < index => Err(PollError::Outdated {
+            // Changes between versions older than the list in hand say nothing about it. An older list may be that of an agent
+            // that counts anew, or the answer to an earlier poll for a second time: a new connection tells which.
+            Some(index) if list.index < index => Err(PollError::Outdated {
                 index,
                 received: list.index,
             }),
@@ -258,6 +259,8 @@
             headers: vec![("Host", Bytes::from(address.to_string()))],
             body: RequestBody::Empty,
         };
+        // What has come between two polls answers neither.
+        self.connection = self.connection.take().filter(is_quiet);
         let connection = match &mut self.connection {
             Some(connection) => connection,
             none => {
--- a/crates/stairfront-balancer/src/transport.rs
+++ b/crates/stairfront-balancer/src/transport.rs
@@ -12,6 +12,7 @@
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, Interest};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio_util::codec::Framed;
 use tracing::debug;
 
 /// Connections that may wait to be accepted; the number of tokio's own listeners.
@@ -63,6 +64,12 @@
     }
 }
 
+/// Whether nothing has come behind the last reply. A reply names no request: what stands behind a well-formed one would
+/// answer the next request on the connection.
+pub(crate) fn is_quiet<T: Stream, P>(framed: &Framed<T, P>) -> bool {
+    framed.read_buffer().is_empty() && framed.get_ref().unread() == Unread::Nothing
+}
+
 /// Accepts connections at one address.
 pub trait Listener: 'static {
     /// The connections that it accepts.
--- a/crates/stairfront-balancer/src/upstream/connection.rs
+++ b/crates/stairfront-balancer/src/upstream/connection.rs
@@ -22,7 +22,7 @@
     AnswerBody, AttemptEnd, AttemptOutcome, BodyChunk, ConnectionId, EngineEvent, Job, Outgoing,
     PoolEvent,
 };
-use crate::transport::{Network, Stream, Unread};
+use crate::transport::{is_quiet, Network, Stream, Unread};
 use crate::upstream::exchange::{cancelled, exchange, ExchangeOutcome};
 use crate::upstream::proof::AnswerProof;
 
@@ -333,12 +333,6 @@
     })
 }
 
-/// Whether nothing has come behind the last reply. A reply names no request: what stands behind a well-formed one would
-/// answer the next request on the connection.
-fn is_quiet<T: Stream, P>(framed: &Framed<T, P>) -> bool {
-    framed.read_buffer().is_empty() && framed.get_ref().unread() == Unread::Nothing
-}
-
 /// Whether bytes have come behind what was asked for.
 fn has_more_input<T: Stream, P>(framed: &Framed<T, P>) -> bool {
     !framed.read_buffer().is_empty() || framed.get_ref().unread() == Unread::Bytes
--- a/crates/stairfront-balancer/tests/discovery.rs
+++ b/crates/stairfront-balancer/tests/discovery.rs
@@ -3,7 +3,10 @@
 
 use std::rc::Rc;
 
-use common::{bulk, cache, commands, hit, http, line, ms, origin, run, until, Balancer, Log, Step};
+use common::{
+    bulk, cache, commands, count, hit, http, line, ms, origin, run, until, Balancer, Log, Seen,
+    Step,
+};
 use serde_json::{json, Value};
 use stairfront_balancer::control::discovery::{DiscoverySettings, DiscoveryWatch};
 use stairfront_balancer::control::server_list::{cache_id, RawList};
@@ -329,6 +332,47 @@
     });
 }
 
+/// An agent, or something on the path, may send an answer a second time. A list names its version, not the poll that it
+/// answers: the first list again, taken for news, would bring a host that drains by the one in hand back into service.
+#[test]
+fn a_second_answer_to_an_earlier_poll_brings_no_older_list_back() {
+    run(async {
+        let log = Log::default();
+        let (old, new) = (
+            cache("old", &log, |_, _| hit("old")).await,
+            cache("new", &log, |_, _| hit("new")).await,
+        );
+        let first = move || list(41, true, &[line("c1", old, "box")]);
+        let mut drains = line("c1", old, "box");
+        drains["status"] = "DRAINING".into();
+        let lines = [drains, line("c2", new, "box")];
+        let agent = origin("agent", &log, move |n, words| match (n, first()) {
+            (0, step) => step,
+            (1, Step::Say(again)) => match list(43, false, &lines) {
+                Step::Say(news) => Step::Twice(news, ms(50), again),
+                step => step,
+            },
+            _ if words[0].contains("from=") => Step::Silence,
+            _ => list(43, true, &lines),
+        });
+        let balancer = Balancer::start(agent.await, &[line("c1", old, "box")]).await;
+        // The copy is a list that is not newer, so the whole one is asked for on a new connection.
+        until(|| count(&log, &Seen::Opened("agent")) > 1 && targets(&log).len() > 4).await;
+        for i in 0..8 {
+            let key = format!("k{i}");
+            assert_eq!(
+                balancer.client().await.get(&key, &key, 900).await,
+                bulk("new")
+            );
+        }
+        assert!(
+            targets(&log)[4].starts_with("GET /api/targets?from=43&"),
+            "{:?}",
+            targets(&log)
+        );
+    });
+}
+
 /// A list may drop running hosts by mistake. Where the settings make removal advisory they still get requests, at their last
 /// address; a draining host does not in either case.
 #[test]
