An unasked refusal proves nothing of a request that must not run twice

Change: a request whose class is not safe to repeat has the marker on its first use of a connection as well, at the cost of the second use. Safe ones may be sent again whatever the line said. an_unasked_refusal_proves_nothing_of_a_request_that_must_not_run_twice fails without the call in connection.rs (outcome Full). Open: a whole foreign value that comes unasked on a new connection, for a safe request; the origin, which has no marker.

--- a/crates/stairfront-balancer/src/messages.rs
+++ b/crates/stairfront-balancer/src/messages.rs
@@ -84,6 +84,8 @@
     pub info: Bytes,
     /// The value of a write.
     pub value: Option<Bytes>,
+    /// Whether its class may be repeated, whatever became of it.
+    pub idempotent: bool,
 }
 
 impl Command {
--- a/crates/stairfront-balancer/src/stages/parse.rs
+++ b/crates/stairfront-balancer/src/stages/parse.rs
@@ -6,7 +6,7 @@
 use stairfront_common::time::{Micros, MS};
 use stairfront_membership_agent::MembershipAgent;
 use stairfront_overload::{AdmissionController, AdmissionDecision, Arrival};
-use stairfront_policy::interface::{ClassId, Key, Request, RequestId, TenantId};
+use stairfront_policy::interface::{ClassId, Idempotency, Key, Request, RequestId, TenantId};
 use tokio::sync::watch;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -83,10 +83,10 @@
             b"QUIT" => return Accepted::Last(Answer::Ok),
             _ => return self.reject(UNKNOWN_COMMAND),
         };
-        let Some(command) = command(verb, words) else {
+        let Some(mut command) = command(verb, words) else {
             return self.reject(BAD_COMMAND);
         };
-        match self.request(&command) {
+        match self.request(&mut command) {
             Ok(request) => Accepted::Request { command, request },
             Err(Rejection::Invalid(text)) => self.reject(text),
             Err(Rejection::Shed { after_ms }) => {
@@ -113,7 +113,8 @@
         Accepted::Answered(Answer::Error(text))
     }
 
-    fn request(&self, command: &Command) -> Result<Request, Rejection> {
+    /// The request that a command is; what its class promises is added to the command.
+    fn request(&self, command: &mut Command) -> Result<Request, Rejection> {
         let now = self.clock.now();
         let catalog = self.catalog.borrow();
         let info = RequestInfo::read(&command.info)?;
@@ -123,6 +124,7 @@
             .tenant
             .map_or(TenantId(u32::MAX), |name| catalog.tenant(name));
         self.check_admission(class, tenant, info.retry)?;
+        command.idempotent = rules.idempotency == Idempotency::Idempotent;
         // No client waits longer than its class allows, whatever it says.
         let wait = info.wait.unwrap_or(rules.deadline).min(rules.deadline);
         Ok(Request {
@@ -207,6 +209,7 @@
         id,
         info,
         value,
+        idempotent: false,
     })
 }
 
--- a/crates/stairfront-balancer/src/upstream/connection.rs
+++ b/crates/stairfront-balancer/src/upstream/connection.rs
@@ -190,6 +190,7 @@
             self.report_idle(Some(end)).await;
             return Ok(proof);
         }
+        let proof = proof.required_for::<P>(&job.command);
         let (end, next) = match exchange(framed, &mut job, proof, &self.context.report_fields).await
         {
             ExchangeOutcome::Finished(result) => (Some(job.end(result)), proof.next::<P>()),
--- a/crates/stairfront-balancer/src/upstream/proof.rs
+++ b/crates/stairfront-balancer/src/upstream/proof.rs
@@ -10,6 +10,7 @@
 use tokio_util::codec::Framed;
 use tracing::debug;
 
+use crate::messages::Command;
 use crate::transport::Stream;
 use crate::upstream::connection::UpstreamProtocol;
 
@@ -32,6 +33,17 @@
 }
 
 impl AnswerProof {
+    /// The proof for a request on a connection that would allow this one. A server, or something on the path, may send a line
+    /// unasked on a new connection as well. A refusal among them would claim that the request never ran, so one that must not
+    /// run twice has the marker always.
+    pub(super) fn required_for<P: UpstreamProtocol>(self, command: &Command) -> Self {
+        if command.idempotent || P::MARKER.is_empty() {
+            self
+        } else {
+            AnswerProof::Marker
+        }
+    }
+
     /// The proof for the request after this one; `None` if the connection can carry no other.
     pub(super) fn next<P: UpstreamProtocol>(self) -> Option<Self> {
         match self {
--- a/crates/stairfront-balancer/tests/client_disconnects.rs
+++ b/crates/stairfront-balancer/tests/client_disconnects.rs
@@ -180,6 +180,7 @@
             id: word.clone(),
             info: word,
             value: None,
+            idempotent: true,
         },
         memory: None,
         answer,
--- a/crates/stairfront-balancer/tests/codecs.rs
+++ b/crates/stairfront-balancer/tests/codecs.rs
@@ -43,6 +43,7 @@
         id,
         info,
         value: Some(word("v")),
+        idempotent: true,
     };
     let mut out = BytesMut::new();
     cache_codec()
@@ -63,6 +64,7 @@
         id: word("i"),
         info,
         value: None,
+        idempotent: true,
     };
     assert_eq!(
         Outgoing {
--- a/crates/stairfront-balancer/tests/stages.rs
+++ b/crates/stairfront-balancer/tests/stages.rs
@@ -35,6 +35,7 @@
         id: Bytes::from(id.to_string()),
         info: word,
         value,
+        idempotent: true,
     };
     let request = Request {
         id: RequestId(id),
--- a/crates/stairfront-balancer/tests/upstream_pool.rs
+++ b/crates/stairfront-balancer/tests/upstream_pool.rs
@@ -31,6 +31,7 @@
         id: word.clone(),
         info: word,
         value: None,
+        idempotent: true,
     };
     let (attempt, now) = (
         AttemptId {
@@ -520,3 +521,25 @@
         assert_eq!(received, b"", "nothing was written");
     });
 }
+
+/// A refusal that comes unasked on a new connection, behind the request, claims that it never ran.
+#[test]
+fn an_unasked_refusal_proves_nothing_of_a_request_that_must_not_run_twice() {
+    run(async {
+        let log = Log::default();
+        let host = |_: usize, _: &[String]| match hit("v") {
+            Step::Say(answer) => Step::Twice(b"-BUSY\r\n".to_vec(), ms(10), answer),
+            step => step,
+        };
+        let address = cache("cache", &log, host).await;
+        for (idempotent, outcome) in [(false, Outcome::Malformed), (true, Outcome::Full)] {
+            // One that may be repeated may be sent again after the refusal, whether it ran or not.
+            let (mut pool, mut events) = pool(address, 4);
+            let (mut job, _kept) = job(1);
+            job.command.idempotent = idempotent;
+            assert!(pool.dispatch(job).is_none());
+            let ended = end(&mut pool, &mut events).await;
+            assert_eq!(ended.result.outcome, outcome, "idempotent: {idempotent}");
+        }
+    });
+}
