--- a/crates/stairfront-balancer/tests/common/mod.rs
+++ b/crates/stairfront-balancer/tests/common/mod.rs
@@ -160,7 +160,7 @@
 }
 
 /// The lines of the head, then the body.
-fn cut_http(buffer: &mut Vec<u8>) -> Option<Vec<String>> {
+pub fn cut_http(buffer: &mut Vec<u8>) -> Option<Vec<String>> {
     let end = buffer.windows(4).position(|w| w == b"\r\n\r\n")? + 4;
     let head = String::from_utf8(buffer[..end - 4].to_vec()).unwrap();
     let mut words: Vec<String> = head.split("\r\n").map(str::to_string).collect();
--- a/crates/stairfront/tests/stray_answers/main.rs
+++ b/crates/stairfront/tests/stray_answers/main.rs
@@ -14,7 +14,7 @@
 
 use balancer_process::{unused_address, BalancerProcess};
 use common::{bulk, command, config, line, quiet_agent, run_within, Client, Log};
-use repeating_host::{value_of, Faults, HostLog, Repeat};
+use repeating_host::{value_of, Faults, HostLog, Repeat, Role};
 use serde_json::{json, Value};
 use tokio::task::spawn_local;
 
@@ -68,13 +68,16 @@
     }
 }
 
-/// Starts the hosts of a run; their entries in the endpoint list.
+/// Starts the cache hosts and the origin of a run; their entries in the endpoint list.
 async fn start_hosts(faults: &Faults, seed: u64, log: &Rc<HostLog>) -> Vec<Value> {
     let mut lines = Vec::new();
     for i in 0..HOSTS {
-        let host = repeating_host::start(faults.clone(), seed * HOSTS + i, log).await;
+        let seed = seed * HOSTS + i;
+        let host = repeating_host::start(Role::Cache, faults.clone(), seed, log).await;
         lines.push(line(&format!("c{i}"), host, "box"));
     }
+    let origin = repeating_host::start(Role::Origin, faults.clone(), seed, log).await;
+    lines.push(line("origin", origin, "origin"));
     lines
 }
 
@@ -147,6 +150,7 @@
         repeat,
         one_in: 20,
         delay_ms,
+        missing: 0.0,
         work_ms: 5..=40,
     }
 }
@@ -170,3 +174,17 @@
     let faults = one_in_twenty(Repeat::Busy, 1..=90);
     assert_answers_are_told_apart("second_busy", faults, AMPLE, 4);
 }
+
+#[test]
+fn a_second_response_of_the_origin_reaches_no_other_request_and_has_nothing_run_twice() {
+    for (test, repeat, seed) in [
+        ("origin_copy", Repeat::Copy, 5),
+        ("origin_busy", Repeat::Busy, 6),
+    ] {
+        let faults = Faults {
+            missing: 0.5,
+            ..one_in_twenty(repeat, 1..=90)
+        };
+        assert_answers_are_told_apart(test, faults, AMPLE, seed);
+    }
+}
--- a/crates/stairfront/tests/stray_answers/soak.rs
+++ b/crates/stairfront/tests/stray_answers/soak.rs
@@ -1,4 +1,4 @@
-//! Drawn runs: second answers of all forms and delays, few or many descriptors, a crowd of idle clients, signals in series, and
+//! Drawn runs: second answers of all forms and delays by cache hosts and the origin, few or many descriptors, a crowd of idle clients, signals in series, and
 //! clients that use their open connections until the kill at its earliest.
 //!
 //! `STRAY_ANSWER_SEEDS=1..50 cargo test -p stairfront --test stray_answers drawn -- --nocapture` plays more seeds than CI.
@@ -54,6 +54,7 @@
         faults: Faults {
             repeat,
             one_in: [5, 20][random.below(2_usize)],
+            missing: [0.0, 0.0, 0.2, 0.6][random.below(4_usize)],
             delay_ms: earliest..=earliest + random.below(90_u64),
             work_ms: 1..=10 + random.below(90_u64),
         },
