A reply that broke off is no surplus

My own fault in, found on rereading: after a time-out, or a large value whose client had left, bytes of the reply itself counted as more than one answer, so connections rested for a minute and the log warned. Change: a surplus is looked for behind a complete answer alone (perform in connection.rs, cut out of carry). a_reply_cut_by_a_time_out_is_no_surplus failed before (1 for 0).

--- a/crates/stairfront-balancer/src/upstream/connection.rs
+++ b/crates/stairfront-balancer/src/upstream/connection.rs
@@ -46,12 +46,13 @@
     type Reply: Debug;
     /// Bytes that follow a value that was written separately from its command.
     const VALUE_TERMINATOR: &'static [u8];
-    /// A command that has no effect, and whose reply comes in order and equals that of no request; empty where the protocol has
-    /// none, so that a connection carries one request.
+    /// A command that has no effect, and whose reply comes in order and equals that of no request. Empty where the protocol
+    /// has none: a connection carries one request then.
     const MARKER: &'static [u8];
     /// A codec for one connection.
     fn new(address: SocketAddr, max_value_bytes: usize, budget: &Rc<Budget>) -> Self;
-    /// Interprets a reply, which is malformed if it has none of the protocol's forms; `report_fields` names the load report's fields in the order of the settings.
+    /// Interprets a reply, which is malformed if it has none of the protocol's forms; `report_fields` names the load
+    /// report's fields in the order of the settings.
     fn interpret(reply: Self::Reply, report_fields: &[String]) -> AttemptOutcome;
     /// Whether a reply is that of the marker.
     fn is_marker_reply(reply: &Self::Reply) -> bool;
@@ -99,6 +100,16 @@
     pub used_at: Instant,
 }
 
+/// An attempt that has ended on a connection.
+struct CarriedAttempt {
+    /// Its end, unless a large value has ended it before.
+    end: Option<AttemptEnd>,
+    /// What will prove the answer to another attempt; `None` if the connection can carry no other.
+    next: Option<AnswerProof>,
+    /// Whether more came than the answer.
+    surplus: bool,
+}
+
 /// The last report of a connection.
 #[derive(Default)]
 struct Closing {
@@ -164,8 +175,8 @@
         }
     }
 
-    /// Carries one attempt and reports its end; what will prove the answer to another one, or an error if the connection cannot
-    /// carry another one.
+    /// Carries one attempt and reports its end; what will prove the answer to another one, or an error if the connection
+    /// cannot carry another one.
     async fn carry<P: UpstreamProtocol>(
         &mut self,
         framed: &mut Framed<N::Stream, P>,
@@ -186,50 +197,64 @@
         self.used_at = Instant::now();
         if !job.may_begin() {
             // Nothing was written, and the connection can be used again.
-            let end = job.end(AttemptOutcome::without_report(Outcome::NeverSent));
+            let end = unanswered(&job, Outcome::NeverSent);
             self.report_idle(Some(end)).await;
             return Ok(proof);
         }
-        let proof = proof.required_for::<P>(&job.command);
-        let (end, next) = match exchange(framed, &mut job, proof, &self.context.report_fields).await
-        {
-            ExchangeOutcome::Finished(result) => (Some(job.end(result)), proof.next::<P>()),
-            ExchangeOutcome::BodyStarted { result, length } => {
-                let body = LargeBody { length, proof };
-                let complete = self.stream_body(framed, &job, result, body).await;
-                (None, proof.next::<P>().filter(|_| complete))
-            }
-            ExchangeOutcome::Failed(outcome) => {
-                (Some(job.end(AttemptOutcome::without_report(outcome))), None)
-            }
-            ExchangeOutcome::Unproven => {
-                self.record_surplus(&job);
-                let end = job.end(AttemptOutcome::without_report(Outcome::Malformed));
-                return Err(Box::new(Closing {
-                    end: Some(end),
-                    surplus: true,
-                    ..Closing::default()
-                }));
-            }
-        };
-        // A connection that the server has closed behind the answer brings nothing more.
-        let surplus = has_more_input(framed);
-        if surplus {
+        let carried = self.perform(framed, &mut job, proof).await;
+        if carried.surplus {
             self.record_surplus(&job);
         }
-        match next {
+        match carried.next {
             Some(next) if is_quiet(framed) => {
-                self.report_idle(end).await;
+                self.report_idle(carried.end).await;
                 Ok(next)
             }
             _ => Err(Box::new(Closing {
-                end,
+                end: carried.end,
                 unsent: None,
-                surplus,
+                surplus: carried.surplus,
             })),
         }
     }
 
+    /// Sends the command of a job and reads what comes back. A reply that broke off is no surplus, nor is the end of a
+    /// connection behind a complete one.
+    async fn perform<P: UpstreamProtocol>(
+        &self,
+        framed: &mut Framed<N::Stream, P>,
+        job: &mut Job,
+        proof: AnswerProof,
+    ) -> CarriedAttempt {
+        let proof = proof.required_for::<P>(&job.command);
+        match exchange(framed, job, proof, &self.context.report_fields).await {
+            ExchangeOutcome::Finished(result) => CarriedAttempt {
+                end: Some(job.end(result)),
+                next: proof.next::<P>(),
+                surplus: has_more_input(framed),
+            },
+            ExchangeOutcome::BodyStarted { result, length } => {
+                let body = LargeBody { length, proof };
+                let complete = self.stream_body(framed, job, result, body).await;
+                CarriedAttempt {
+                    end: None,
+                    next: proof.next::<P>().filter(|_| complete),
+                    surplus: complete && has_more_input(framed),
+                }
+            }
+            ExchangeOutcome::Failed(outcome) => CarriedAttempt {
+                end: Some(unanswered(job, outcome)),
+                next: None,
+                surplus: false,
+            },
+            ExchangeOutcome::Unproven => CarriedAttempt {
+                end: Some(unanswered(job, Outcome::Malformed)),
+                next: None,
+                surplus: true,
+            },
+        }
+    }
+
     async fn report_idle(&self, end: Option<AttemptEnd>) {
         let connection = self.id;
         self.report(PoolEvent::Idle { connection, end }).await;
@@ -326,10 +351,15 @@
     }
 }
 
+/// The end of an attempt of which the server has reported nothing.
+fn unanswered(job: &Job, outcome: Outcome) -> AttemptEnd {
+    job.end(AttemptOutcome::without_report(outcome))
+}
+
 /// A connection that ends with an attempt of which the server has reported nothing.
 fn closing_after(job: &Job, outcome: Outcome) -> Box<Closing> {
     Box::new(Closing {
-        end: Some(job.end(AttemptOutcome::without_report(outcome))),
+        end: Some(unanswered(job, outcome)),
         ..Closing::default()
     })
 }
@@ -348,9 +378,9 @@
     proof: AnswerProof,
 }
 
-/// Forwards a large value as it comes; whether it came as a whole and was proved. Only one chunk is read ahead of the client,
-/// since such values together may be far larger than the memory limit; the rest stays with the server. The last chunk is held
-/// back until the proof is there, so that the client can tell that a value without it is not complete.
+/// Forwards a large value as it comes; whether it came as a whole and was proved. Only one chunk is read ahead of the
+/// client, since such values together may be far larger than the memory limit; the rest stays with the server. The last
+/// chunk is held back until the proof is there, so that the client can tell that a value without it is not complete.
 async fn forward_body<T: Stream, P: UpstreamProtocol, N>(
     framed: &mut Framed<T, P>,
     body: LargeBody,
--- a/crates/stairfront-balancer/tests/upstream_pool.rs
+++ b/crates/stairfront-balancer/tests/upstream_pool.rs
@@ -543,3 +543,22 @@
         }
     });
 }
+
+/// A reply that breaks off in its middle is no second one: connections would rest, and an operator be warned, for each
+/// server that stalls.
+#[test]
+fn a_reply_cut_by_a_time_out_is_no_surplus() {
+    run(async {
+        let log = Log::default();
+        let half = |_: usize, _: &[String]| Step::Say(b"*3\r\n$5\r\nfir".to_vec());
+        let address = cache("cache", &log, half).await;
+        let counters = Rc::new(Counters::default());
+        let (mut pool, mut events) = pool_with(Tcp, address, 4, Rc::clone(&counters));
+        let (mut job, _kept) = job(1);
+        job.give_up_at = Instant::now() + ms(50);
+        assert!(pool.dispatch(job).is_none());
+        let ended = end(&mut pool, &mut events).await;
+        assert_eq!(ended.result.outcome, Outcome::TimedOut);
+        assert_eq!(counters.server_connections_surplus.get(), 0);
+    });
+}
