--- a/crates/stairfront-balancer/tests/upstream_pool.rs
+++ b/crates/stairfront-balancer/tests/upstream_pool.rs
@@ -562,3 +562,21 @@
         assert_eq!(counters.server_connections_surplus.get(), 0);
     });
 }
+
+/// A whole value that no request on this connection has asked for comes behind the first one.
+#[test]
+fn an_unasked_value_on_a_new_connection_answers_no_request() {
+    run(async {
+        let log = Log::default();
+        let host = |_: usize, _: &[String]| match (hit("unasked"), hit("v")) {
+            (Step::Say(unasked), Step::Say(answer)) => Step::Twice(unasked, ms(10), answer),
+            (step, _) => step,
+        };
+        let address = cache("cache", &log, host).await;
+        let (mut pool, mut events) = pool(address, 4);
+        let (job, _kept) = job(1);
+        assert!(pool.dispatch(job).is_none());
+        let ended = end(&mut pool, &mut events).await;
+        assert_ne!(ended.result.value.as_deref(), Some(&b"unasked"[..]));
+    });
+}
