--- a/crates/stairfront-balancer/src/control/discovery.rs
+++ b/crates/stairfront-balancer/src/control/discovery.rs
@@ -223,6 +223,9 @@
     }
 
     async fn poll(&mut self, address: SocketAddr) -> Result<ServerList, PollError> {
+        // What has come between two polls answers neither.
+        self.connection = self.connection.take().filter(is_quiet);
+        let is_first_poll = self.connection.is_none();
         let response = self.exchange(address).await?;
         if response.closes_connection {
             self.connection = None;
@@ -234,12 +237,15 @@
         let raw: RawList = serde_path_to_error::deserialize(&mut deserializer)?;
         let list = raw.read(&self.names)?;
         match self.index {
-            // Changes between versions older than the list in hand say nothing about it. An older list may be that of an agent
-            // that counts anew, or the answer to an earlier poll for a second time: a new connection tells which.
-            Some(index) if list.index < index => Err(PollError::Outdated {
-                index,
-                received: list.index,
-            }),
+            // Changes between versions older than the list in hand say nothing about it. A whole list that is older is that of
+            // an agent that counts anew, or the answer to an earlier poll for a second time: on the first poll of a connection
+            // it can only be the former.
+            Some(index) if list.index < index && !(list.full && is_first_poll) => {
+                Err(PollError::Outdated {
+                    index,
+                    received: list.index,
+                })
+            }
             _ => Ok(list),
         }
     }
@@ -259,8 +265,6 @@
             headers: vec![("Host", Bytes::from(address.to_string()))],
             body: RequestBody::Empty,
         };
-        // What has come between two polls answers neither.
-        self.connection = self.connection.take().filter(is_quiet);
         let connection = match &mut self.connection {
             Some(connection) => connection,
             none => {
--- a/crates/stairfront-balancer/tests/discovery.rs
+++ b/crates/stairfront-balancer/tests/discovery.rs
@@ -373,6 +373,34 @@
     });
 }
 
+/// An agent that was restarted counts its versions from the beginning. Its whole list, on a new connection, is believed at once:
+/// a second poll would have this balancer send to hosts that drain meanwhile.
+#[test]
+fn an_older_list_on_a_new_connection_is_believed_at_once() {
+    run(async {
+        let log = Log::default();
+        let (old, new) = (
+            cache("old", &log, |_, _| hit("old")).await,
+            cache("new", &log, |_, _| hit("new")).await,
+        );
+        let agent = origin("agent", &log, move |n, _| match n {
+            0 => list(41, true, &[line("c1", old, "box")]),
+            1 => Step::End,
+            2 => list(3, true, &[line("c2", new, "box")]),
+            _ => Step::Silence,
+        });
+        let balancer = Balancer::start(agent.await, &[line("c1", old, "box")]).await;
+        until(|| targets(&log).len() > 3).await;
+        let targets = targets(&log);
+        assert!(targets[2].contains("from=41&"), "{targets:?}");
+        assert!(targets[3].contains("from=3&"), "{targets:?}");
+        assert_eq!(
+            balancer.client().await.get("k", "1", 900).await,
+            bulk("new")
+        );
+    });
+}
+
 /// A list may drop running hosts by mistake. Where the settings make removal advisory they still get requests, at their last
 /// address; a draining host does not in either case.
 #[test]
