Log: an answer that comes on an idle connection is warned of too

The usual second answer comes while its connection is idle; it was counted and not logged, though the on-call page says that it is. The line has no request then. Seen on rereading; no test holds the line.

--- a/crates/stairfront-balancer/src/upstream/connection.rs
+++ b/crates/stairfront-balancer/src/upstream/connection.rs
@@ -190,7 +190,7 @@
         if proof == AnswerProof::FirstRequest && !is_quiet(framed) {
             // Nothing was written, and what has come answers no request.
             if has_more_input(framed) {
-                self.record_surplus(&job);
+                self.record_surplus(Some(&job));
             }
             return Err(closing_after(&job, Outcome::ConnectFailed));
         }
@@ -203,7 +203,7 @@
         }
         let carried = self.perform(framed, &mut job, proof).await;
         if carried.surplus {
-            self.record_surplus(&job);
+            self.record_surplus(Some(&job));
         }
         match carried.next {
             Some(next) if is_quiet(framed) => {
@@ -260,8 +260,8 @@
         self.report(PoolEvent::Idle { connection, end }).await;
     }
 
-    /// Counts and logs that more came on this connection than the answer to a request.
-    fn record_surplus(&self, job: &Job) {
+    /// Counts and logs that more came on this connection than the answer to a request; `job` is the one on it, if any.
+    fn record_surplus(&self, job: Option<&Job>) {
         self.context.counters.server_connections_surplus.add();
         let now = Instant::now();
         let logged_at = self.context.surplus_logged_at.get();
@@ -272,7 +272,7 @@
         warn!(
             connection = self.id.0,
             address = %self.address,
-            request = %job.command.id.escape_ascii(),
+            request = job.map(|job| display(job.command.id.escape_ascii())),
             "more came than one answer"
         );
     }
@@ -316,7 +316,7 @@
             unsent => {
                 let surplus = has_more_input(framed);
                 if surplus {
-                    self.context.counters.server_connections_surplus.add();
+                    self.record_surplus(None);
                 }
                 Err(Box::new(Closing {
                     end: None,
