Log what became of each request, attempt and client connection, and stalls of the loop

The incident's logs could not say when a request was read, why an attempt was begun or withheld, why a client's connection was closed, or whether the event loop had stood still. At debug level each has a line now with the client's request id: request read, attempt begun (told_ms, waited_ms), attempt not begun (reason), request refused, request failed, client left before the answer, client connection closed (reason). A loop that comes round 100 ms late or more is logged at info level. The reasons of an attempt that is withheld are an enum in upstream/send_gate.rs. INFO and its names are as they were. Tests of the balancer crate pass: stored_forms, client_disconnects, upstream.

--- a/crates/stairfront-balancer/src/client/connection.rs
+++ b/crates/stairfront-balancer/src/client/connection.rs
@@ -82,6 +82,8 @@
 
 /// One client connection.
 pub(super) struct Connection<T: Stream> {
+    /// Its number in the log.
+    pub(super) number: u64,
     pub(super) framed: Framed<T, ClientCodec>,
     pub(super) context: Rc<ClientContext>,
     pub(super) pending: VecDeque<PendingReply>,
@@ -154,6 +156,7 @@
         parts.write_buf = BytesMut::new();
         let spare_until = permit.spare.then(|| Instant::now() + SPARE_TIMEOUT);
         Connection {
+            number: context.new_connection_number(),
             framed: Framed::from_parts(parts),
             context,
             pending: VecDeque::new(),
@@ -387,6 +390,12 @@
                 mut request,
             } => {
                 request.id = context.new_id();
+                debug!(
+                    connection = self.number,
+                    request = %command.id.escape_ascii(),
+                    info = %command.info.escape_ascii(),
+                    "request read"
+                );
                 let (sender, answer) = oneshot::channel();
                 let finished = Rc::default();
                 let in_flight = InFlightReply {
--- a/crates/stairfront-balancer/src/client/context.rs
+++ b/crates/stairfront-balancer/src/client/context.rs
@@ -38,6 +38,8 @@
     pub large_budget: Rc<Budget>,
     /// Number of the next request.
     pub next_id: Cell<u32>,
+    /// Number of the next connection, for the log.
+    pub next_connection: Cell<u64>,
 }
 
 impl ClientContext {
@@ -46,4 +48,10 @@
         self.next_id.set(id.wrapping_add(1));
         RequestId(id)
     }
+
+    pub(super) fn new_connection_number(&self) -> u64 {
+        let number = self.next_connection.get();
+        self.next_connection.set(number + 1);
+        number
+    }
 }
--- a/crates/stairfront-balancer/src/client/ending.rs
+++ b/crates/stairfront-balancer/src/client/ending.rs
@@ -7,7 +7,7 @@
 use stairfront_policy::interface::RequestId;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio_util::codec::FramedParts;
-use tracing::warn;
+use tracing::{debug, warn};
 
 use crate::client::accept::AcceptedConnection;
 use crate::client::admission::ClientPermit;
@@ -30,7 +30,7 @@
 const LINGER_PAUSE: Duration = Duration::from_millis(20);
 
 /// How a connection ends.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Debug)]
 pub(super) enum ConnectionEnd {
     /// Between requests, to make room or because it is idle.
     Closed,
@@ -65,6 +65,12 @@
         }
         end = connection.run().await;
     }
+    debug!(
+        connection = connection.number,
+        reason = ?end,
+        unanswered = connection.pending.len(),
+        "client connection closed"
+    );
     match end {
         // Nothing is unread and the last answer is old, or there was none. If a request crosses the close, the reset tells
         // the client that it was not read.
--- a/crates/stairfront-balancer/src/engine/effects.rs
+++ b/crates/stairfront-balancer/src/engine/effects.rs
@@ -37,12 +37,7 @@
                 self.perform_send(decision);
             }
             Action::Reject { id, retry_after } => self.refuse(id, retry_after),
-            Action::Fail { id } => {
-                if self.table.answer(id, Answer::Failed) {
-                    self.counters.failed.add();
-                }
-                self.table.complete(id);
-            }
+            Action::Fail { id } => self.fail(id),
             Action::Cancel { id, attempt } => self.table.cancel(id, attempt),
             Action::Timer { delay, token } => {
                 self.timers
@@ -62,8 +57,20 @@
         }
     }
 
+    fn fail(&mut self, id: RequestId) {
+        debug!(request = self.client_request_id(id), "request failed");
+        if self.table.answer(id, Answer::Failed) {
+            self.counters.failed.add();
+        }
+        self.table.complete(id);
+    }
+
     fn refuse(&mut self, id: RequestId, retry_after: Micros) {
         let after_ms = u64::try_from(retry_after / MS).ok().filter(|ms| *ms > 0);
+        debug!(
+            request = self.client_request_id(id),
+            after_ms, "request refused"
+        );
         if self.table.answer(id, Answer::Busy { after_ms }) {
             self.counters.refused.add();
         }
@@ -138,15 +145,8 @@
     }
 
     fn log_attempt(&self, end: &AttemptEnd) {
-        if !tracing::enabled!(tracing::Level::DEBUG) {
-            return;
-        }
-        let open = self.table.open.get(&end.attempt.request);
-        let request = open.map_or(String::new(), |open| {
-            String::from_utf8_lossy(&open.command.id).into_owned()
-        });
         debug!(
-            request,
+            request = self.client_request_id(end.attempt.request),
             server = server_number(end.cache),
             outcome = ?end.result.outcome,
             attempt = end.attempt.number,
@@ -155,6 +155,14 @@
         );
     }
 
+    /// The client's own id of a request, for the log; empty for one that has left the table.
+    pub(super) fn client_request_id(&self, id: RequestId) -> String {
+        let open = self.table.open.get(&id);
+        open.map_or(String::new(), |open| {
+            String::from_utf8_lossy(&open.command.id).into_owned()
+        })
+    }
+
     fn is_unanswered(&self, id: RequestId) -> bool {
         self.table
             .open
--- a/crates/stairfront-balancer/src/engine/mod.rs
+++ b/crates/stairfront-balancer/src/engine/mod.rs
@@ -23,7 +23,7 @@
 use stairfront_settings::{LoadedSettings, SettingsUpdate};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio_util::time::DelayQueue;
-use tracing::info;
+use tracing::{debug, info};
 
 use crate::clock::{timer_duration, Clock};
 use crate::configuration::limits::{stall_timeout, Memory};
@@ -317,6 +317,10 @@
     fn disconnect_client(&mut self, id: RequestId) {
         let answer = self.table.open.get_mut(&id).and_then(OpenRequest::finish);
         if answer.is_some() {
+            debug!(
+                request = self.client_request_id(id),
+                "client left before the answer"
+            );
             self.counters.client_gone.add();
             self.notify_policy(Event::ClientDisconnected { id });
             self.table.complete(id);
--- a/crates/stairfront-balancer/src/lifecycle/assembly.rs
+++ b/crates/stairfront-balancer/src/lifecycle/assembly.rs
@@ -209,6 +209,7 @@
             budget: Budget::new(self.memory.commands),
             large_budget: Budget::new(self.memory.large_commands),
             next_id: Cell::new(0),
+            next_connection: Cell::new(0),
         })
     }
 
--- a/crates/stairfront-balancer/src/lifecycle/loop_monitor.rs
+++ b/crates/stairfront-balancer/src/lifecycle/loop_monitor.rs
@@ -21,6 +21,8 @@
 const OBJECTIVE_DIVISOR: Micros = 25;
 const MIN_TARGET: Micros = 5 * MS;
 const MAX_TARGET: Micros = 15 * MS;
+/// A measurement that is late by this is a stall: the process or its machine stood still, or one turn of the loop was long.
+const STALL_THRESHOLD: Micros = 100 * MS;
 /// Admitting less than this fraction is logged, once until all is admitted again.
 const LOG_THRESHOLD: f64 = 0.9;
 
@@ -80,10 +82,15 @@
         counters,
     } = handles;
     let mut logged = false;
+    let mut stalls: u64 = 0;
     loop {
         let due = Instant::now() + MEASURE_INTERVAL;
         sleep_until(due).await;
         let delay = from_duration(due.elapsed()) - TIMER_GRANULARITY;
+        if delay >= STALL_THRESHOLD {
+            stalls += 1;
+            info!(stalled_ms = delay / MS, stalls, "event loop stalled");
+        }
         let (admitted, behind) = {
             let mut admission = admission.borrow_mut();
             admission.record_timer_delay(clock.now(), delay);
--- a/crates/stairfront-balancer/src/messages.rs
+++ b/crates/stairfront-balancer/src/messages.rs
@@ -240,12 +240,6 @@
 }
 
 impl Job {
-    /// Whether it may still begin. A job may have waited for its connection's task, or for a connection that came up as
-    /// its time ended; the request may have been answered by then, and must not be sent after its answer.
-    pub fn may_begin(&self) -> bool {
-        !self.finished.get() && self.cancel.is_empty() && Instant::now() < self.send_deadline()
-    }
-
     /// Until when the attempt may wait for a socket and a connection together, since both count as its time.
     pub fn connect_deadline(&self, connect_timeout: Duration) -> Instant {
         self.send_deadline().min(self.decided_at + connect_timeout)
--- a/crates/stairfront-balancer/src/upstream/connection.rs
+++ b/crates/stairfront-balancer/src/upstream/connection.rs
@@ -25,6 +25,7 @@
 use crate::transport::{is_quiet, Network, Stream, Unread};
 use crate::upstream::exchange::{cancelled, exchange, ExchangeOutcome};
 use crate::upstream::proof::AnswerProof;
+use crate::upstream::send_gate::SendRefusal;
 
 /// Chunks of a large value that wait for its client.
 const MAX_QUEUED_CHUNKS: usize = 1;
@@ -185,6 +186,7 @@
     ) -> Result<AnswerProof, Box<Closing>> {
         if self.barred.get() {
             // Not a byte of the attempt was written.
+            job.log_refusal(SendRefusal::ServerBarred);
             return Err(closing_after(&job, Outcome::NeverSent));
         }
         if proof == AnswerProof::FirstRequest && !is_quiet(framed) {
@@ -195,7 +197,8 @@
             return Err(closing_after(&job, Outcome::ConnectFailed));
         }
         self.used_at = Instant::now();
-        if !job.may_begin() {
+        if let Err(refusal) = job.may_begin() {
+            job.log_refusal(refusal);
             // Nothing was written, and the connection can be used again.
             let end = unanswered(&job, Outcome::NeverSent);
             self.report_idle(Some(end)).await;
--- a/crates/stairfront-balancer/src/upstream/exchange.rs
+++ b/crates/stairfront-balancer/src/upstream/exchange.rs
@@ -42,6 +42,13 @@
         command: job.command.clone(),
         left_ms: left.as_millis() as u64,
     };
+    debug!(
+        request = %job.command.id.escape_ascii(),
+        attempt = job.attempt.number,
+        told_ms = outgoing.left_ms,
+        waited_ms = job.decided_at.elapsed().as_millis() as u64,
+        "attempt begun"
+    );
     let send_deadline = job.send_deadline();
     let mut written = false;
     let talk = async {
--- a/crates/stairfront-balancer/src/upstream/mod.rs
+++ b/crates/stairfront-balancer/src/upstream/mod.rs
@@ -5,4 +5,5 @@
 pub mod load_report;
 pub mod origin;
 mod proof;
+pub mod send_gate;
 pub mod upstream_pool;
--- a/crates/stairfront-balancer/src/upstream/upstream_pool.rs
+++ b/crates/stairfront-balancer/src/upstream/upstream_pool.rs
@@ -255,7 +255,8 @@
     /// Carries an attempt out, or has it wait for a socket; an end that comes at once is returned.
     pub fn dispatch(&mut self, job: Job) -> Option<AttemptEnd> {
         // Its request ended while it waited for a socket: none is opened for it.
-        if !job.may_begin() {
+        if let Err(refusal) = job.may_begin() {
+            job.log_refusal(refusal);
             return Some(job.end(AttemptOutcome::without_report(Outcome::NeverSent)));
         }
         if !self.hosts.contains_key(&job.cache) {
--- a/crates/stairfront-balancer/tests/client_disconnects.rs
+++ b/crates/stairfront-balancer/tests/client_disconnects.rs
@@ -70,6 +70,7 @@
         budget: Budget::new(memory.commands),
         large_budget: Budget::new(memory.large_commands),
         next_id: Cell::new(0),
+        next_connection: Cell::new(0),
     };
     (Rc::new(context), events, phase)
 }
