Reproduction: a process stopped for a while sends on for clients that have left

Real processes over loopback: a balancer, four cache hosts, an origin and an agent. The process is stopped (SIGSTOP, SIGCONT) for 0.25 to 0.8 s while clients send 24 commands at once and leave after 113 ms.

--- /dev/null
+++ b/crates/stairfront/tests/stalls/main.rs
@@ -0,0 +1,189 @@
+//! The program as a process that stands still for a while, as under a stopped or starved machine. What it decides from may
+//! have been true before the stall alone: clients have left meanwhile, requests have grown old, lists have come.
+#[path = "../balancer_process/mod.rs"]
+mod balancer_process;
+#[path = "../../../stairfront-balancer/tests/common/mod.rs"]
+mod common;
+mod stand_ins;
+mod witness;
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use balancer_process::{unused_address, BalancerProcess};
+use common::{config, line, ms, run_within, until, Client};
+use stairfront_common::random::SeededRng;
+use stand_ins::{leave_behind, ListAgent, RequestShape};
+use tokio::task::{spawn_local, JoinHandle};
+use tokio::time::sleep;
+use witness::Witness;
+
+const LIMIT: Duration = Duration::from_secs(60);
+const HOSTS: usize = 4;
+/// How long the clients of the report waited.
+const PATIENCE_MS: u64 = 113;
+
+/// A balancer with its cache hosts, an origin and an agent.
+struct World {
+    process: BalancerProcess,
+    agent: Rc<ListAgent>,
+    witness: Rc<Witness>,
+}
+
+impl World {
+    async fn start(test: &str, work_ms: u64) -> World {
+        let witness = Rc::new(Witness::default());
+        let mut lines = Vec::new();
+        for i in 0..HOSTS {
+            let address = stand_ins::start_cache(i, work_ms, &witness).await;
+            lines.push(line(&format!("c{i}"), address, "box"));
+        }
+        let origin = stand_ins::start_origin(work_ms, &witness).await;
+        lines.push(line("origin", origin, "origin"));
+        let (agent, agent_address) = ListAgent::start(&witness).await;
+        agent.know(&lines);
+        let configuration = config(unused_address(), agent_address, &lines, 1024);
+        let process = BalancerProcess::start_with(test, configuration, None).await;
+        World {
+            process,
+            agent,
+            witness,
+        }
+    }
+
+    /// Starts a client on a new connection after a while.
+    fn start_client_after(
+        &self,
+        delay: Duration,
+        name: String,
+        shape: RequestShape,
+    ) -> JoinHandle<()> {
+        let (address, witness) = (self.process.address, Rc::clone(&self.witness));
+        spawn_local(async move {
+            sleep(delay).await;
+            let client = Client::connect(address).await.unwrap();
+            leave_behind(client, name, shape, witness).await;
+        })
+    }
+
+    /// Stops the process for a while.
+    async fn stall(&self, duration: Duration) {
+        self.process.signal("-STOP");
+        sleep(duration).await;
+        self.process.signal("-CONT");
+    }
+}
+
+async fn wait_for(clients: Vec<JoinHandle<()>>) {
+    for client in clients {
+        client.await.unwrap();
+    }
+}
+
+/// Clients that send so many commands at once and leave, while the process is stopped again and again.
+async fn leave_behind_under_stalls(world: &World, commands: usize, seed: u64) {
+    let mut random = SeededRng::for_part(seed, "stalls");
+    let shape = RequestShape {
+        commands,
+        wait_ms: 1400,
+        patience: ms(PATIENCE_MS),
+    };
+    for round in 0..8_u64 {
+        let mut clients = Vec::new();
+        for client in 0..6 {
+            let delay = ms(random.below(60_u64));
+            let name = format!("left-{round}-{client}");
+            clients.push(world.start_client_after(delay, name, shape));
+        }
+        sleep(ms(random.below(50_u64))).await;
+        world.stall(ms(250 + random.below(550_u64))).await;
+        wait_for(clients).await;
+        sleep(ms(150)).await;
+    }
+}
+
+fn assert_nothing_is_sent_on_after_its_client_left(test: &str, commands: usize, seed: u64) {
+    run_within(LIMIT, async {
+        let world = World::start(test, 20).await;
+        leave_behind_under_stalls(&world, commands, seed).await;
+        println!("{test}: {}", world.witness);
+        let left_behind = world.witness.requests_left_behind();
+        assert!(left_behind > 20 * commands, "the fault was played");
+        assert_eq!(
+            world.witness.sent_on_after_the_client_left(),
+            Vec::<String>::new()
+        );
+    });
+}
+
+#[test]
+fn commands_sent_at_once_are_not_sent_on_after_their_client_left_during_a_stall() {
+    assert_nothing_is_sent_on_after_its_client_left("left_many", 24, 1);
+}
+
+#[test]
+fn a_server_is_told_no_more_time_than_a_request_has_left_after_a_stall() {
+    run_within(LIMIT, async {
+        let world = World::start("told", 20).await;
+        let mut random = SeededRng::for_part(3, "stalls");
+        for round in 0..8_u64 {
+            let mut clients = Vec::new();
+            for client in 0..6 {
+                let shape = RequestShape {
+                    commands: 1 + random.below(24_usize),
+                    wait_ms: 1400,
+                    patience: ms(1400),
+                };
+                let delay = ms(random.below(300_u64));
+                let name = format!("told-{round}-{client}");
+                clients.push(world.start_client_after(delay, name, shape));
+            }
+            world.stall(ms(250 + random.below(550_u64))).await;
+            wait_for(clients).await;
+        }
+        println!("told: {}", world.witness);
+        assert!(world.witness.begun_count() > 100, "the fault was played");
+        assert_eq!(
+            world.witness.told_more_than_was_left(),
+            Vec::<String>::new()
+        );
+    });
+}
+
+/// The commands wait in front of the list, so that the requests are decided by the list before.
+#[test]
+fn nothing_new_goes_to_a_host_whose_drain_was_told_during_a_stall() {
+    run_within(LIMIT, async {
+        for round in 0..4_u64 {
+            let world = World::start(&format!("drain{round}"), 20).await;
+            // A watch is open, so that the list is pushed into the stall.
+            until(|| world.agent.is_held()).await;
+            let mut connected = Vec::new();
+            for _ in 0..8 {
+                let mut client = Client::connect(world.process.address).await.unwrap();
+                assert_eq!(client.ask(&["PING"]).await, "+PONG\r\n");
+                connected.push(client);
+            }
+            world.process.signal("-STOP");
+            let shape = RequestShape {
+                commands: 12,
+                wait_ms: 1400,
+                patience: ms(1400),
+            };
+            let mut clients = Vec::new();
+            for (i, client) in connected.into_iter().enumerate() {
+                let witness = Rc::clone(&world.witness);
+                let name = format!("drain-{round}-{i}");
+                clients.push(spawn_local(leave_behind(client, name, shape, witness)));
+            }
+            sleep(ms(30)).await;
+            world.agent.drain(0);
+            sleep(ms(400 + round * 40)).await;
+            world.process.signal("-CONT");
+            wait_for(clients).await;
+            println!("drain: {}", world.witness);
+            assert!(world.witness.begun_count() > 20, "the fault was played");
+            assert_eq!(world.witness.begun_at_drained_hosts(), Vec::<String>::new());
+        }
+    });
+}
--- /dev/null
+++ b/crates/stairfront/tests/stalls/stand_ins.rs
@@ -0,0 +1,312 @@
+//! Cache hosts, an origin, discovery's agent and clients that record in a [`Witness`] what they see and when.
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use serde_json::{json, Value};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout_at, Instant};
+
+use super::common::{command, cut_http, cut_resp, ms, Client};
+use super::witness::{BegunAttempt, SentRequest, Witness};
+
+/// The value of one name in a list of names and values; 0 where it is not there.
+fn told_ms(list: &str) -> u64 {
+    let told = list.split(',').find_map(|pair| pair.strip_prefix("d="));
+    told.map_or(0, |ms| ms.parse().unwrap())
+}
+
+/// Reads into a buffer until the connection ends.
+async fn read_more(socket: &mut TcpStream, buffer: &mut Vec<u8>) -> bool {
+    let mut chunk = [0; 4096];
+    match socket.read(&mut chunk).await {
+        Ok(0) | Err(_) => false,
+        Ok(n) => {
+            buffer.extend_from_slice(&chunk[..n]);
+            true
+        }
+    }
+}
+
+/// A cache host that answers each read with a value after its work. Keys that begin with `miss` are missing.
+pub async fn start_cache(number: usize, work_ms: u64, witness: &Rc<Witness>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (name, witness) = (format!("c{number}"), Rc::clone(witness));
+    spawn_local(async move {
+        while let Ok((socket, _)) = listener.accept().await {
+            socket.set_nodelay(true).unwrap();
+            spawn_local(serve_cache(
+                socket,
+                name.clone(),
+                work_ms,
+                Rc::clone(&witness),
+            ));
+        }
+    });
+    address
+}
+
+async fn serve_cache(mut socket: TcpStream, server: String, work_ms: u64, witness: Rc<Witness>) {
+    let mut buffer = Vec::new();
+    while read_more(&mut socket, &mut buffer).await {
+        let begun_at = Instant::now();
+        while let Some(words) = cut_resp(&mut buffer) {
+            if !words[0].starts_with("C.") {
+                let _ = socket.write_all(b"+OK\r\n").await;
+                continue;
+            }
+            let answer = if words[1].starts_with("miss") {
+                "*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n".to_string()
+            } else {
+                witness.attempts.borrow_mut().push(BegunAttempt {
+                    id: words[2].clone(),
+                    server: server.clone(),
+                    begun_at,
+                    told_ms: told_ms(&words[3]),
+                });
+                format!(
+                    "*3\r\n${}\r\n{}\r\n$3\r\nhit\r\n$-1\r\n",
+                    words[2].len(),
+                    words[2]
+                )
+            };
+            sleep(ms(work_ms)).await;
+            let _ = socket.write_all(answer.as_bytes()).await;
+        }
+    }
+}
+
+/// The origin, which has every value.
+pub async fn start_origin(work_ms: u64, witness: &Rc<Witness>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let witness = Rc::clone(witness);
+    spawn_local(async move {
+        while let Ok((socket, _)) = listener.accept().await {
+            socket.set_nodelay(true).unwrap();
+            spawn_local(serve_origin(socket, work_ms, Rc::clone(&witness)));
+        }
+    });
+    address
+}
+
+async fn serve_origin(mut socket: TcpStream, work_ms: u64, witness: Rc<Witness>) {
+    let mut buffer = Vec::new();
+    while read_more(&mut socket, &mut buffer).await {
+        let begun_at = Instant::now();
+        while let Some(lines) = cut_http(&mut buffer) {
+            let header = |name: &str| {
+                lines
+                    .iter()
+                    .find_map(|line| line.strip_prefix(name))
+                    .unwrap()
+                    .to_string()
+            };
+            let id = header("Request-Id: ");
+            witness.attempts.borrow_mut().push(BegunAttempt {
+                id: id.clone(),
+                server: "origin".to_string(),
+                begun_at,
+                told_ms: told_ms(&header("Request-Info: ")),
+            });
+            sleep(ms(work_ms)).await;
+            let answer = format!(
+                "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{id}",
+                id.len()
+            );
+            let _ = socket.write_all(answer.as_bytes()).await;
+        }
+    }
+}
+
+/// Discovery's agent: holds each watch until there is a change, and records when the change is written.
+pub struct ListAgent {
+    changes: RefCell<Vec<(String, Value)>>,
+    changed: Notify,
+    held: Cell<usize>,
+    witness: Rc<Witness>,
+    addresses: RefCell<Vec<Value>>,
+}
+
+/// The first version that the agent tells.
+const FIRST_INDEX: usize = 1;
+
+impl ListAgent {
+    /// Starts one without changes; it and its address.
+    pub async fn start(witness: &Rc<Witness>) -> (Rc<ListAgent>, SocketAddr) {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let agent = Rc::new(ListAgent {
+            changes: RefCell::default(),
+            changed: Notify::new(),
+            held: Cell::new(0),
+            witness: Rc::clone(witness),
+            addresses: RefCell::default(),
+        });
+        let serving = Rc::clone(&agent);
+        spawn_local(async move {
+            while let Ok((socket, _)) = listener.accept().await {
+                socket.set_nodelay(true).unwrap();
+                spawn_local(Rc::clone(&serving).serve(socket));
+            }
+        });
+        (agent, address)
+    }
+
+    /// Tells the entries of the list, whose addresses are those of drained hosts.
+    pub fn know(&self, lines: &[Value]) {
+        *self.addresses.borrow_mut() = lines.to_vec();
+    }
+
+    /// Whether a watch is open.
+    pub fn is_held(&self) -> bool {
+        self.held.get() > 0
+    }
+
+    /// Has a host drain.
+    pub fn drain(&self, host: usize) {
+        let mut entry = self.addresses.borrow()[host].clone();
+        entry["status"] = json!("DRAINING");
+        self.changes.borrow_mut().push((format!("c{host}"), entry));
+        self.changed.notify_waiters();
+    }
+
+    async fn serve(self: Rc<Self>, mut socket: TcpStream) {
+        let mut buffer = Vec::new();
+        while read_more(&mut socket, &mut buffer).await {
+            while let Some(lines) = cut_http(&mut buffer) {
+                if self.answer(&mut socket, &lines[0]).await.is_none() {
+                    return;
+                }
+            }
+        }
+    }
+
+    async fn answer(&self, socket: &mut TcpStream, target: &str) -> Option<()> {
+        let from = parameter(target, "from=").unwrap_or(0) as usize;
+        let due = Instant::now() + ms(parameter(target, "hold_ms=").unwrap_or(0));
+        self.held.set(self.held.get() + 1);
+        let told = loop {
+            let changed = self.changed.notified();
+            let known = FIRST_INDEX + self.changes.borrow().len();
+            if known > from || Instant::now() >= due {
+                break known;
+            }
+            let mut byte = [0];
+            tokio::select! {
+                () = changed => {}
+                _ = timeout_at(due, std::future::pending::<()>()) => {}
+                // The balancer has dropped the watch.
+                _ = socket.peek(&mut byte) => break known,
+            }
+        };
+        self.held.set(self.held.get() - 1);
+        let body = self.tell(from, told);
+        let answer = format!(
+            "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        socket.write_all(answer.as_bytes()).await.ok()
+    }
+
+    /// The changes since a version, which are recorded as told.
+    fn tell(&self, from: usize, told: usize) -> String {
+        let changes = self.changes.borrow();
+        let new = &changes[from.saturating_sub(FIRST_INDEX).min(changes.len())..];
+        let now = Instant::now();
+        for (host, _) in new {
+            let mut drained_at = self.witness.drained_at.borrow_mut();
+            drained_at.entry(host.clone()).or_insert(now);
+        }
+        let entries: Vec<Value> = new.iter().map(|(_, entry)| entry.clone()).collect();
+        json!({"index": told, "snapshot": false, "endpoints": entries}).to_string()
+    }
+}
+
+fn parameter(target: &str, name: &str) -> Option<u64> {
+    let value = target.split(name).nth(1)?;
+    let digits: String = value.chars().take_while(char::is_ascii_digit).collect();
+    digits.parse().ok()
+}
+
+/// What a client sends, and how long it stays.
+#[derive(Clone, Copy)]
+pub struct RequestShape {
+    /// Commands that it sends at once.
+    pub commands: usize,
+    /// The time that it says it waits.
+    pub wait_ms: u64,
+    /// The time after which it closes its connection.
+    pub patience: Duration,
+}
+
+/// A client that sends some commands at once, reads the answers, and closes its connection after its patience.
+pub async fn leave_behind(
+    mut client: Client,
+    name: String,
+    shape: RequestShape,
+    witness: Rc<Witness>,
+) {
+    let ids: Vec<String> = (0..shape.commands)
+        .map(|i| format!("{name}-{i}-read"))
+        .collect();
+    let list = format!("c=read,t=acme,d={}", shape.wait_ms);
+    let bytes: Vec<u8> = ids
+        .iter()
+        .flat_map(|id| command(&["C.GET", id, id, &list]))
+        .collect();
+    let sent_at = Instant::now();
+    if client.try_send(&bytes).await.is_err() {
+        return;
+    }
+    for id in &ids {
+        let request = SentRequest {
+            sent_at,
+            wait_ms: shape.wait_ms,
+            answered_at: None,
+            closed_at: None,
+            cut_off: false,
+        };
+        witness.requests.borrow_mut().insert(id.clone(), request);
+    }
+    let mut answered = 0;
+    let mut cut_off = false;
+    while answered < ids.len() {
+        match timeout_at(sent_at + shape.patience, client.answer()).await {
+            Ok(Some(answer)) => {
+                record_answer(&witness, &ids[answered], &answer);
+                answered += 1;
+            }
+            Ok(None) => {
+                cut_off = true;
+                break;
+            }
+            Err(_) => break,
+        }
+    }
+    let closed_at = Instant::now();
+    drop(client);
+    for id in &ids[answered..] {
+        if let Some(request) = witness.requests.borrow_mut().get_mut(id) {
+            request.cut_off = cut_off;
+            request.closed_at = Some(closed_at).filter(|_| !cut_off);
+        }
+    }
+}
+
+fn record_answer(witness: &Witness, id: &str, answer: &str) {
+    if let Some(request) = witness.requests.borrow_mut().get_mut(id) {
+        request.answered_at = Some(Instant::now());
+    }
+    let counter = if answer.starts_with('$') {
+        &witness.served
+    } else {
+        &witness.unserved
+    };
+    counter.set(counter.get() + 1);
+}
