An attempt asks the kernel whether its client is still there, right before it is written

Cause: that a client has left was a flag, set by a task that reads its end. A process that stood still reads the commands after the stall, decides and writes them in one turn, and the end behind them, often behind unread bytes, is read only later. Change: everything that forbids an attempt is asked in one place (upstream/send_gate.rs, command_write.rs), directly before its first byte with nothing awaited in between, and before each further piece of a long command; the client's end is asked of the kernel by poll with POLLRDHUP, through a weak reference to its connection; a check that itself took 10 ms is made again. The bar of a server travels with the attempt. Why it works: the kernel knows the end at once and no task has to run; what is left is a stall between the last check and the kernel's taking the bytes.

--- a/crates/stairfront-balancer/src/client/connection.rs
+++ b/crates/stairfront-balancer/src/client/connection.rs
@@ -1,5 +1,4 @@
 //! One client connection: reads commands, keeps their answers in order, and decides at each turn what it waits for.
-use std::cell::Cell;
 use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Duration;
@@ -20,10 +19,12 @@
 use crate::client::context::ClientContext;
 use crate::client::ending::ConnectionEnd;
 use crate::client::idle::SPARE_TIMEOUT;
+use crate::client::shared_stream::SharedStream;
 use crate::clock::{sleep, sleep_until, Instant};
 use crate::lifecycle::handover::MAX_UNREAD_BYTES;
 use crate::lifecycle::shutdown::Phase;
 use crate::messages::{Answer, Arrival, EngineEvent, FinalAnswer};
+use crate::stages::liveness::RequestLiveness;
 use crate::stages::parse::Accepted;
 use crate::transport::Stream;
 
@@ -49,12 +50,12 @@
 pub(super) struct InFlightReply {
     pub(super) id: RequestId,
     pub(super) answer: oneshot::Receiver<FinalAnswer>,
-    finished: Rc<Cell<bool>>,
+    liveness: Rc<RequestLiveness>,
 }
 
 impl Drop for InFlightReply {
     fn drop(&mut self) {
-        self.finished.set(true);
+        self.liveness.finish();
     }
 }
 
@@ -84,7 +85,7 @@
 pub(super) struct Connection<T: Stream> {
     /// Its number in the log.
     pub(super) number: u64,
-    pub(super) framed: Framed<T, ClientCodec>,
+    pub(super) framed: Framed<SharedStream<T>, ClientCodec>,
     pub(super) context: Rc<ClientContext>,
     pub(super) pending: VecDeque<PendingReply>,
     /// Set once no command is read any more: the connection ends so as soon as the pending answers are written.
@@ -150,7 +151,7 @@
             unread,
         } = accepted;
         let codec = ClientCodec::new(&context.budget, &context.large_budget);
-        let mut parts = FramedParts::new::<Answer>(socket, codec);
+        let mut parts = FramedParts::new::<Answer>(SharedStream::new(socket), codec);
         parts.read_buf = BytesMut::with_capacity(READ_BUFFER.max(unread.len()));
         parts.read_buf.extend_from_slice(&unread);
         parts.write_buf = BytesMut::new();
@@ -397,11 +398,11 @@
                     "request read"
                 );
                 let (sender, answer) = oneshot::channel();
-                let finished = Rc::default();
+                let liveness = Rc::new(RequestLiveness::of(self.framed.get_ref().peer()));
                 let in_flight = InFlightReply {
                     id: request.id,
                     answer,
-                    finished: Rc::clone(&finished),
+                    liveness: Rc::clone(&liveness),
                 };
                 let arrival = Arrival {
                     request,
@@ -409,7 +410,7 @@
                     command,
                     memory,
                     answer: sender,
-                    finished,
+                    liveness,
                 };
                 context.events.send(EngineEvent::Arrived(arrival)).await?;
                 PendingReply::InFlight(in_flight)
--- a/crates/stairfront-balancer/src/client/ending.rs
+++ b/crates/stairfront-balancer/src/client/ending.rs
@@ -102,7 +102,8 @@
         ..
     } = connection;
     let FramedParts { io, read_buf, .. } = framed.into_parts();
-    let Ok(socket) = io.release() else {
+    let released = io.into_inner().and_then(|socket| socket.release().ok());
+    let Some(socket) = released else {
         return Err(None);
     };
     let handed_over = HandedOverConnection {
--- a/crates/stairfront-balancer/src/client/mod.rs
+++ b/crates/stairfront-balancer/src/client/mod.rs
@@ -10,4 +10,5 @@
 pub mod context;
 mod ending;
 mod idle;
+mod shared_stream;
 mod write;
--- a/crates/stairfront-balancer/src/client/write.rs
+++ b/crates/stairfront-balancer/src/client/write.rs
@@ -8,11 +8,13 @@
 use futures_util::{Sink, SinkExt};
 use stairfront_codec::buffer::shrink;
 use stairfront_codec::resp::RespError;
+use tokio::io::AsyncWrite;
 use tokio::sync::{mpsc, oneshot};
 use tokio_util::codec::Framed;
 
 use crate::client::codec::ClientCodec;
 use crate::client::connection::{Connection, PendingReply, DEPARTURE_CHECK_INTERVAL};
+use crate::client::shared_stream::SharedStream;
 use crate::clock::{timeout_at, Instant};
 use crate::configuration::limits::{client_read_timeout, large_value_timeout};
 use crate::messages::{Answer, BodyChunk, FinalAnswer};
@@ -76,7 +78,10 @@
     async fn while_connected<R>(
         &mut self,
         limit: Duration,
-        mut step: impl FnMut(Pin<&mut Framed<T, ClientCodec>>, &mut task::Context<'_>) -> Poll<R>,
+        mut step: impl FnMut(
+            Pin<&mut Framed<SharedStream<T>, ClientCodec>>,
+            &mut task::Context<'_>,
+        ) -> Poll<R>,
     ) -> Result<R, RespError> {
         let deadline = Instant::now() + limit;
         loop {
@@ -118,7 +123,8 @@
     async fn write_chunk(&mut self, mut bytes: Bytes) -> Result<(), RespError> {
         let limit = large_value_timeout(self.read_timeout());
         while !bytes.is_empty() {
-            let write = |framed: Pin<&mut Framed<T, ClientCodec>>, cx: &mut task::Context<'_>| {
+            let write = |framed: Pin<&mut Framed<SharedStream<T>, ClientCodec>>,
+                         cx: &mut task::Context<'_>| {
                 Pin::new(framed.get_mut().get_mut()).poll_write(cx, &bytes)
             };
             match self.while_connected(limit, write).await?? {
--- a/crates/stairfront-balancer/src/messages.rs
+++ b/crates/stairfront-balancer/src/messages.rs
@@ -16,6 +16,7 @@
 use crate::clock::Instant;
 use crate::control::server_list::ServerList;
 use crate::lifecycle::handover_state::Snapshot;
+use crate::stages::liveness::RequestLiveness;
 
 /// The final answer to one request, or an immediate one to a command that needs no decision.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -145,8 +146,9 @@
     pub memory: Option<Reservation>,
     /// Gets the final answer.
     pub answer: oneshot::Sender<FinalAnswer>,
-    /// Set by the client's connection as soon as its client leaves, ahead of all events that wait for the engine then.
-    pub finished: Rc<Cell<bool>>,
+    /// Finished by the client's connection as soon as that reads its client's end, ahead of all events that wait for the
+    /// engine then.
+    pub liveness: Rc<RequestLiveness>,
 }
 
 /// One attempt of one request.
@@ -235,8 +237,10 @@
     pub window_end: Option<Instant>,
     /// Resolves when the attempt is cancelled; a sender that is dropped means nothing.
     pub cancel: oneshot::Receiver<()>,
-    /// Whether its request has been answered or its client has left.
-    pub finished: Rc<Cell<bool>>,
+    /// Set when nothing new may be begun at the server; the flag of the time at which the attempt was decided.
+    pub barred: Rc<Cell<bool>>,
+    /// Whether its request is still wanted.
+    pub liveness: Rc<RequestLiveness>,
 }
 
 impl Job {
--- a/crates/stairfront-balancer/src/stages/admit.rs
+++ b/crates/stairfront-balancer/src/stages/admit.rs
@@ -1,5 +1,4 @@
 //! Second stage: a request gets its entry in the table of open requests.
-use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -13,6 +12,7 @@
 use crate::clock::Instant;
 use crate::configuration::limits::Memory;
 use crate::messages::{Answer, Arrival, Command, FinalAnswer};
+use crate::stages::liveness::RequestLiveness;
 
 /// An attempt whose end has not been handled.
 pub struct OutstandingAttempt {
@@ -53,20 +53,20 @@
     pub outstanding: Vec<OutstandingAttempt>,
     /// A send that waits for a cancelled attempt.
     pub deferred: Option<PlannedSend>,
-    /// Set as the answer is given or the client leaves; shared with the client's connection and with the attempts, which
-    /// check it before the first byte.
-    pub finished: Rc<Cell<bool>>,
+    /// Finished as the answer is given or the client leaves; shared with the client's connection and with the attempts,
+    /// which ask it before the first byte.
+    pub liveness: Rc<RequestLiveness>,
 }
 
 impl OpenRequest {
     /// Whether its client has left without the engine having handled that yet.
     pub fn is_abandoned(&self) -> bool {
-        self.finished.get() && self.answer.is_some()
+        self.liveness.is_finished() && self.answer.is_some()
     }
 
     /// Takes the sender of the final answer; `None` if the client has had it or has left. No other code takes it.
     pub fn finish(&mut self) -> Option<oneshot::Sender<FinalAnswer>> {
-        self.finished.set(true);
+        self.liveness.finish();
         self.answer.take()
     }
 }
@@ -152,7 +152,7 @@
             max_attempts,
             outstanding: Vec::new(),
             deferred: None,
-            finished: arrival.finished,
+            liveness: arrival.liveness,
         };
         self.open.insert(arrival.request.id, open);
         Ok(arrival.request)
--- a/crates/stairfront-balancer/src/stages/send.rs
+++ b/crates/stairfront-balancer/src/stages/send.rs
@@ -36,7 +36,7 @@
         let attempt = AttemptId { request, number };
         open.attempts_sent = open.attempts_sent.saturating_add(1);
         let window_end = send_within.map(|within| Instant::now() + timer_duration(within));
-        if open.finished.get() || number >= open.max_attempts || timeout < 0 {
+        if open.liveness.is_finished() || number >= open.max_attempts || timeout < 0 {
             return SendDecision::Ended(never_sent(attempt, cache));
         }
         let send = PlannedSend {
@@ -66,7 +66,7 @@
             number: send.number,
         };
         // Nothing more may be sent for a request that has been answered meanwhile.
-        Some(if open.finished.get() {
+        Some(if open.liveness.is_finished() {
             SendDecision::Ended(never_sent(attempt, send.cache))
         } else {
             SendDecision::Job(open.start(attempt, send))
@@ -112,7 +112,8 @@
             give_up_at: now + timer_duration(send.timeout),
             window_end: send.window_end,
             cancel: cancelled,
-            finished: Rc::clone(&self.finished),
+            barred: Rc::default(),
+            liveness: Rc::clone(&self.liveness),
         }
     }
 }
--- a/crates/stairfront-balancer/src/transport.rs
+++ b/crates/stairfront-balancer/src/transport.rs
@@ -1,6 +1,7 @@
 //! The one interface between the balancer and its network: connect, listen, accept, read and write, whether anything
 //! unread has come, close (by dropping). All network code is generic over it, so that the same code runs on the kernel's
 //! sockets and on a simulated network of a test.
+use std::cell::RefCell;
 use std::future::Future;
 use std::io;
 use std::io::ErrorKind;
@@ -9,6 +10,8 @@
 use std::os::fd::{AsFd, OwnedFd};
 
 use futures_util::FutureExt;
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
+use rustix::io::retry_on_intr;
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, Interest};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
@@ -34,10 +37,8 @@
     /// Input that has come and was not read, by the network itself: the event loop knows only what had come when it last
     /// polled.
     fn unread(&self) -> Unread;
-    /// Whether the other side has ended, also behind bytes that were not read.
-    fn has_ended(&self) -> bool {
-        self.unread() == Unread::End
-    }
+    /// Whether the other side has ended, also behind bytes that were not read, by the network itself.
+    fn has_ended(&self) -> bool;
     /// Resolves when something can be read or the connection has ended; reads nothing.
     fn arrival(&self) -> impl Future<Output = ()>;
     /// Gives the connection up as a descriptor, for another process.
@@ -64,6 +65,18 @@
     }
 }
 
+/// The other side of a connection, for those that do not own the connection.
+pub trait Peer {
+    /// Whether it has ended, as [`Stream::has_ended`].
+    fn has_ended(&self) -> bool;
+}
+
+impl<T: Stream> Peer for RefCell<T> {
+    fn has_ended(&self) -> bool {
+        self.borrow().has_ended()
+    }
+}
+
 /// Whether nothing has come behind the last reply. A reply names no request: what stands behind a well-formed one would
 /// answer the next request on the connection.
 pub(crate) fn is_quiet<T: Stream, P>(framed: &Framed<T, P>) -> bool {
@@ -168,11 +181,18 @@
         }
     }
 
-    /// The event queue reports the end by itself, however far the input has been read.
+    /// The event queue reports an end however far the input has been read, but only that of its last look. The kernel
+    /// itself knows of the end at once.
     fn has_ended(&self) -> bool {
+        const ENDED: PollFlags = PollFlags::RDHUP.union(PollFlags::HUP).union(PollFlags::ERR);
+        let mut descriptors = [PollFd::new(self, PollFlags::RDHUP)];
+        let asked = retry_on_intr(|| poll(&mut descriptors, Some(&Timespec::default())));
+        if descriptors[0].revents().intersects(ENDED) {
+            return true;
+        }
         let ready = self.ready(Interest::READABLE).now_or_never();
         ready.is_some_and(|ready| ready.map_or(true, |ready| ready.is_read_closed()))
-            || self.unread() == Unread::End
+            || (asked.is_err() && self.unread() == Unread::End)
     }
 
     fn release(self) -> io::Result<OwnedFd> {
--- a/crates/stairfront-balancer/src/upstream/connection.rs
+++ b/crates/stairfront-balancer/src/upstream/connection.rs
@@ -25,7 +25,6 @@
 use crate::transport::{is_quiet, Network, Stream, Unread};
 use crate::upstream::exchange::{cancelled, exchange, ExchangeOutcome};
 use crate::upstream::proof::AnswerProof;
-use crate::upstream::send_gate::SendRefusal;
 
 /// Chunks of a large value that wait for its client.
 const MAX_QUEUED_CHUNKS: usize = 1;
@@ -91,8 +90,6 @@
     pub id: ConnectionId,
     /// The server.
     pub address: SocketAddr,
-    /// Set when nothing new may be begun at this server.
-    pub barred: Rc<Cell<bool>>,
     /// Shared by all connections.
     pub context: Rc<ConnectionContext<N>>,
     /// Further attempts; the pool drops the sender to have an idle connection closed.
@@ -184,11 +181,6 @@
         mut job: Job,
         proof: AnswerProof,
     ) -> Result<AnswerProof, Box<Closing>> {
-        if self.barred.get() {
-            // Not a byte of the attempt was written.
-            job.log_refusal(SendRefusal::ServerBarred);
-            return Err(closing_after(&job, Outcome::NeverSent));
-        }
         if proof == AnswerProof::FirstRequest && !is_quiet(framed) {
             // Nothing was written, and what has come answers no request.
             if has_more_input(framed) {
@@ -197,13 +189,6 @@
             return Err(closing_after(&job, Outcome::ConnectFailed));
         }
         self.used_at = Instant::now();
-        if let Err(refusal) = job.may_begin() {
-            job.log_refusal(refusal);
-            // Nothing was written, and the connection can be used again.
-            let end = unanswered(&job, Outcome::NeverSent);
-            self.report_idle(Some(end)).await;
-            return Ok(proof);
-        }
         let carried = self.perform(framed, &mut job, proof).await;
         if carried.surplus {
             self.record_surplus(Some(&job));
@@ -229,6 +214,7 @@
         job: &mut Job,
         proof: AnswerProof,
     ) -> CarriedAttempt {
+        let unused = proof;
         let proof = proof.required_for::<P>(&job.command);
         match exchange(framed, job, proof, &self.context.report_fields).await {
             ExchangeOutcome::Finished(result) => CarriedAttempt {
@@ -245,6 +231,12 @@
                     surplus: complete && has_more_input(framed),
                 }
             }
+            // Nothing was written, and the connection can be used as before.
+            ExchangeOutcome::NotBegun(refusal) => CarriedAttempt {
+                end: Some(job.withhold(refusal)),
+                next: Some(unused),
+                surplus: false,
+            },
             ExchangeOutcome::Failed(outcome) => CarriedAttempt {
                 end: Some(unanswered(job, outcome)),
                 next: None,
--- a/crates/stairfront-balancer/src/upstream/mod.rs
+++ b/crates/stairfront-balancer/src/upstream/mod.rs
@@ -1,5 +1,6 @@
 //! The upstream side: connections to cache hosts (RESP2) and to the origin (HTTP/1.1).
 pub mod cache_host;
+mod command_write;
 pub mod connection;
 mod exchange;
 pub mod load_report;
--- a/crates/stairfront-balancer/src/upstream/send_gate.rs
+++ b/crates/stairfront-balancer/src/upstream/send_gate.rs
@@ -1,8 +1,13 @@
 //! Whether an attempt may be written: everything that forbids it is asked here, directly before its bytes go out.
+use std::rc::Rc;
+use std::time::Duration;
+
+use stairfront_policy::interface::Outcome;
 use tracing::debug;
 
 use crate::clock::Instant;
-use crate::messages::Job;
+use crate::messages::{AttemptEnd, AttemptOutcome, Job};
+use crate::stages::liveness::RequestLiveness;
 
 /// Why an attempt is not written.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -10,6 +15,9 @@
     /// The request has its answer, or its client is known to have left.
     #[error("the request is finished")]
     RequestFinished,
+    /// The client has left, and no task has read that yet.
+    #[error("the client has left")]
+    ClientLeft,
     /// The decision module has taken the attempt back.
     #[error("the attempt is cancelled")]
     Cancelled,
@@ -24,21 +32,47 @@
     ServerBarred,
 }
 
-impl Job {
-    /// Whether it may be written now. A job may have waited for its connection's task, or for a connection that came up as
-    /// its time ended; the request may have been answered by then, and must not be sent after its answer.
-    ///
-    /// # Errors
-    ///
-    /// The first reason that forbids it.
-    pub fn may_begin(&self) -> Result<(), SendRefusal> {
-        if self.finished.get() {
-            return Err(SendRefusal::RequestFinished);
+/// What was asked longer ago than this is asked again: it may not hold any more.
+const MAX_CHECK_DURATION: Duration = Duration::from_millis(10);
+
+/// Asks until an answer is fresh as it is returned: the process may stand still in the middle of a check.
+///
+/// # Errors
+///
+/// The first refusal.
+pub(super) fn ask_until_fresh<T, E>(mut ask: impl FnMut() -> Result<T, E>) -> Result<T, E> {
+    loop {
+        let asked_at = Instant::now();
+        let answer = ask()?;
+        if asked_at.elapsed() < MAX_CHECK_DURATION {
+            return Ok(answer);
         }
-        if !self.cancel.is_empty() {
-            return Err(SendRefusal::Cancelled);
+    }
+}
+
+/// What has to hold while an attempt is written.
+#[derive(Clone, Debug)]
+pub(super) struct SendConditions {
+    liveness: Rc<RequestLiveness>,
+    give_up_at: Instant,
+    window_end: Option<Instant>,
+}
+
+impl SendConditions {
+    /// Whether more of an attempt may be written that has begun.
+    pub(super) fn may_go_on(&self) -> Result<(), SendRefusal> {
+        self.check_known(Instant::now())?;
+        if self.liveness.client_has_left() {
+            return Err(SendRefusal::ClientLeft);
+        }
+        Ok(())
+    }
+
+    /// The part that this process knows without asking the network.
+    fn check_known(&self, now: Instant) -> Result<(), SendRefusal> {
+        if self.liveness.is_finished() {
+            return Err(SendRefusal::RequestFinished);
         }
-        let now = Instant::now();
         if self.window_end.is_some_and(|end| now >= end) {
             return Err(SendRefusal::WindowClosed);
         }
@@ -47,9 +81,44 @@
         }
         Ok(())
     }
+}
+
+impl Job {
+    /// What has to hold while it is written.
+    pub(super) fn conditions(&self) -> SendConditions {
+        SendConditions {
+            liveness: Rc::clone(&self.liveness),
+            give_up_at: self.give_up_at,
+            window_end: self.window_end,
+        }
+    }
+
+    /// Whether it may be written now. A job may have waited for its connection's task, or for a connection that came up as
+    /// its time ended; the request may have been answered by then, and must not be sent after its answer. And the process
+    /// may have stood still since it was decided: its client may be gone although no task has read that yet.
+    pub(super) fn may_begin(&self) -> Result<(), SendRefusal> {
+        self.check_local()?;
+        self.conditions().may_go_on()
+    }
+
+    /// The part that this process knows without asking the network. Asked further up it saves work, and protects nothing.
+    pub(super) fn check_known(&self) -> Result<(), SendRefusal> {
+        self.check_local()?;
+        self.conditions().check_known(Instant::now())
+    }
+
+    fn check_local(&self) -> Result<(), SendRefusal> {
+        if self.barred.get() {
+            return Err(SendRefusal::ServerBarred);
+        }
+        if !self.cancel.is_empty() {
+            return Err(SendRefusal::Cancelled);
+        }
+        Ok(())
+    }
 
-    /// Logs that the attempt was withheld.
-    pub(super) fn log_refusal(&self, refusal: SendRefusal) {
+    /// Ends the attempt, of which nothing was written.
+    pub(super) fn withhold(&self, refusal: SendRefusal) -> AttemptEnd {
         debug!(
             request = %self.command.id.escape_ascii(),
             attempt = self.attempt.number,
@@ -57,5 +126,6 @@
             reason = %refusal,
             "attempt not begun"
         );
+        self.end(AttemptOutcome::without_report(Outcome::NeverSent))
     }
 }
--- a/crates/stairfront-balancer/src/upstream/upstream_pool.rs
+++ b/crates/stairfront-balancer/src/upstream/upstream_pool.rs
@@ -55,7 +55,7 @@
     target: UpstreamTarget,
     /// Increased when connections made so far are not to be used again.
     epoch: u64,
-    /// Whether nothing new may be begun there. Shared with its connections' tasks, which check it before the first byte.
+    /// Whether nothing new may be begun there. Shared with the attempts there, which check it before the first byte.
     barred: Rc<Cell<bool>>,
     /// Idle connections, the one used last at the end: reusing that one lets the others reach their idle timeout.
     idle: Vec<ConnectionId>,
@@ -252,12 +252,23 @@
         });
     }
 
-    /// Carries an attempt out, or has it wait for a socket; an end that comes at once is returned.
+    /// Carries an attempt out that was decided just now, or has it wait for a socket; an end that comes at once is
+    /// returned.
     pub fn dispatch(&mut self, job: Job) -> Option<AttemptEnd> {
+        let Some(host) = self.hosts.get(&job.cache) else {
+            return Some(job.end(AttemptOutcome::without_report(Outcome::ConnectFailed)));
+        };
+        self.place(Job {
+            barred: Rc::clone(&host.barred),
+            ..job
+        })
+    }
+
+    /// Places an attempt on a connection, also after a wait.
+    fn place(&mut self, job: Job) -> Option<AttemptEnd> {
         // Its request ended while it waited for a socket: none is opened for it.
-        if let Err(refusal) = job.may_begin() {
-            job.log_refusal(refusal);
-            return Some(job.end(AttemptOutcome::without_report(Outcome::NeverSent)));
+        if let Err(refusal) = job.check_known() {
+            return Some(job.withhold(refusal));
         }
         if !self.hosts.contains_key(&job.cache) {
             return Some(job.end(AttemptOutcome::without_report(Outcome::ConnectFailed)));
@@ -268,6 +279,10 @@
         };
         let job = self.send_to_idle(job)?;
         if self.connections.len() < self.max_connections {
+            // A connection costs the server more than this question costs here.
+            if let Err(refusal) = job.may_begin() {
+                return Some(job.withhold(refusal));
+            }
             self.open(job);
             return None;
         }
@@ -344,7 +359,7 @@
                     self.closing -= usize::from(connection.jobs.is_none());
                     self.context.counters.server_connections_open.sub();
                 }
-                ends.extend(unsent.and_then(|job| self.dispatch(*job)));
+                ends.extend(unsent.and_then(|job| self.place(*job)));
             }
         }
         self.serve_waiting(ends);
@@ -355,7 +370,7 @@
             let Some(job) = self.waiting.pop_front() else {
                 break;
             };
-            ends.extend(self.dispatch(job));
+            ends.extend(self.place(job));
         }
         self.make_room();
     }
@@ -379,7 +394,6 @@
         let task = ConnectionTask {
             id,
             address: host.target.address,
-            barred: Rc::clone(&host.barred),
             context: Rc::clone(&self.context),
             jobs,
             used_at: Instant::now(),
@@ -407,7 +421,7 @@
         let cache = connection.cache;
         while let Some(i) = self.waiting.iter().position(|job| job.cache == cache) {
             // Only an attempt whose request is finished ends at once, and leaves the connection to the next.
-            match self.waiting.remove(i).and_then(|job| self.dispatch(job)) {
+            match self.waiting.remove(i).and_then(|job| self.place(job)) {
                 Some(end) => ends.extend([end]),
                 None => return,
             }
--- a/crates/stairfront-balancer/tests/client_disconnects.rs
+++ b/crates/stairfront-balancer/tests/client_disconnects.rs
@@ -18,6 +18,7 @@
 use stairfront_balancer::lifecycle::loop_monitor::{self, RuntimeHandles};
 use stairfront_balancer::lifecycle::shutdown::Phase;
 use stairfront_balancer::messages::{Arrival, Command, EngineEvent, FinalAnswer, Verb};
+use stairfront_balancer::stages::liveness::RequestLiveness;
 use stairfront_balancer::stages::parse::RequestParser;
 use stairfront_balancer::stages::route::Decide;
 use stairfront_balancer::transport::Tcp;
@@ -91,18 +92,18 @@
         // All three are accepted, and fill the queue.
         until(|| context.events.capacity() == 0).await;
         drop(client);
-        let finished: Vec<Rc<Cell<bool>>> = {
+        let liveness: Vec<Rc<RequestLiveness>> = {
             // The disconnect is noticed at a read; the engine has handled nothing.
             sleep(ms(50)).await;
             (0..3)
                 .map(|_| match events.try_recv() {
-                    Ok(EngineEvent::Arrived(arrival)) => arrival.finished,
+                    Ok(EngineEvent::Arrived(arrival)) => arrival.liveness,
                     _ => panic!("three arrivals are first"),
                 })
                 .collect()
         };
         assert!(
-            finished.iter().all(|flag| flag.get()),
+            liveness.iter().all(|request| request.is_finished()),
             "whoever holds one of them sees it"
         );
     });
@@ -164,6 +165,8 @@
     let word = Bytes::from_static(b"w");
     let now = Clock::start().now();
     let (answer, _) = oneshot::channel::<FinalAnswer>();
+    let liveness = RequestLiveness::default();
+    liveness.finish();
     Arrival {
         request: Request {
             id: RequestId(7),
@@ -185,7 +188,7 @@
         },
         memory: None,
         answer,
-        finished: Rc::new(Cell::new(true)),
+        liveness: Rc::new(liveness),
     }
 }
 
--- a/crates/stairfront-balancer/tests/stages.rs
+++ b/crates/stairfront-balancer/tests/stages.rs
@@ -53,7 +53,7 @@
             command,
             memory: None,
             answer,
-            finished: Rc::default(),
+            liveness: Rc::default(),
         },
         receiver,
     )
@@ -420,7 +420,7 @@
 fn nothing_is_sent_for_a_client_that_has_disconnected_before_the_engine_knows() {
     let mut table = RequestTable::new(10, Memory::of(64));
     let (arrival, _receiver) = arrive(1, 1);
-    let finished = Rc::clone(&arrival.finished);
+    let liveness = Rc::clone(&arrival.liveness);
     assert!(table.admit(arrival, MAX_ATTEMPTS).is_ok());
     let _first = sent(&mut table, 1);
     table.cancel(RequestId(1), 0);
@@ -428,7 +428,7 @@
         table.send(RequestId(1), CACHE, 500 * MS, None),
         SendDecision::Deferred
     ));
-    finished.set(true);
+    liveness.finish();
     table.relay(&mut end(1, 0, Outcome::Cancelled));
     let assert_never_sent = |sending: SendDecision| match sending {
         SendDecision::Ended(end) => assert_eq!(end.result.outcome, Outcome::NeverSent),
--- a/crates/stairfront-balancer/tests/upstream_pool.rs
+++ b/crates/stairfront-balancer/tests/upstream_pool/main.rs
@@ -1,142 +1,23 @@
 //! The pool of connections to servers: attempts that must not be sent any more, and connections that must not be reused.
+#[path = "../common/mod.rs"]
 mod common;
+mod fixture;
+mod send_gate;
 
 use std::rc::Rc;
 
 use bytes::Bytes;
 use common::{cache, commands, count, hit, ms, run, Log, Seen, Step};
-use stairfront_balancer::configuration::limits::Memory;
+use fixture::{end, ends, job, pool, pool_on, pool_with, Late, CACHE};
 use stairfront_balancer::counters::Counters;
-use stairfront_balancer::messages::{
-    AttemptEnd, AttemptId, BodyChunk, Command, EngineEvent, Job, PoolEvent, Verb,
-};
-use stairfront_balancer::transport::{Network, Tcp};
-use stairfront_balancer::upstream::upstream_pool::{
-    PoolSettings, Protocol, UpstreamPool, UpstreamTarget,
-};
-use stairfront_policy::interface::{CacheId, Outcome, RequestId};
+use stairfront_balancer::messages::{AttemptEnd, BodyChunk, EngineEvent, PoolEvent, Verb};
+use stairfront_balancer::transport::Tcp;
+use stairfront_balancer::upstream::upstream_pool::UpstreamPool;
+use stairfront_policy::interface::Outcome;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
-const CACHE: CacheId = CacheId(1);
-
-fn job(id: u32) -> (Job, oneshot::Sender<()>) {
-    let (cancel, cancelled) = oneshot::channel();
-    let word = Bytes::from_static(b"w");
-    let command = Command {
-        verb: Verb::Get,
-        key: word.clone(),
-        id: word.clone(),
-        info: word,
-        value: None,
-        idempotent: true,
-    };
-    let (attempt, now) = (
-        AttemptId {
-            request: RequestId(id),
-            number: 0,
-        },
-        Instant::now(),
-    );
-    let give_up_at = now + ms(1000);
-    let finished = Rc::default();
-    (
-        Job {
-            attempt,
-            cache: CACHE,
-            command,
-            decided_at: now,
-            started_at: now,
-            give_up_at,
-            window_end: None,
-            cancel: cancelled,
-            finished,
-        },
-        cancel,
-    )
-}
-
-async fn end<N: Network>(
-    pool: &mut UpstreamPool<N>,
-    events: &mut mpsc::Receiver<EngineEvent>,
-) -> AttemptEnd {
-    ends(pool, events).await.remove(0)
-}
-
-/// The next ends of attempts that the pool reports.
-async fn ends<N: Network>(
-    pool: &mut UpstreamPool<N>,
-    events: &mut mpsc::Receiver<EngineEvent>,
-) -> Vec<AttemptEnd> {
-    let mut ends: Vec<AttemptEnd> = Vec::new();
-    while ends.is_empty() {
-        match events.recv().await {
-            Some(EngineEvent::Pool(event)) => {
-                let idle = matches!(event, PoolEvent::Idle { .. });
-                pool.handle(event, &mut ends);
-                assert!(!idle || !ends.is_empty());
-            }
-            other => panic!("nothing else is reported: {}", other.is_some()),
-        }
-    }
-    ends
-}
-
-/// A pool of `max` connections to one cache host, and the events of its connections.
-fn pool(
-    address: std::net::SocketAddr,
-    max: usize,
-) -> (UpstreamPool<Tcp>, mpsc::Receiver<EngineEvent>) {
-    pool_on(Tcp, address, max, ms(10_000))
-}
-
-fn pool_on<N: Network>(
-    network: N,
-    address: std::net::SocketAddr,
-    max: usize,
-    servers_idle_timeout: std::time::Duration,
-) -> (UpstreamPool<N>, mpsc::Receiver<EngineEvent>) {
-    pool_of(network, address, max, servers_idle_timeout, Rc::default())
-}
-
-fn pool_with<N: Network>(
-    network: N,
-    address: std::net::SocketAddr,
-    max: usize,
-    counters: Rc<Counters>,
-) -> (UpstreamPool<N>, mpsc::Receiver<EngineEvent>) {
-    pool_of(network, address, max, ms(10_000), counters)
-}
-
-fn pool_of<N: Network>(
-    network: N,
-    address: std::net::SocketAddr,
-    max: usize,
-    servers_idle_timeout: std::time::Duration,
-    counters: Rc<Counters>,
-) -> (UpstreamPool<N>, mpsc::Receiver<EngineEvent>) {
-    let (event_sender, events) = mpsc::channel(16);
-    let limits = PoolSettings {
-        max_connections: max,
-        held_by_predecessor: 0,
-        connect_timeout: ms(250),
-        servers_idle_timeout,
-        stall_timeout: ms(10_000),
-        memory: Memory::of(64),
-    };
-    let mut pool = UpstreamPool::new(network, limits, Vec::new(), event_sender, counters);
-    pool.set_target(
-        CACHE,
-        UpstreamTarget {
-            address,
-            protocol: Protocol::Resp,
-        },
-    );
-    (pool, events)
-}
-
 /// A connection that is made, or becomes idle, just as its request is answered or its attempt cancelled would carry the
 /// request to a server after its final answer.
 #[test]
@@ -147,21 +28,21 @@
         let (mut pool, mut events) = pool(address, 1);
         // The connection is still being made as the request is answered; the connection stays.
         let (first, _kept) = job(1);
-        let finished = Rc::clone(&first.finished);
+        let liveness = Rc::clone(&first.liveness);
         assert!(pool.dispatch(first).is_none());
-        finished.set(true);
+        liveness.finish();
         assert_eq!(
             end(&mut pool, &mut events).await.result.outcome,
             Outcome::NeverSent
         );
         // The second is queued at the idle connection's task and cancelled; the others wait for the socket meanwhile.
         let ((second, cancel), (third, _kept), (fourth, _kept_too)) = (job(2), job(3), job(4));
-        let finished = Rc::clone(&third.finished);
+        let liveness = Rc::clone(&third.liveness);
         for job in [second, third, fourth] {
             assert!(pool.dispatch(job).is_none());
         }
         cancel.send(()).unwrap();
-        finished.set(true);
+        liveness.finish();
         let ended = ends(&mut pool, &mut events).await;
         assert_eq!(
             ended
@@ -238,20 +119,6 @@
     });
 }
 
-/// The kernel's TCP, on which no connection is made before the gate is open.
-#[derive(Clone)]
-struct Late(watch::Receiver<bool>);
-
-impl Network for Late {
-    type Stream = TcpStream;
-
-    async fn connect(&self, to: std::net::SocketAddr) -> std::io::Result<TcpStream> {
-        let socket = Tcp.connect(to).await?;
-        self.0.clone().wait_for(|open| *open).await.unwrap();
-        Ok(socket)
-    }
-}
-
 /// A retry that is decided within its window, and whose connection is made late, would reach a server that has forgotten the
 /// first attempt, and take effect twice.
 #[test]
--- a/crates/stairfront-balancer/tests/virtual_network.rs
+++ b/crates/stairfront-balancer/tests/virtual_network.rs
@@ -119,6 +119,9 @@
             (true, false) => Unread::Nothing,
         }
     }
+    fn has_ended(&self) -> bool {
+        self.input.borrow().ended
+    }
     async fn arrival(&self) {
         poll_fn(|cx| {
             let mut way = self.input.borrow_mut();
--- a/crates/stairfront/tests/stalls/main.rs
+++ b/crates/stairfront/tests/stalls/main.rs
@@ -121,6 +121,11 @@
     assert_nothing_is_sent_on_after_its_client_left("left_many", 24, 1);
 }
 
+#[test]
+fn a_single_command_is_not_sent_on_after_its_client_left_during_a_stall() {
+    assert_nothing_is_sent_on_after_its_client_left("left_one", 1, 2);
+}
+
 #[test]
 fn a_server_is_told_no_more_time_than_a_request_has_left_after_a_stall() {
     run_within(LIMIT, async {
