A request's age counts from when it may have come, not from when it was read

Cause: a command's deadline was counted from its parsing; in a stall, in a long turn or behind sixteen open commands it has waited unseen. Change: arrival.rs keeps when each connection (and the listener) was last seen empty: a tick every 10 ms shows when the loop has surely polled, since tasks run in the order of their wake-ups; a connection that is never empty is followed by the number of its unread bytes.

--- a/crates/stairfront-balancer/src/client/accept.rs
+++ b/crates/stairfront-balancer/src/client/accept.rs
@@ -1,5 +1,7 @@
 //! The accept loop, and connections that come from the process before this one.
+use std::future::{poll_fn, Future};
 use std::io;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -8,10 +10,11 @@
 use tokio_util::task::TaskTracker;
 use tracing::warn;
 
+use crate::arrival::InputWatch;
 use crate::client::admission::{ClientPermit, PermitSource};
 use crate::client::context::ClientContext;
 use crate::client::ending::serve_connection;
-use crate::clock::sleep;
+use crate::clock::{sleep, Instant};
 use crate::lifecycle::handover::HandedOverConnection;
 use crate::transport::{Listener, Stream};
 
@@ -25,14 +28,17 @@
     pub(super) used: bool,
     /// Bytes read of the next command.
     pub(super) unread: Vec<u8>,
+    /// Nothing unread had come at this time.
+    pub(super) empty_at: Instant,
 }
 
 impl<T: Stream> AcceptedConnection<T> {
-    fn new(socket: T) -> Self {
+    fn new(socket: T, empty_at: Instant) -> Self {
         AcceptedConnection {
             socket,
             used: false,
             unread: Vec::new(),
+            empty_at,
         }
     }
 
@@ -41,6 +47,7 @@
             socket: T::adopt(handed_over.socket)?,
             used: handed_over.used,
             unread: handed_over.unread,
+            empty_at: Instant::now(),
         })
     }
 }
@@ -61,11 +68,12 @@
         Rc::clone(&context),
         tasks.clone(),
     ));
+    let waiting = InputWatch::new(&context.polls, Instant::now());
     // A successor accepts all connections from its start on.
     while !phase.borrow().hands_over() {
         let accepted = tokio::select! {
             biased;
-            accepted = listener.accept() => accepted.map(AcceptedConnection::new),
+            accepted = accept_next(&listener, &waiting) => accepted,
             _ = phase.wait_for(|phase| phase.listener_closed()) => break,
         };
         match accepted {
@@ -90,6 +98,24 @@
     tasks.wait().await;
 }
 
+/// The next connection. It may have waited, with commands on it, since none was last seen waiting.
+async fn accept_next<L: Listener>(
+    listener: &L,
+    waiting: &InputWatch,
+) -> io::Result<AcceptedConnection<L::Stream>> {
+    waiting.resume();
+    let mut accepting = pin!(listener.accept());
+    let accepted = poll_fn(|cx| {
+        let accepted = accepting.as_mut().poll(cx);
+        if accepted.is_pending() {
+            waiting.note_pending();
+        }
+        accepted
+    });
+    let socket = accepted.await?;
+    Ok(AcceptedConnection::new(socket, waiting.note_input()))
+}
+
 /// Takes connections from the old process for as long as any come.
 async fn adopt_connections<T: Stream>(
     mut handed_over: mpsc::Receiver<HandedOverConnection>,
--- a/crates/stairfront-balancer/src/client/connection.rs
+++ b/crates/stairfront-balancer/src/client/connection.rs
@@ -13,6 +13,7 @@
 use tokio_util::codec::{Framed, FramedParts};
 use tracing::debug;
 
+use crate::arrival::ArrivalTime;
 use crate::client::accept::AcceptedConnection;
 use crate::client::admission::{ClientPermit, SilentGuard};
 use crate::client::codec::ClientCodec;
@@ -149,9 +150,11 @@
             socket,
             used,
             unread,
+            empty_at,
         } = accepted;
+        let stream = SharedStream::new(socket, &context.polls, empty_at);
         let codec = ClientCodec::new(&context.budget, &context.large_budget);
-        let mut parts = FramedParts::new::<Answer>(SharedStream::new(socket), codec);
+        let mut parts = FramedParts::new::<Answer>(stream, codec);
         parts.read_buf = BytesMut::with_capacity(READ_BUFFER.max(unread.len()));
         parts.read_buf.extend_from_slice(&unread);
         parts.write_buf = BytesMut::new();
@@ -260,6 +263,7 @@
         phases: &mut PhaseReceivers,
     ) -> Result<(), ConnectionEnd> {
         let idle_deadline = self.idle_deadline();
+        self.framed.get_ref().resume_reading();
         tokio::select! {
             biased;
             command = self.framed.next(), if conditions.reading => self.handle_input(command).await?,
@@ -358,6 +362,7 @@
             && self.pending.len() < MAX_OPEN
             && !self.waits_for_memory()
         {
+            self.framed.get_ref().resume_reading();
             let Some(command) = self.framed.next().now_or_never() else {
                 return Ok(());
             };
@@ -379,7 +384,8 @@
         self.partial_bytes = 0;
         self.idle_since = Instant::now();
         let context = &self.context;
-        let reply = match context.parser.parse(words) {
+        let arrival = ArrivalTime::between(self.framed.get_ref().arrived_after(), Instant::now());
+        let reply = match context.parser.parse(words, arrival) {
             // The connection stays open for a while, since the client's next request may be on its way.
             Accepted::Request { .. } if spare => {
                 context.counters.over_cap.add();
@@ -395,6 +401,7 @@
                     connection = self.number,
                     request = %command.id.escape_ascii(),
                     info = %command.info.escape_ascii(),
+                    uncertain_ms = arrival.uncertainty().as_millis() as u64,
                     "request read"
                 );
                 let (sender, answer) = oneshot::channel();
--- a/crates/stairfront-balancer/src/client/context.rs
+++ b/crates/stairfront-balancer/src/client/context.rs
@@ -7,6 +7,7 @@
 use stairfront_policy::interface::RequestId;
 use tokio::sync::{mpsc, watch, Semaphore};
 
+use crate::arrival::PollClock;
 use crate::client::admission::ConnectionPressure;
 use crate::counters::Counters;
 use crate::lifecycle::handover::HandoverChannel;
@@ -22,6 +23,8 @@
     pub parser: RequestParser,
     /// The counters of this process.
     pub counters: Rc<Counters>,
+    /// When the event loop has polled the network.
+    pub polls: Rc<PollClock>,
     /// How far the end of this process has come.
     pub phase: watch::Receiver<Phase>,
     /// Has idle connections make room.
--- a/crates/stairfront-balancer/src/client/shared_stream.rs
+++ b/crates/stairfront-balancer/src/client/shared_stream.rs
@@ -7,43 +7,81 @@
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
+use crate::arrival::{InputWatch, PollClock};
+use crate::clock::Instant;
 use crate::transport::{Peer, Stream, Unread};
 
 /// A connection with one owner, which reads and writes. Others hold it weakly and can ask whether it has ended.
-pub(super) struct SharedStream<T>(Rc<RefCell<T>>);
+pub(super) struct SharedStream<T> {
+    stream: Rc<RefCell<T>>,
+    input: InputWatch,
+    /// What was read last came after this.
+    arrived_after: Instant,
+}
 
 impl<T: Stream> SharedStream<T> {
-    pub(super) fn new(stream: T) -> Self {
-        SharedStream(Rc::new(RefCell::new(stream)))
+    /// A connection on which nothing had come at this time.
+    pub(super) fn new(stream: T, polls: &Rc<PollClock>, empty_at: Instant) -> Self {
+        SharedStream {
+            stream: Rc::new(RefCell::new(stream)),
+            input: InputWatch::new(polls, empty_at),
+            arrived_after: empty_at,
+        }
+    }
+
+    /// To be called before a wait for input that follows other work.
+    pub(super) fn resume_reading(&self) {
+        self.input.resume();
+    }
+
+    /// The last byte of each whole command in the read buffer came after this: nothing is read while there is one, so the
+    /// last read completed them all.
+    pub(super) fn arrived_after(&self) -> Instant {
+        self.arrived_after
     }
 
     /// For those that ask whether the client has left. Its upgrade fails once the owner has dropped the connection.
     pub(super) fn peer(&self) -> Weak<dyn Peer> {
-        let shared: Rc<dyn Peer> = Rc::<RefCell<T>>::clone(&self.0);
+        let shared: Rc<dyn Peer> = Rc::<RefCell<T>>::clone(&self.stream);
         Rc::downgrade(&shared)
     }
 
     pub(super) fn unread(&self) -> Unread {
-        self.0.borrow().unread()
+        self.stream.borrow().unread()
     }
 
     pub(super) fn has_ended(&self) -> bool {
-        self.0.borrow().has_ended()
+        self.stream.borrow().has_ended()
     }
 
     /// The connection itself; `None` while somebody asks, which cannot be at an await.
     pub(super) fn into_inner(self) -> Option<T> {
-        Rc::into_inner(self.0).map(RefCell::into_inner)
+        Rc::into_inner(self.stream).map(RefCell::into_inner)
     }
 }
 
 impl<T: Stream> AsyncRead for SharedStream<T> {
     fn poll_read(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.0.borrow_mut()).poll_read(cx, buffer)
+        let (filled, asked_at) = (buffer.filled().len(), Instant::now());
+        let read = Pin::new(&mut *self.stream.borrow_mut()).poll_read(cx, buffer);
+        match &read {
+            Poll::Pending => self.input.note_pending(),
+            Poll::Ready(Ok(())) if buffer.filled().len() > filled => {
+                self.arrived_after = self.input.note_bytes(buffer.filled().len() - filled);
+                // A read that leaves space in the buffer has taken all that was there.
+                if buffer.remaining() > 0 {
+                    self.input.note_empty(asked_at);
+                } else if let Some(unread) = self.stream.borrow().unread_bytes() {
+                    self.input.note_backlog(asked_at, unread);
+                }
+            }
+            Poll::Ready(_) => {}
+        }
+        read
     }
 }
 
@@ -53,7 +91,7 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut *self.0.borrow_mut()).poll_write(cx, bytes)
+        Pin::new(&mut *self.stream.borrow_mut()).poll_write(cx, bytes)
     }
 
     fn poll_write_vectored(
@@ -61,18 +99,18 @@
         cx: &mut Context<'_>,
         slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut *self.0.borrow_mut()).poll_write_vectored(cx, slices)
+        Pin::new(&mut *self.stream.borrow_mut()).poll_write_vectored(cx, slices)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.0.borrow().is_write_vectored()
+        self.stream.borrow().is_write_vectored()
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.0.borrow_mut()).poll_flush(cx)
+        Pin::new(&mut *self.stream.borrow_mut()).poll_flush(cx)
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.0.borrow_mut()).poll_shutdown(cx)
+        Pin::new(&mut *self.stream.borrow_mut()).poll_shutdown(cx)
     }
 }
--- a/crates/stairfront-balancer/src/lib.rs
+++ b/crates/stairfront-balancer/src/lib.rs
@@ -11,10 +11,12 @@
 //! | [`configuration`] | the configuration file and the limits that follow from it |
 //! | [`lifecycle`] | start, upgrade and end of the process; the one place that puts the parts together |
 //! | [`client`] | the listener for clients and their connections |
+//! | [`arrival`] | how old input may be that is read after a stall |
 //! | [`stages`] | the stages of a request: parsed, admitted, routed, sent, relayed, completed |
 //! | [`engine`] | the task that owns the decision module and the open requests |
 //! | [`upstream`] | connections to cache hosts and to the origin |
 //! | [`control`] | discovery, reload, the admin API, the group's cordons and plans of maintenance |
+pub mod arrival;
 pub mod client;
 pub mod clock;
 pub mod configuration;
--- a/crates/stairfront-balancer/src/lifecycle/assembly.rs
+++ b/crates/stairfront-balancer/src/lifecycle/assembly.rs
@@ -16,6 +16,7 @@
 use tokio::task::{spawn_local, JoinHandle};
 use tracing::info;
 
+use crate::arrival::PollClock;
 use crate::client::admission::ConnectionPressure;
 use crate::client::context::ClientContext;
 use crate::clock::timer_duration;
@@ -107,6 +108,7 @@
             clock,
             admission: admission_controller(&start.settings, clock, config.seed),
             counters: Rc::new(Counters::default()),
+            polls: Rc::new(PollClock::start()),
         };
         let held_clients = connections_held_by(dependencies.predecessor.as_ref()).clients;
         let free_clients = config.sockets.clients.saturating_sub(held_clients);
@@ -201,6 +203,7 @@
             events: self.events.clone(),
             parser,
             counters: Rc::clone(&self.runtime.counters),
+            polls: Rc::clone(&self.runtime.polls),
             phase: self.phase.clone(),
             pressure: ConnectionPressure::default(),
             permits: Arc::clone(&self.client_permits),
--- a/crates/stairfront-balancer/src/lifecycle/loop_monitor.rs
+++ b/crates/stairfront-balancer/src/lifecycle/loop_monitor.rs
@@ -1,19 +1,17 @@
 //! Measures how late the event loop of the balancer comes round, and reports it to the admission controller.
 use std::cell::RefCell;
 use std::rc::Rc;
-use std::time::Duration;
 
 use stairfront_common::time::{from_duration, Micros, MS};
 use stairfront_overload::{AdmissionController, AdmissionSettings};
 use stairfront_policy::interface::Settings;
 use tracing::info;
 
+use crate::arrival::{PollClock, TICK_INTERVAL};
 use crate::clock::{sleep_until, Clock, Instant};
 use crate::counters::Counters;
 
-/// Between two measurements. A timer of tokio's is up to a millisecond late by itself.
-const MEASURE_INTERVAL: Duration = Duration::from_millis(10);
-/// Lateness that every timer has.
+/// Lateness that every timer of tokio's has.
 const TIMER_GRANULARITY: Micros = MS;
 /// The tightest latency objective divided by this is the delay that a request may lose to the loop. It is bounded: below
 /// the lower bound a timer's granularity and a busy machine's own delays would count, above the upper one draining and
@@ -63,7 +61,7 @@
     }
 }
 
-/// Handles that most parts of a balancer need: the clock, the admission controller and the counters.
+/// Handles that most parts of a balancer need: clocks, the admission controller and the counters.
 #[derive(Clone)]
 pub struct RuntimeHandles {
     /// The one clock.
@@ -72,6 +70,8 @@
     pub admission: Rc<RefCell<AdmissionController>>,
     /// The counters of this process.
     pub counters: Rc<Counters>,
+    /// When the event loop has polled the network; ticked here.
+    pub polls: Rc<PollClock>,
 }
 
 /// Measures for as long as the balancer runs, and reports to the admission controller how late each measurement was.
@@ -80,12 +80,14 @@
         clock,
         admission,
         counters,
+        polls,
     } = handles;
     let mut logged = false;
     let mut stalls: u64 = 0;
     loop {
-        let due = Instant::now() + MEASURE_INTERVAL;
+        let due = Instant::now() + TICK_INTERVAL;
         sleep_until(due).await;
+        polls.tick();
         let delay = from_duration(due.elapsed()) - TIMER_GRANULARITY;
         if delay >= STALL_THRESHOLD {
             stalls += 1;
--- a/crates/stairfront-balancer/src/stages/parse.rs
+++ b/crates/stairfront-balancer/src/stages/parse.rs
@@ -10,6 +10,7 @@
 use tokio::sync::watch;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::arrival::ArrivalTime;
 use crate::clock::Clock;
 use crate::configuration::request_catalog::RequestCatalog;
 use crate::control::maintenance::MaintenanceService;
@@ -68,8 +69,8 @@
 }
 
 impl RequestParser {
-    /// Parses a command, given as its words.
-    pub fn parse(&self, words: Vec<Bytes>) -> Accepted {
+    /// Parses a command, given as its words, that came at this time.
+    pub fn parse(&self, words: Vec<Bytes>, arrival: ArrivalTime) -> Accepted {
         let Some(name) = words.first().map(|word| word.to_ascii_uppercase()) else {
             return self.reject(BAD_COMMAND);
         };
@@ -86,7 +87,7 @@
         let Some(mut command) = command(verb, words) else {
             return self.reject(BAD_COMMAND);
         };
-        match self.request(&mut command) {
+        match self.request(&mut command, arrival) {
             Ok(request) => Accepted::Request { command, request },
             Err(Rejection::Invalid(text)) => self.reject(text),
             Err(Rejection::Shed { after_ms }) => {
@@ -114,7 +115,7 @@
     }
 
     /// The request that a command is; what its class promises is added to the command.
-    fn request(&self, command: &mut Command) -> Result<Request, Rejection> {
+    fn request(&self, command: &mut Command, arrival: ArrivalTime) -> Result<Request, Rejection> {
         let now = self.clock.now();
         let catalog = self.catalog.borrow();
         let info = RequestInfo::read(&command.info)?;
@@ -125,6 +126,7 @@
             .map_or(TenantId(u32::MAX), |name| catalog.tenant(name));
         self.check_admission(class, tenant, info.retry)?;
         command.idempotent = rules.idempotency == Idempotency::Idempotent;
+        let arrived_at = self.clock.at(arrival.counted_from()).min(now);
         // No client waits longer than its class allows, whatever it says.
         let wait = info.wait.unwrap_or(rules.deadline).min(rules.deadline);
         Ok(Request {
@@ -132,7 +134,8 @@
             class,
             tenant,
             key: Some(Key(xxh3_64(&command.key))),
-            expires_at: now + wait,
+            expires_at: arrived_at + wait,
+            waited: now - arrived_at,
             write: command.verb == Verb::Set,
             retry: info.retry,
         })
--- a/crates/stairfront-balancer/src/transport.rs
+++ b/crates/stairfront-balancer/src/transport.rs
@@ -11,7 +11,7 @@
 
 use futures_util::FutureExt;
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
-use rustix::io::retry_on_intr;
+use rustix::io::{ioctl_fionread, retry_on_intr};
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, Interest};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
@@ -37,6 +37,10 @@
     /// Input that has come and was not read, by the network itself: the event loop knows only what had come when it last
     /// polled.
     fn unread(&self) -> Unread;
+    /// Number of bytes that have come and were not read; `None` where the network cannot tell.
+    fn unread_bytes(&self) -> Option<u64> {
+        None
+    }
     /// Whether the other side has ended, also behind bytes that were not read, by the network itself.
     fn has_ended(&self) -> bool;
     /// Resolves when something can be read or the connection has ended; reads nothing.
@@ -181,6 +185,10 @@
         }
     }
 
+    fn unread_bytes(&self) -> Option<u64> {
+        ioctl_fionread(self).ok()
+    }
+
     /// The event queue reports an end however far the input has been read, but only that of its last look. The kernel
     /// itself knows of the end at once.
     fn has_ended(&self) -> bool {
--- a/crates/stairfront-balancer/tests/client_disconnects.rs
+++ b/crates/stairfront-balancer/tests/client_disconnects.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use common::{cache, commands, config, get, hit, line, ms, run, until, Client, Log};
+use stairfront_balancer::arrival::PollClock;
 use stairfront_balancer::client::{accept, admission::ConnectionPressure, context::ClientContext};
 use stairfront_balancer::clock::Clock;
 use stairfront_balancer::configuration::config::Config;
@@ -63,6 +64,7 @@
         events: event_sender,
         parser,
         counters: Rc::default(),
+        polls: Rc::new(PollClock::start()),
         phase: phase_receiver,
         pressure: ConnectionPressure::default(),
         permits: Arc::new(Semaphore::new(8)),
@@ -148,6 +150,7 @@
             clock,
             admission: loop_monitor::admission_controller(&start.settings, clock, 0),
             counters: Rc::default(),
+            polls: Rc::new(PollClock::start()),
         },
         ready: watch::channel(false).0,
         record: CordonRecord::within(None, "b"),
@@ -174,6 +177,7 @@
             tenant: TenantId(0),
             key: Some(Key(1)),
             expires_at: now + SECOND,
+            waited: 0,
             write: false,
             retry: false,
         },
--- a/crates/stairfront-balancer/tests/stages.rs
+++ b/crates/stairfront-balancer/tests/stages.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
+use stairfront_balancer::arrival::ArrivalTime;
 use stairfront_balancer::clock::Clock;
 use stairfront_balancer::configuration::limits::Memory;
 use stairfront_balancer::configuration::request_catalog::RequestCatalog;
@@ -43,6 +44,7 @@
         tenant: TenantId(0),
         key: None,
         expires_at: 0,
+        waited: 0,
         write: false,
         retry: false,
     };
@@ -91,6 +93,11 @@
     }
 }
 
+/// The arrival of a command that was read in time.
+fn just_now() -> ArrivalTime {
+    ArrivalTime::between(Instant::now(), Instant::now())
+}
+
 #[test]
 fn a_request_beyond_the_capacity_is_refused_at_once() {
     let mut table = RequestTable::new(1, Memory::of(64));
@@ -380,7 +387,7 @@
             .map(|word| Bytes::copy_from_slice(word.as_bytes()))
             .collect()
     };
-    let get = || parser.parse(words("C.GET k 1 c=read,d=900"));
+    let get = || parser.parse(words("C.GET k 1 c=read,d=900"), just_now());
     assert!(matches!(get(), Accepted::Request { .. }));
     // For a second every measurement is later than the one before: the delay grows by half of the time that passes.
     for tick in 1..100 {
@@ -404,7 +411,7 @@
         ("C.GET k 1 c=other", Answer::Error("ERR unknown class")),
     ] {
         assert!(
-            matches!(parser.parse(words(command)), Accepted::Answered(given) if given == answer),
+            matches!(parser.parse(words(command), just_now()), Accepted::Answered(given) if given == answer),
             "{command}"
         );
     }
--- a/crates/stairfront-policy/src/interface.rs
+++ b/crates/stairfront-policy/src/interface.rs
@@ -99,6 +99,8 @@
     pub key: Option<Key>,
     /// When the client gives up on it.
     pub expires_at: Micros,
+    /// How long it may have waited until it was read; 0 where the reader was in time.
+    pub waited: Micros,
     /// Whether it writes.
     pub write: bool,
     /// Marked by the client as a retry, where clients do so.
--- a/crates/stairfront-policy/src/policy/admission.rs
+++ b/crates/stairfront-policy/src/policy/admission.rs
@@ -64,7 +64,8 @@
     /// When an answer stops being in time. A client's own retry arrives with less time left than
     /// usual; its time counts from the first attempt of the client.
     fn objective_at(&mut self, now: Micros, request: &Request, class: &Class) -> Micros {
-        let time_left = request.expires_at - now;
+        let arrived_at = now - request.waited;
+        let time_left = request.expires_at - arrived_at;
         let tolerance = DEADLINE_TOLERANCE_TICKS * self.settings.tick;
         let votes = &mut self.usual_time_left[usize::from(request.class.0)];
         let spent = if votes.vote(time_left, tolerance, MAX_DEADLINE_VOTES) {
@@ -72,6 +73,6 @@
         } else {
             (class.deadline - time_left).max(0)
         };
-        (now + class.latency_objective - spent).min(request.expires_at)
+        (arrived_at + class.latency_objective - spent).min(request.expires_at)
     }
 }
--- a/crates/stairfront-policy/tests/common/mod.rs
+++ b/crates/stairfront-policy/tests/common/mod.rs
@@ -152,6 +152,7 @@
             tenant: TenantId(tenant),
             key: Some(Key(key)),
             expires_at: self.now + 1_000 * MS,
+            waited: 0,
             write,
             retry: false,
         }));
--- a/crates/stairfront-policy/tests/invariants.rs
+++ b/crates/stairfront-policy/tests/invariants.rs
@@ -287,6 +287,7 @@
             tenant,
             key,
             expires_at,
+            waited: 0,
             write,
             retry: false,
         };
--- a/crates/stairfront-policy/tests/retries.rs
+++ b/crates/stairfront-policy/tests/retries.rs
@@ -236,6 +236,7 @@
         tenant: TenantId(0),
         key: Some(Key(3)),
         expires_at: balancer.now + 400 * MS,
+        waited: 0,
         write: false,
         retry: false,
     }));
--- a/crates/stairfront-policy/tests/shutdown.rs
+++ b/crates/stairfront-policy/tests/shutdown.rs
@@ -24,6 +24,7 @@
             tenant: TenantId(0),
             key: Some(Key(u64::from(id))),
             expires_at: balancer.now + 6 * SECOND,
+            waited: 0,
             write: false,
             retry: false,
         };
--- a/crates/stairfront-simulator-adapter/src/event.rs
+++ b/crates/stairfront-simulator-adapter/src/event.rs
@@ -187,6 +187,7 @@
         tenant: TenantId(record.u32(8)),
         key: (key != 0).then_some(Key(key)),
         expires_at: record.time(20, "expires")?,
+        waited: 0,
         retry: options & OPTION_RETRY != 0,
         write: options & OPTION_WRITE != 0,
     })
--- a/crates/stairfront-simulator-adapter/tests/codec.rs
+++ b/crates/stairfront-simulator-adapter/tests/codec.rs
@@ -82,6 +82,7 @@
         tenant: TenantId(0),
         key: Some(Key(0x91f0_3b7c_55d2_0a64)),
         expires_at: 8_652_250,
+        waited: 0,
         write: false,
         retry: false,
     };
