Times of a decision count from the decision, whatever happens before the send

What could be seen: a stall between a decision and what follows from it lengthened all its times. A server was told 0.3 s more than was left, and a keyed retry went out 0.3 s after its window, when the host has forgotten the first attempt: the effect would come twice. The wait for a cancelled attempt lengthened the time of the next one in the same way. Cause: the decision module names durations, and the engine began them at the clock of the moment in which it carried each action out. Change: the engine reads the clock once for a decision, and all its times are points in time from there (SendOrder, timers).

--- a/crates/stairfront-balancer/src/engine/effects.rs
+++ b/crates/stairfront-balancer/src/engine/effects.rs
@@ -5,9 +5,10 @@
 };
 use tracing::{debug, info};
 
-use crate::clock::timer_duration;
+use crate::clock::{timer_duration, Instant};
 use crate::engine::{Engine, TimerKind};
 use crate::messages::{Answer, AttemptEnd, Job};
+use crate::stages::admit::SendOrder;
 use crate::stages::route::{self, Decide};
 use crate::stages::send::SendDecision;
 use crate::transport::Network;
@@ -16,16 +17,19 @@
     /// Hands an event to the decision module and carries out what it decides.
     pub(super) fn notify_policy(&mut self, event: Event<'_>) {
         let mut actions = std::mem::take(&mut self.actions);
-        if !route::route(&mut self.policy, self.clock.now(), event, &mut actions) {
+        let decided_at = Instant::now();
+        let now = self.clock.at(decided_at);
+        if !route::route(&mut self.policy, now, event, &mut actions) {
             self.counters.decision_panics.add();
         }
         for action in actions.drain(..) {
-            self.perform(action);
+            self.perform(action, decided_at);
         }
         self.actions = actions;
     }
 
-    fn perform(&mut self, action: Action) {
+    /// Carries out an action that was decided at this time, from which all its times count.
+    fn perform(&mut self, action: Action, decided_at: Instant) {
         match action {
             Action::Send {
                 id,
@@ -33,15 +37,20 @@
                 timeout,
                 send_within,
             } => {
-                let decision = self.table.send(id, cache, timeout, send_within);
+                let order = SendOrder {
+                    cache,
+                    give_up_at: decided_at + timer_duration(timeout),
+                    window_end: send_within.map(|within| decided_at + timer_duration(within)),
+                };
+                let decision = self.table.send(id, order);
                 self.perform_send(decision);
             }
             Action::Reject { id, retry_after } => self.refuse(id, retry_after),
             Action::Fail { id } => self.fail(id),
             Action::Cancel { id, attempt } => self.table.cancel(id, attempt),
             Action::Timer { delay, token } => {
-                self.timers
-                    .insert(TimerKind::Policy(token), timer_duration(delay));
+                let due = decided_at + timer_duration(delay);
+                self.timers.insert_at(TimerKind::Policy(token), due);
             }
             Action::Disconnect { cache } => self.pool.close_idle(cache),
             Action::Log(record) => info!("{record}"),
--- a/crates/stairfront-balancer/src/stages/admit.rs
+++ b/crates/stairfront-balancer/src/stages/admit.rs
@@ -5,7 +5,6 @@
 use bytes::Bytes;
 use rustc_hash::{FxHashMap, FxHashSet};
 use stairfront_codec::budget::Reservation;
-use stairfront_common::time::Micros;
 use stairfront_policy::interface::{CacheId, Request, RequestId};
 use tokio::sync::{oneshot, Semaphore};
 
@@ -22,19 +21,27 @@
     pub cancel: Option<oneshot::Sender<()>>,
 }
 
-/// A send that was decided and may have to wait for the end of a cancelled attempt.
-#[derive(Clone, Copy)]
-pub struct PlannedSend {
-    /// Number of the attempt.
-    pub number: u8,
+/// A send as it was decided. Its times are points in time, so that nothing that happens between the decision and the send
+/// makes them longer: a stall, or the wait for the end of a cancelled attempt.
+#[derive(Clone, Copy, Debug)]
+pub struct SendOrder {
     /// The server.
     pub cache: CacheId,
-    /// Time for the attempt.
-    pub timeout: Micros,
+    /// When the attempt times out.
+    pub give_up_at: Instant,
     /// The command must not reach the server as a whole after this.
     pub window_end: Option<Instant>,
 }
 
+/// A send that waits for the end of a cancelled attempt.
+#[derive(Clone, Copy)]
+pub struct PlannedSend {
+    /// Number of the attempt.
+    pub number: u8,
+    /// The send.
+    pub order: SendOrder,
+}
+
 /// An open request, from admission until it is answered and its last attempt has ended.
 pub struct OpenRequest {
     /// The command that is sent to servers.
--- a/crates/stairfront-balancer/src/stages/send.rs
+++ b/crates/stairfront-balancer/src/stages/send.rs
@@ -1,13 +1,12 @@
 //! Fourth stage: a send that was decided becomes a job for the pool of connections.
 use std::rc::Rc;
 
-use stairfront_common::time::Micros;
 use stairfront_policy::interface::{CacheId, Outcome, RequestId};
 use tokio::sync::oneshot;
 
-use crate::clock::{timer_duration, Instant};
+use crate::clock::Instant;
 use crate::messages::{AttemptEnd, AttemptId, AttemptOutcome, Job};
-use crate::stages::admit::{OpenRequest, OutstandingAttempt, PlannedSend, RequestTable};
+use crate::stages::admit::{OpenRequest, OutstandingAttempt, PlannedSend, RequestTable, SendOrder};
 
 /// The result of a send.
 pub enum SendDecision {
@@ -20,38 +19,25 @@
 }
 
 impl RequestTable {
-    /// Sends a request to a server, for at most `timeout`, and not after `send_within`.
-    pub fn send(
-        &mut self,
-        request: RequestId,
-        cache: CacheId,
-        timeout: Micros,
-        send_within: Option<Micros>,
-    ) -> SendDecision {
+    /// Sends a request to a server.
+    pub fn send(&mut self, request: RequestId, order: SendOrder) -> SendDecision {
         let Some(open) = self.open.get_mut(&request) else {
             let attempt = AttemptId { request, number: 0 };
-            return SendDecision::Ended(never_sent(attempt, cache));
+            return SendDecision::Ended(never_sent(attempt, order.cache));
         };
         let number = open.attempts_sent;
         let attempt = AttemptId { request, number };
         open.attempts_sent = open.attempts_sent.saturating_add(1);
-        let window_end = send_within.map(|within| Instant::now() + timer_duration(within));
-        if open.liveness.is_finished() || number >= open.max_attempts || timeout < 0 {
-            return SendDecision::Ended(never_sent(attempt, cache));
+        if open.liveness.is_finished() || number >= open.max_attempts {
+            return SendDecision::Ended(never_sent(attempt, order.cache));
         }
-        let send = PlannedSend {
-            number,
-            cache,
-            timeout,
-            window_end,
-        };
         // Two attempts of one request must not be in flight at once, and a cancelled one is in flight until its
         // connection is closed.
         if open.has_cancelled_attempt() {
-            open.deferred = Some(send);
+            open.deferred = Some(PlannedSend { number, order });
             return SendDecision::Deferred;
         }
-        SendDecision::Job(open.start(attempt, send))
+        SendDecision::Job(open.start(attempt, order))
     }
 
     /// The send that has waited for the end of a cancelled attempt.
@@ -67,9 +53,9 @@
         };
         // Nothing more may be sent for a request that has been answered meanwhile.
         Some(if open.liveness.is_finished() {
-            SendDecision::Ended(never_sent(attempt, send.cache))
+            SendDecision::Ended(never_sent(attempt, send.order.cache))
         } else {
-            SendDecision::Job(open.start(attempt, send))
+            SendDecision::Job(open.start(attempt, send.order))
         })
     }
 
@@ -96,7 +82,7 @@
             .any(|attempt| attempt.cancel.is_none())
     }
 
-    fn start(&mut self, attempt: AttemptId, send: PlannedSend) -> Job {
+    fn start(&mut self, attempt: AttemptId, order: SendOrder) -> Job {
         let (cancel, cancelled) = oneshot::channel();
         self.outstanding.push(OutstandingAttempt {
             number: attempt.number,
@@ -105,12 +91,12 @@
         let now = Instant::now();
         Job {
             attempt,
-            cache: send.cache,
+            cache: order.cache,
             command: self.command.clone(),
             decided_at: now,
             started_at: now,
-            give_up_at: now + timer_duration(send.timeout),
-            window_end: send.window_end,
+            give_up_at: order.give_up_at,
+            window_end: order.window_end,
             cancel: cancelled,
             barred: Rc::default(),
             liveness: Rc::clone(&self.liveness),
--- a/crates/stairfront-balancer/tests/common/mod.rs
+++ b/crates/stairfront-balancer/tests/common/mod.rs
@@ -13,7 +13,9 @@
 use stairfront_balancer::configuration::config::Config;
 use stairfront_balancer::lifecycle::server::{self, ServerDependencies};
 use stairfront_balancer::lifecycle::shutdown::Phase;
+use stairfront_balancer::stages::route::Decide;
 use stairfront_balancer::transport::Tcp;
+use stairfront_policy::interface::Settings;
 use stairfront_policy::Policy;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -380,6 +382,16 @@
 
     /// Starts a balancer without waiting until it is ready.
     pub async fn begin(folder: Option<&Path>, listener: TcpListener, config: Config) -> Self {
+        Self::begin_with(folder, listener, config, Policy::new).await
+    }
+
+    /// The same with another decision module.
+    pub async fn begin_with<D: Decide>(
+        folder: Option<&Path>,
+        listener: TcpListener,
+        config: Config,
+        build_policy: impl FnOnce(Settings, u64) -> D + 'static,
+    ) -> Self {
         let address = listener.local_addr().unwrap();
         let admin_listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let admin = admin_listener.local_addr().unwrap();
@@ -398,7 +410,7 @@
             phase: phase_receiver,
             hangups: hangup_receiver,
         };
-        let served = server::serve(config, Policy::new, dependencies);
+        let served = server::serve(config, build_policy, dependencies);
         let done = spawn_local(async move { served.await.unwrap() });
         Balancer {
             address,
--- a/crates/stairfront-balancer/tests/stages.rs
+++ b/crates/stairfront-balancer/tests/stages.rs
@@ -1,6 +1,7 @@
 //! The stages of a request on the table of open requests, without sockets.
 use std::cell::RefCell;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use stairfront_balancer::arrival::ArrivalTime;
@@ -11,7 +12,7 @@
 use stairfront_balancer::messages::{
     Answer, Arrival, AttemptEnd, AttemptId, AttemptOutcome, Command, FinalAnswer, Verb,
 };
-use stairfront_balancer::stages::admit::{AdmissionError, RequestTable};
+use stairfront_balancer::stages::admit::{AdmissionError, RequestTable, SendOrder};
 use stairfront_balancer::stages::parse::{Accepted, RequestParser};
 use stairfront_balancer::stages::send::SendDecision;
 use stairfront_balancer::upstream::load_report::load_report;
@@ -87,12 +88,21 @@
 }
 
 fn sent(table: &mut RequestTable, id: u32) -> stairfront_balancer::messages::Job {
-    match table.send(RequestId(id), CACHE, 500 * MS, None) {
+    match table.send(RequestId(id), order()) {
         SendDecision::Job(job) => job,
         _ => panic!("not sent"),
     }
 }
 
+/// A send that is decided now.
+fn order() -> SendOrder {
+    SendOrder {
+        cache: CACHE,
+        give_up_at: Instant::now() + Duration::from_millis(500),
+        window_end: None,
+    }
+}
+
 /// The arrival of a command that was read in time.
 fn just_now() -> ArrivalTime {
     ArrivalTime::between(Instant::now(), Instant::now())
@@ -199,7 +209,7 @@
     assert!(table.answer(RequestId(1), Answer::Busy { after_ms: Some(5) }));
     table.complete(RequestId(1));
     assert_eq!(table.open.len(), 1);
-    match table.send(RequestId(1), CACHE, 500 * MS, None) {
+    match table.send(RequestId(1), order()) {
         SendDecision::Ended(end) => assert_eq!(end.result.outcome, Outcome::NeverSent),
         _ => panic!("sent after the answer"),
     }
@@ -221,7 +231,7 @@
         table.relay(&mut end(1, number, Outcome::Full));
     }
     for id in [1, 7] {
-        let decision = table.send(RequestId(id), CACHE, 500 * MS, None);
+        let decision = table.send(RequestId(id), order());
         assert!(
             matches!(decision, SendDecision::Ended(end) if end.result.outcome == Outcome::NeverSent)
         );
@@ -239,8 +249,9 @@
         first.cancel.try_recv().is_ok(),
         "its connection is told to end"
     );
+    let order = order();
     assert!(matches!(
-        table.send(RequestId(1), CACHE, 500 * MS, None),
+        table.send(RequestId(1), order),
         SendDecision::Deferred
     ));
     assert!(
@@ -253,7 +264,10 @@
             .request_finished
     );
     match table.send_deferred(RequestId(1)) {
-        Some(SendDecision::Job(job)) => assert_eq!(job.attempt.number, 1),
+        Some(SendDecision::Job(job)) => {
+            assert_eq!(job.attempt.number, 1);
+            assert_eq!(job.give_up_at, order.give_up_at, "the wait counts");
+        }
         _ => panic!("not sent"),
     }
 }
@@ -265,7 +279,7 @@
     let _job = sent(&mut table, 1);
     table.cancel(RequestId(1), 0);
     assert!(matches!(
-        table.send(RequestId(1), CACHE, 500 * MS, None),
+        table.send(RequestId(1), order()),
         SendDecision::Deferred
     ));
     assert!(table.answer(RequestId(1), Answer::Failed));
@@ -432,7 +446,7 @@
     let _first = sent(&mut table, 1);
     table.cancel(RequestId(1), 0);
     assert!(matches!(
-        table.send(RequestId(1), CACHE, 500 * MS, None),
+        table.send(RequestId(1), order()),
         SendDecision::Deferred
     ));
     liveness.finish();
@@ -446,5 +460,5 @@
             .send_deferred(RequestId(1))
             .expect("the cancelled attempt has ended"),
     );
-    assert_never_sent(table.send(RequestId(1), CACHE, 500 * MS, None));
+    assert_never_sent(table.send(RequestId(1), order()));
 }
