An attempt waits for a list that was told and is not applied yet

Cause: a list counts as told once it is written to this machine; a process that stood still decides and writes by the list before, and reads the new one in the next turn. Change: list_freshness.rs knows what is on its way: unread in the kernel (asked directly, at most every 20 ms), read and not yet applied by the engine, or, where no watch was open for over 0.1 s, due from the agent within 30 ms. The gate asks it before the first byte; an attempt waits some turns of the loop until the list is applied, and is withheld if its host is barred then.

--- a/crates/stairfront-balancer/src/client/mod.rs
+++ b/crates/stairfront-balancer/src/client/mod.rs
@@ -10,5 +10,4 @@
 pub mod context;
 mod ending;
 mod idle;
-mod shared_stream;
 mod write;
--- a/crates/stairfront-balancer/src/client/write.rs
+++ b/crates/stairfront-balancer/src/client/write.rs
@@ -14,10 +14,10 @@
 
 use crate::client::codec::ClientCodec;
 use crate::client::connection::{Connection, PendingReply, DEPARTURE_CHECK_INTERVAL};
-use crate::client::shared_stream::SharedStream;
 use crate::clock::{timeout_at, Instant};
 use crate::configuration::limits::{client_read_timeout, large_value_timeout};
 use crate::messages::{Answer, BodyChunk, FinalAnswer};
+use crate::shared_stream::SharedStream;
 use crate::transport::Stream;
 
 const CLIENT_DOES_NOT_READ: RespError = RespError::Malformed("client does not read");
--- a/crates/stairfront-balancer/src/control/discovery.rs
+++ b/crates/stairfront-balancer/src/control/discovery.rs
@@ -16,11 +16,14 @@
 use tracing::{info, warn};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::clock::{sleep, timeout};
+use crate::arrival::PollClock;
+use crate::clock::{sleep, timeout, Instant};
 use crate::control::server_list::{ListError, RawList, ServerList};
 use crate::counters::Counters;
-use crate::messages::EngineEvent;
-use crate::transport::{is_quiet, Network};
+use crate::list_freshness::{ListFreshness, ListInTransit};
+use crate::messages::{EngineEvent, ReceivedList};
+use crate::shared_stream::SharedStream;
+use crate::transport::{Network, Unread};
 
 /// How long the agent may hold a poll until there is a change; the agent allows 60 s. While discovery is down its changes
 /// count as notified 2 s after the hold is over, so a short hold would have this balancer send to caches that drain.
@@ -87,6 +90,10 @@
     pub seed: u64,
     /// Notified when another member has a newer list: the agent is polled at once.
     pub poll_now: Rc<Notify>,
+    /// Gets to know of lists on their way.
+    pub lists: Rc<ListFreshness>,
+    /// When the event loop has polled the network.
+    pub polls: Rc<PollClock>,
 }
 
 /// Watches the agent for as long as the balancer runs and passes on every change. A failed agent costs nothing but these
@@ -96,7 +103,9 @@
     agent: watch::Receiver<Option<SocketAddr>>,
     names: Names,
     events: mpsc::Sender<EngineEvent>,
-    connection: Option<Framed<N::Stream, HttpClientCodec>>,
+    connection: Option<Framed<SharedStream<N::Stream>, HttpClientCodec>>,
+    lists: Rc<ListFreshness>,
+    polls: Rc<PollClock>,
     /// The version in hand; `None` asks for the whole list.
     index: Option<u64>,
     /// How long the next poll may be held: not at all until one was answered, so that a start or a return of the agent
@@ -122,6 +131,8 @@
             names: settings.names,
             events,
             connection: None,
+            lists: settings.lists,
+            polls: settings.polls,
             index: Some(settings.known_index),
             hold: Duration::ZERO,
             poll_now: settings.poll_now,
@@ -164,7 +175,7 @@
         let mut failures = 0;
         loop {
             match self.poll(address).await {
-                Ok(list) => {
+                Ok((list, in_transit)) => {
                     if failures > 0 {
                         info!("discovery answers again");
                     }
@@ -176,7 +187,8 @@
                     };
                     self.hold = HOLD;
                     self.index = Some(list.index);
-                    permit.send(EngineEvent::EndpointList(list));
+                    let in_transit = Some(in_transit);
+                    permit.send(EngineEvent::EndpointList(ReceivedList { list, in_transit }));
                 }
                 Err(error) => {
                     if failures % POLLS_PER_LOG_LINE == 0 {
@@ -222,11 +234,19 @@
         whole.mul_f64(0.5 + draw / 2.0)
     }
 
-    async fn poll(&mut self, address: SocketAddr) -> Result<ServerList, PollError> {
+    async fn poll(
+        &mut self,
+        address: SocketAddr,
+    ) -> Result<(ServerList, ListInTransit), PollError> {
         // What has come between two polls answers neither.
-        self.connection = self.connection.take().filter(is_quiet);
+        self.connection = self.connection.take().filter(|connection| {
+            connection.read_buffer().is_empty() && connection.get_ref().unread() == Unread::Nothing
+        });
         let is_first_poll = self.connection.is_none();
-        let response = self.exchange(address).await?;
+        let response = self.exchange(address).await;
+        self.lists.note_poll_ended();
+        let response = response?;
+        let in_transit = self.lists.receive();
         if response.closes_connection {
             self.connection = None;
         }
@@ -246,7 +266,7 @@
                     received: list.index,
                 })
             }
-            _ => Ok(list),
+            _ => Ok((list, in_transit)),
         }
     }
 
@@ -266,14 +286,21 @@
             body: RequestBody::Empty,
         };
         let connection = match &mut self.connection {
-            Some(connection) => connection,
+            Some(connection) => {
+                self.lists
+                    .note_poll(connection.get_ref().arrived_after().elapsed());
+                connection
+            }
             none => {
                 let connected = timeout(ANSWER_TIMEOUT, self.network.connect(address));
                 let socket = connected.await.map_err(|_| PollError::Late)??;
+                let socket = SharedStream::new(socket, &self.polls, Instant::now());
+                self.lists.set_agent(socket.peer());
                 let codec = HttpClientCodec::new(MAX_LIST_BYTES, &Budget::new(MAX_LIST_BYTES));
                 none.insert(Framed::new(socket, codec))
             }
         };
+        connection.get_ref().resume_reading();
         connection.send(request).await?;
         let answer = timeout(limit, connection.next())
             .await
--- a/crates/stairfront-balancer/src/control/reload.rs
+++ b/crates/stairfront-balancer/src/control/reload.rs
@@ -14,7 +14,7 @@
 use crate::configuration::error::ConfigError;
 use crate::control::server_list::ServerList;
 use crate::counters::Counters;
-use crate::messages::EngineEvent;
+use crate::messages::{EngineEvent, ReceivedList};
 
 /// Catches SIGHUP from now on, also while the balancer stops. A SIGHUP that is not caught ends the process.
 ///
@@ -102,8 +102,12 @@
                 full: true,
                 ..new.known
             };
+            let received = ReceivedList {
+                list,
+                in_transit: None,
+            };
             // The engine ends only with the whole balancer.
-            let _ = self.events.send(EngineEvent::EndpointList(list)).await;
+            let _ = self.events.send(EngineEvent::EndpointList(received)).await;
         }
         // The other keys stay those of the start, so that a key that is changed back is not named.
         self.current.discovery = new.discovery;
--- a/crates/stairfront-balancer/src/engine/mod.rs
+++ b/crates/stairfront-balancer/src/engine/mod.rs
@@ -35,7 +35,7 @@
 use crate::lifecycle::handover_state::{HandoverState, Snapshot};
 use crate::lifecycle::loop_monitor::{admission_settings, RuntimeHandles};
 use crate::lifecycle::shutdown::min_remaining_lifetime;
-use crate::messages::{Arrival, AttemptEnd, AttemptId, EngineEvent, ListedHost};
+use crate::messages::{Arrival, AttemptEnd, AttemptId, EngineEvent, ListedHost, ReceivedList};
 use crate::stages::admit::{AdmissionError, OpenRequest, RequestTable};
 use crate::stages::route::Decide;
 use crate::transport::Network;
@@ -229,12 +229,13 @@
                 self.pool.handle(event, &mut self.ended_attempts);
                 self.time_socket_waits();
             }
-            EngineEvent::EndpointList(list) => {
+            EngineEvent::EndpointList(ReceivedList { list, in_transit }) => {
                 self.counters.lists_heard.add();
                 let index = list.index;
                 let leaving = self.leaving_hosts(&list);
                 self.apply_list(list, false);
                 self.announce_list(index, leaving);
+                drop(in_transit);
             }
         }
         self.process_ended_attempts();
--- a/crates/stairfront-balancer/src/lib.rs
+++ b/crates/stairfront-balancer/src/lib.rs
@@ -12,6 +12,7 @@
 //! | [`lifecycle`] | start, upgrade and end of the process; the one place that puts the parts together |
 //! | [`client`] | the listener for clients and their connections |
 //! | [`arrival`] | how old input may be that is read after a stall |
+//! | [`list_freshness`] | whether the endpoint list in use is what discovery has told |
 //! | [`stages`] | the stages of a request: parsed, admitted, routed, sent, relayed, completed |
 //! | [`engine`] | the task that owns the decision module and the open requests |
 //! | [`upstream`] | connections to cache hosts and to the origin |
@@ -24,7 +25,9 @@
 pub mod counters;
 pub mod engine;
 pub mod lifecycle;
+pub mod list_freshness;
 pub mod messages;
+mod shared_stream;
 pub mod stages;
 pub mod transport;
 pub mod upstream;
--- a/crates/stairfront-balancer/src/lifecycle/assembly.rs
+++ b/crates/stairfront-balancer/src/lifecycle/assembly.rs
@@ -41,6 +41,7 @@
 use crate::lifecycle::loop_monitor::{admission_controller, RuntimeHandles};
 use crate::lifecycle::server::ServerDependencies;
 use crate::lifecycle::shutdown::Phase;
+use crate::list_freshness::ListFreshness;
 use crate::messages::EngineEvent;
 use crate::stages::parse::RequestParser;
 use crate::stages::route::Decide;
@@ -91,6 +92,7 @@
     membership: Option<Rc<MembershipAgent>>,
     maintenance: Rc<OnceCell<Rc<MaintenanceService>>>,
     poll_agent: Rc<Notify>,
+    lists: Rc<ListFreshness>,
     client_permits: Arc<Semaphore>,
 }
 
@@ -136,6 +138,7 @@
             membership: dependencies.membership.clone(),
             maintenance: Rc::new(OnceCell::new()),
             poll_agent: Rc::new(Notify::new()),
+            lists: Rc::default(),
             client_permits: Arc::new(Semaphore::new(free_clients)),
         };
         let engine_ends = EngineEnds {
@@ -158,6 +161,7 @@
             servers_idle_timeout: timer_duration(self.start.host.idle_timeout),
             stall_timeout: stall_timeout(&self.start.settings),
             memory: self.memory,
+            lists: Rc::clone(&self.lists),
         };
         UpstreamPool::new(
             network,
@@ -180,6 +184,8 @@
             known_index,
             seed: self.seed,
             poll_now: Rc::clone(&self.poll_agent),
+            lists: Rc::clone(&self.lists),
+            polls: Rc::clone(&self.runtime.polls),
         };
         DiscoveryWatch::new(
             network,
--- a/crates/stairfront-balancer/src/messages.rs
+++ b/crates/stairfront-balancer/src/messages.rs
@@ -16,6 +16,7 @@
 use crate::clock::Instant;
 use crate::control::server_list::ServerList;
 use crate::lifecycle::handover_state::Snapshot;
+use crate::list_freshness::ListInTransit;
 use crate::stages::liveness::RequestLiveness;
 
 /// The final answer to one request, or an immediate one to a command that needs no decision.
@@ -314,6 +315,15 @@
     pub endpoint: Endpoint,
 }
 
+/// A list on its way to the engine.
+#[derive(Debug)]
+pub struct ReceivedList {
+    /// The list.
+    pub list: ServerList,
+    /// Has attempts wait until the list is applied; `None` for one that nobody has told.
+    pub in_transit: Option<ListInTransit>,
+}
+
 /// An event for the engine, which handles one at a time.
 pub enum EngineEvent {
     /// A client has sent a request.
@@ -323,7 +333,7 @@
     /// A connection to a server reports.
     Pool(PoolEvent),
     /// Discovery, or a configuration without discovery, gives a list of servers.
-    EndpointList(ServerList),
+    EndpointList(ReceivedList),
     /// A successor asks what this process knows; from then on this process keeps a part of the descriptors alone.
     Snapshot(oneshot::Sender<Snapshot>),
     /// The maintenance service asks for the cache hosts of the list in use.
--- a/crates/stairfront-balancer/src/client/shared_stream.rs
+++ b/crates/stairfront-balancer/src/shared_stream.rs
@@ -1,4 +1,4 @@
-//! A client's connection that its requests can ask for its end.
+//! A connection whose state others can ask for: whether a client has left, or whether an agent has told anything.
 use std::cell::RefCell;
 use std::io::{self, IoSlice};
 use std::pin::Pin;
@@ -11,8 +11,8 @@
 use crate::clock::Instant;
 use crate::transport::{Peer, Stream, Unread};
 
-/// A connection with one owner, which reads and writes. Others hold it weakly and can ask whether it has ended.
-pub(super) struct SharedStream<T> {
+/// A connection with one owner, which reads and writes. Others hold it weakly and ask.
+pub(crate) struct SharedStream<T> {
     stream: Rc<RefCell<T>>,
     input: InputWatch,
     /// What was read last came after this.
@@ -21,7 +21,7 @@
 
 impl<T: Stream> SharedStream<T> {
     /// A connection on which nothing had come at this time.
-    pub(super) fn new(stream: T, polls: &Rc<PollClock>, empty_at: Instant) -> Self {
+    pub(crate) fn new(stream: T, polls: &Rc<PollClock>, empty_at: Instant) -> Self {
         SharedStream {
             stream: Rc::new(RefCell::new(stream)),
             input: InputWatch::new(polls, empty_at),
@@ -30,32 +30,32 @@
     }
 
     /// To be called before a wait for input that follows other work.
-    pub(super) fn resume_reading(&self) {
+    pub(crate) fn resume_reading(&self) {
         self.input.resume();
     }
 
     /// The last byte of each whole command in the read buffer came after this: nothing is read while there is one, so the
     /// last read completed them all.
-    pub(super) fn arrived_after(&self) -> Instant {
+    pub(crate) fn arrived_after(&self) -> Instant {
         self.arrived_after
     }
 
-    /// For those that ask whether the client has left. Its upgrade fails once the owner has dropped the connection.
-    pub(super) fn peer(&self) -> Weak<dyn Peer> {
+    /// For those that ask for its state. The upgrade fails once the owner has dropped the connection.
+    pub(crate) fn peer(&self) -> Weak<dyn Peer> {
         let shared: Rc<dyn Peer> = Rc::<RefCell<T>>::clone(&self.stream);
         Rc::downgrade(&shared)
     }
 
-    pub(super) fn unread(&self) -> Unread {
+    pub(crate) fn unread(&self) -> Unread {
         self.stream.borrow().unread()
     }
 
-    pub(super) fn has_ended(&self) -> bool {
+    pub(crate) fn has_ended(&self) -> bool {
         self.stream.borrow().has_ended()
     }
 
     /// The connection itself; `None` while somebody asks, which cannot be at an await.
-    pub(super) fn into_inner(self) -> Option<T> {
+    pub(crate) fn into_inner(self) -> Option<T> {
         Rc::into_inner(self.stream).map(RefCell::into_inner)
     }
 }
--- a/crates/stairfront-balancer/src/transport.rs
+++ b/crates/stairfront-balancer/src/transport.rs
@@ -73,12 +73,18 @@
 pub trait Peer {
     /// Whether it has ended, as [`Stream::has_ended`].
     fn has_ended(&self) -> bool;
+    /// What it has sent that was not read, as [`Stream::unread`].
+    fn unread(&self) -> Unread;
 }
 
 impl<T: Stream> Peer for RefCell<T> {
     fn has_ended(&self) -> bool {
         self.borrow().has_ended()
     }
+
+    fn unread(&self) -> Unread {
+        self.borrow().unread()
+    }
 }
 
 /// Whether nothing has come behind the last reply. A reply names no request: what stands behind a well-formed one would
--- a/crates/stairfront-balancer/src/upstream/command_write.rs
+++ b/crates/stairfront-balancer/src/upstream/command_write.rs
@@ -12,6 +12,7 @@
 use tracing::debug;
 
 use crate::clock::{timeout_at, Instant};
+use crate::list_freshness::ListFreshness;
 use crate::messages::{Job, Outgoing};
 use crate::transport::Stream;
 use crate::upstream::connection::UpstreamProtocol;
@@ -61,10 +62,11 @@
 pub(super) async fn write_command<T: Stream, P: UpstreamProtocol>(
     framed: &mut Framed<T, P>,
     job: &mut Job,
+    lists: &ListFreshness,
 ) -> Result<(), WriteError> {
     let (conditions, deadline) = (job.conditions(), job.send_deadline());
     let mut buffer = std::mem::take(framed.write_buffer_mut());
-    let written = match ask_until_fresh(|| encode_if_allowed(framed, job, &mut buffer)) {
+    let written = match ask_until_fresh(|| encode_if_allowed(framed, job, lists, &mut buffer)) {
         // Nothing is awaited between the check and the first byte.
         Ok(value) => {
             let terminator = value.as_ref().map_or(&[][..], |_| P::VALUE_TERMINATOR);
@@ -91,9 +93,10 @@
 fn encode_if_allowed<T: Stream, P: UpstreamProtocol>(
     framed: &mut Framed<T, P>,
     job: &Job,
+    lists: &ListFreshness,
     buffer: &mut BytesMut,
 ) -> Result<Option<Bytes>, WriteError> {
-    job.may_begin().map_err(WriteError::NotBegun)?;
+    job.may_be_written(lists).map_err(WriteError::NotBegun)?;
     let left = job.give_up_at.saturating_duration_since(Instant::now());
     let outgoing = Outgoing {
         command: job.command.clone(),
--- a/crates/stairfront-balancer/src/upstream/connection.rs
+++ b/crates/stairfront-balancer/src/upstream/connection.rs
@@ -18,6 +18,7 @@
 
 use crate::clock::{timeout, timeout_at, Instant};
 use crate::counters::Counters;
+use crate::list_freshness::ListFreshness;
 use crate::messages::{
     AnswerBody, AttemptEnd, AttemptOutcome, BodyChunk, ConnectionId, EngineEvent, Job, Outgoing,
     PoolEvent,
@@ -25,6 +26,7 @@
 use crate::transport::{is_quiet, Network, Stream, Unread};
 use crate::upstream::exchange::{cancelled, exchange, ExchangeOutcome};
 use crate::upstream::proof::AnswerProof;
+use crate::upstream::send_gate::SendRefusal;
 
 /// Chunks of a large value that wait for its client.
 const MAX_QUEUED_CHUNKS: usize = 1;
@@ -33,6 +35,8 @@
 const CHUNK_BYTES: usize = 32 * 1024;
 /// With less free space than this a buffer is not read into any more.
 const MIN_BUFFER_SPACE: usize = 4 * 1024;
+/// How often an attempt waits for a list that is on its way; most take a turn of the event loop or two.
+const MAX_LIST_WAITS: u32 = 100;
 /// Time between two log lines on a surplus.
 const SURPLUS_LOG_INTERVAL: Duration = Duration::from_secs(60);
 
@@ -82,6 +86,8 @@
     pub budget: Rc<Budget>,
     /// When a surplus was last logged.
     pub surplus_logged_at: Cell<Option<Instant>>,
+    /// Whether the endpoint list in use is what discovery has told.
+    pub lists: Rc<ListFreshness>,
 }
 
 /// The owner of one socket.
@@ -181,15 +187,25 @@
         mut job: Job,
         proof: AnswerProof,
     ) -> Result<AnswerProof, Box<Closing>> {
-        if proof == AnswerProof::FirstRequest && !is_quiet(framed) {
-            // Nothing was written, and what has come answers no request.
-            if has_more_input(framed) {
-                self.record_surplus(Some(&job));
+        let mut waits = 0;
+        let carried = loop {
+            if (proof == AnswerProof::FirstRequest || waits > 0) && !is_quiet(framed) {
+                return Err(self.closing_before(framed, job, proof));
             }
-            return Err(closing_after(&job, Outcome::ConnectFailed));
-        }
-        self.used_at = Instant::now();
-        let carried = self.perform(framed, &mut job, proof).await;
+            self.used_at = Instant::now();
+            match self.perform(framed, &mut job, proof).await {
+                Ok(carried) => break carried,
+                Err(SendRefusal::ListPending) if waits < MAX_LIST_WAITS => {
+                    self.context.lists.wait(waits).await;
+                    waits += 1;
+                }
+                Err(refusal) => {
+                    // Nothing was written, and the connection can be used as before.
+                    self.report_idle(Some(job.withhold(refusal))).await;
+                    return Ok(proof);
+                }
+            }
+        };
         if carried.surplus {
             self.record_surplus(Some(&job));
         }
@@ -206,17 +222,38 @@
         }
     }
 
+    /// The end of a connection that has ended, or on which something came, before the job's first byte. What came on a new
+    /// one answers no request; a job for one that was used before goes to another.
+    fn closing_before<P: UpstreamProtocol>(
+        &self,
+        framed: &Framed<N::Stream, P>,
+        job: Job,
+        proof: AnswerProof,
+    ) -> Box<Closing> {
+        let surplus = has_more_input(framed);
+        if surplus {
+            self.record_surplus(Some(&job));
+        }
+        if proof == AnswerProof::FirstRequest {
+            return closing_after(&job, Outcome::ConnectFailed);
+        }
+        Box::new(Closing {
+            end: None,
+            unsent: Some(job),
+            surplus,
+        })
+    }
+
     /// Sends the command of a job and reads what comes back. A reply that broke off is no surplus, nor is the end of a
-    /// connection behind a complete one.
+    /// connection behind a complete one. An error if nothing was written.
     async fn perform<P: UpstreamProtocol>(
         &self,
         framed: &mut Framed<N::Stream, P>,
         job: &mut Job,
         proof: AnswerProof,
-    ) -> CarriedAttempt {
-        let unused = proof;
+    ) -> Result<CarriedAttempt, SendRefusal> {
         let proof = proof.required_for::<P>(&job.command);
-        match exchange(framed, job, proof, &self.context.report_fields).await {
+        let carried = match exchange(framed, job, proof, &self.context).await {
             ExchangeOutcome::Finished(result) => CarriedAttempt {
                 end: Some(job.end(result)),
                 next: proof.next::<P>(),
@@ -231,12 +268,7 @@
                     surplus: complete && has_more_input(framed),
                 }
             }
-            // Nothing was written, and the connection can be used as before.
-            ExchangeOutcome::NotBegun(refusal) => CarriedAttempt {
-                end: Some(job.withhold(refusal)),
-                next: Some(unused),
-                surplus: false,
-            },
+            ExchangeOutcome::NotBegun(refusal) => return Err(refusal),
             ExchangeOutcome::Failed(outcome) => CarriedAttempt {
                 end: Some(unanswered(job, outcome)),
                 next: None,
@@ -247,7 +279,8 @@
                 next: None,
                 surplus: true,
             },
-        }
+        };
+        Ok(carried)
     }
 
     async fn report_idle(&self, end: Option<AttemptEnd>) {
--- a/crates/stairfront-balancer/src/upstream/exchange.rs
+++ b/crates/stairfront-balancer/src/upstream/exchange.rs
@@ -11,7 +11,7 @@
 use crate::messages::{AttemptOutcome, Job};
 use crate::transport::Stream;
 use crate::upstream::command_write::{write_command, WriteError};
-use crate::upstream::connection::UpstreamProtocol;
+use crate::upstream::connection::{ConnectionContext, UpstreamProtocol};
 use crate::upstream::proof::{AnswerProof, ProofError};
 use crate::upstream::send_gate::SendRefusal;
 
@@ -33,13 +33,13 @@
 }
 
 /// Sends the command of a job and reads the head of the reply, until the job is cancelled or its time is over.
-pub(super) async fn exchange<T: Stream, P: UpstreamProtocol>(
+pub(super) async fn exchange<T: Stream, P: UpstreamProtocol, N>(
     framed: &mut Framed<T, P>,
     job: &mut Job,
     proof: AnswerProof,
-    report_fields: &[String],
+    context: &ConnectionContext<N>,
 ) -> ExchangeOutcome {
-    match write_command(framed, job).await {
+    match write_command(framed, job, &context.lists).await {
         Ok(()) => {}
         Err(WriteError::NotBegun(refusal)) => return ExchangeOutcome::NotBegun(refusal),
         Err(error) => return ExchangeOutcome::Failed(error.outcome()),
@@ -50,7 +50,7 @@
             debug!(%error, "marker not written");
             return ExchangeOutcome::Failed(Outcome::Reset);
         }
-        read_reply(framed, proof, report_fields).await
+        read_reply(framed, proof, &context.report_fields).await
     };
     tokio::select! {
         biased;
--- a/crates/stairfront-balancer/src/upstream/send_gate.rs
+++ b/crates/stairfront-balancer/src/upstream/send_gate.rs
@@ -6,6 +6,7 @@
 use tracing::debug;
 
 use crate::clock::Instant;
+use crate::list_freshness::ListFreshness;
 use crate::messages::{AttemptEnd, AttemptOutcome, Job};
 use crate::stages::liveness::RequestLiveness;
 
@@ -30,6 +31,9 @@
     /// Nothing new may be begun at the server.
     #[error("the server is barred")]
     ServerBarred,
+    /// A list has been told and not applied yet; the attempt may be written once it is.
+    #[error("a list is on its way")]
+    ListPending,
 }
 
 /// What was asked longer ago than this is asked again: it may not hold any more.
@@ -93,7 +97,7 @@
         }
     }
 
-    /// Whether it may be written now. A job may have waited for its connection's task, or for a connection that came up as
+    /// Whether it may still begin. A job may have waited for its connection's task, or for a connection that came up as
     /// its time ended; the request may have been answered by then, and must not be sent after its answer. And the process
     /// may have stood still since it was decided: its client may be gone although no task has read that yet.
     pub(super) fn may_begin(&self) -> Result<(), SendRefusal> {
@@ -101,6 +105,16 @@
         self.conditions().may_go_on()
     }
 
+    /// Whether its first byte may be written now: the list by which it was decided is the one that discovery has told, too.
+    pub(super) fn may_be_written(&self, lists: &ListFreshness) -> Result<(), SendRefusal> {
+        self.may_begin()?;
+        if lists.is_current() {
+            Ok(())
+        } else {
+            Err(SendRefusal::ListPending)
+        }
+    }
+
     /// The part that this process knows without asking the network. Asked further up it saves work, and protects nothing.
     pub(super) fn check_known(&self) -> Result<(), SendRefusal> {
         self.check_local()?;
--- a/crates/stairfront-balancer/src/upstream/upstream_pool.rs
+++ b/crates/stairfront-balancer/src/upstream/upstream_pool.rs
@@ -15,6 +15,7 @@
 use crate::clock::Instant;
 use crate::configuration::limits::Memory;
 use crate::counters::Counters;
+use crate::list_freshness::ListFreshness;
 use crate::messages::{
     AttemptEnd, AttemptId, AttemptOutcome, ConnectionId, EngineEvent, Job, PoolEvent,
 };
@@ -98,7 +99,7 @@
     rest_until: Option<Instant>,
 }
 
-/// Limits and times of a pool.
+/// Limits and times of a pool, and what its attempts wait for.
 pub struct PoolSettings {
     /// The most connections.
     pub max_connections: usize,
@@ -112,6 +113,8 @@
     pub stall_timeout: Duration,
     /// Limits on memory.
     pub memory: Memory,
+    /// Whether the endpoint list in use is what discovery has told.
+    pub lists: Rc<ListFreshness>,
 }
 
 impl<N: Network> UpstreamPool<N> {
@@ -136,6 +139,7 @@
             max_value_bytes: settings.memory.max_value_bytes,
             budget: Budget::new(settings.memory.replies),
             surplus_logged_at: Cell::default(),
+            lists: settings.lists,
         };
         UpstreamPool {
             context: Rc::new(context),
--- a/crates/stairfront-balancer/tests/client_disconnects.rs
+++ b/crates/stairfront-balancer/tests/client_disconnects.rs
@@ -143,6 +143,7 @@
         servers_idle_timeout: ms(10_000),
         stall_timeout: ms(10_000),
         memory,
+        lists: Rc::default(),
     };
     let pool = UpstreamPool::new(Tcp, settings, Vec::new(), events.clone(), Rc::default());
     let handles = EngineHandles {
--- a/crates/stairfront-balancer/tests/discovery.rs
+++ b/crates/stairfront-balancer/tests/discovery.rs
@@ -8,9 +8,10 @@
     Step,
 };
 use serde_json::{json, Value};
+use stairfront_balancer::arrival::PollClock;
 use stairfront_balancer::control::discovery::{DiscoverySettings, DiscoveryWatch};
 use stairfront_balancer::control::server_list::{cache_id, RawList};
-use stairfront_balancer::messages::EngineEvent;
+use stairfront_balancer::messages::{EngineEvent, ReceivedList};
 use stairfront_balancer::transport::Tcp;
 use stairfront_policy::interface::{Cell, EndpointState, Kind, Zone};
 use stairfront_settings::Names;
@@ -275,6 +276,8 @@
             known_index: 1,
             seed: 0,
             poll_now: Rc::clone(&poll_now),
+            lists: Rc::default(),
+            polls: Rc::new(PollClock::start()),
         };
         let watch = DiscoveryWatch::new(Tcp, settings, event_sender, Rc::default());
         let watching = spawn_local(watch.run());
@@ -290,7 +293,7 @@
         );
         assert!(matches!(events.recv().await, Some(EngineEvent::PeerEnded)));
         match events.recv().await {
-            Some(EngineEvent::EndpointList(list)) => {
+            Some(EngineEvent::EndpointList(ReceivedList { list, .. })) => {
                 assert_eq!((list.index, list.entries.len()), (5, 1))
             }
             _ => panic!("the list is lost"),
--- a/crates/stairfront-balancer/tests/upstream_pool/fixture.rs
+++ b/crates/stairfront-balancer/tests/upstream_pool/fixture.rs
@@ -124,6 +124,7 @@
         servers_idle_timeout,
         stall_timeout: ms(10_000),
         memory: Memory::of(64),
+        lists: Rc::default(),
     };
     let mut pool = UpstreamPool::new(network, limits, Vec::new(), event_sender, counters);
     pool.set_target(
--- a/crates/stairfront-balancer/tests/upstream_pool/send_gate.rs
+++ b/crates/stairfront-balancer/tests/upstream_pool/send_gate.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use stairfront_balancer::messages::{Job, Verb};
 use stairfront_balancer::stages::liveness::RequestLiveness;
-use stairfront_balancer::transport::{listen, Listener, Peer};
+use stairfront_balancer::transport::{listen, Listener, Peer, Unread};
 use stairfront_policy::interface::Outcome;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
@@ -118,6 +118,10 @@
         std::thread::sleep(ms(if asked == 1 { 150 } else { 0 }));
         asked > 1
     }
+
+    fn unread(&self) -> Unread {
+        Unread::Nothing
+    }
 }
 
 #[test]
--- a/crates/stairfront/tests/balancer_process/mod.rs
+++ b/crates/stairfront/tests/balancer_process/mod.rs
@@ -57,8 +57,26 @@
     /// Starts one with this configuration, and a directory for what outlives the process. Waits until it answers `PING`.
     pub async fn start_with(test: &str, configuration: Value, directory: Option<&Path>) -> Self {
         let process = Self::spawn(test, configuration, directory);
+        process.wait_until_serving().await;
+        process
+    }
+
+    /// Starts one with further environment variables, and waits until it answers `PING`.
+    pub async fn start_with_environment(
+        test: &str,
+        configuration: Value,
+        variables: &[(&str, String)],
+    ) -> Self {
+        let mut command = program(None);
+        command.envs(variables.iter().map(|(name, value)| (name, value)));
+        let process = Self::spawn_command(test, configuration, None, command);
+        process.wait_until_serving().await;
+        process
+    }
+
+    async fn wait_until_serving(&self) {
         let mut client = loop {
-            match Client::connect(process.address).await {
+            match Client::connect(self.address).await {
                 Ok(client) => break client,
                 Err(_) => sleep(ms(10)).await,
             }
@@ -66,7 +84,6 @@
         while client.ask(&["PING"]).await != "+PONG\r\n" {
             sleep(ms(10)).await;
         }
-        process
     }
 
     /// Starts one without waiting until it serves.
@@ -78,9 +95,18 @@
     /// disk.
     pub fn spawn_with_file_limit(
         test: &str,
-        mut configuration: Value,
+        configuration: Value,
         directory: Option<&Path>,
         max_file_blocks: Option<u32>,
+    ) -> Self {
+        Self::spawn_command(test, configuration, directory, program(max_file_blocks))
+    }
+
+    fn spawn_command(
+        test: &str,
+        mut configuration: Value,
+        directory: Option<&Path>,
+        mut command: Command,
     ) -> Self {
         let address = configuration["listen"].as_str().unwrap().parse().unwrap();
         let admin_address = unused_address();
@@ -91,7 +117,6 @@
             std::process::id()
         );
         std::fs::write(&config_path, configuration.to_string()).unwrap();
-        let mut command = program(max_file_blocks);
         match directory {
             Some(directory) => command.env("TMPDIR", directory),
             None => command.env_remove("TMPDIR"),
--- a/crates/stairfront/tests/stalls/main.rs
+++ b/crates/stairfront/tests/stalls/main.rs
@@ -7,7 +7,9 @@
 mod stand_ins;
 mod witness;
 
+use std::process::Command;
 use std::rc::Rc;
+use std::sync::OnceLock;
 use std::time::Duration;
 
 use balancer_process::{unused_address, BalancerProcess};
@@ -30,8 +32,43 @@
     witness: Rc<Witness>,
 }
 
+/// The library that has single system calls of a balancer stall, built once by the compiler that Rust links with.
+fn stall_shim() -> &'static str {
+    static BUILT: OnceLock<String> = OnceLock::new();
+    BUILT.get_or_init(|| {
+        let source = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/stalls/stall_shim.c");
+        let library = format!(
+            "{}/stall_shim-{}.so",
+            env!("CARGO_TARGET_TMPDIR"),
+            std::process::id()
+        );
+        let built = Command::new("cc")
+            .args(["-shared", "-fPIC", "-O1", "-Wall", "-Werror", "-o"])
+            .args([library.as_str(), source, "-ldl"])
+            .status()
+            .expect("there is a C compiler");
+        assert!(built.success());
+        library
+    })
+}
+
 impl World {
     async fn start(test: &str, work_ms: u64) -> World {
+        World::start_with_environment(test, work_ms, &[]).await
+    }
+
+    /// Starts a balancer whose system calls may stall, as these variables say.
+    async fn start_with_shim(test: &str, work_ms: u64, variables: &[(&str, String)]) -> World {
+        let preload = ("LD_PRELOAD", stall_shim().to_string());
+        let variables = [&[preload], variables].concat();
+        World::start_with_environment(test, work_ms, &variables).await
+    }
+
+    async fn start_with_environment(
+        test: &str,
+        work_ms: u64,
+        variables: &[(&str, String)],
+    ) -> World {
         let witness = Rc::new(Witness::default());
         let mut lines = Vec::new();
         for i in 0..HOSTS {
@@ -43,7 +80,7 @@
         let (agent, agent_address) = ListAgent::start(&witness).await;
         agent.know(&lines);
         let configuration = config(unused_address(), agent_address, &lines, 1024);
-        let process = BalancerProcess::start_with(test, configuration, None).await;
+        let process = BalancerProcess::start_with_environment(test, configuration, variables).await;
         World {
             process,
             agent,
@@ -192,3 +229,37 @@
         }
     });
 }
+
+/// Commands that are read and then wait for 0.45 s in a stall, 0.05 s into which a list comes. They would be decided and
+/// written by the list before, on idle connections, in the same turn of the loop.
+async fn list_comes_while_a_read_stalls(world: &World, host: usize, change: impl Fn(&ListAgent)) {
+    until(|| world.agent.is_held()).await;
+    let mut client = Client::connect(world.process.address).await.unwrap();
+    for key in 0..24 {
+        let (key, id) = (format!("key{key}"), format!("warm-{host}-{key}"));
+        client.get(&key, &id, 1400).await;
+    }
+    let shape = RequestShape {
+        commands: 12,
+        wait_ms: 1400,
+        patience: ms(1400),
+    };
+    let name = format!("~stall450~{host}");
+    let witness = Rc::clone(&world.witness);
+    let sending = spawn_local(leave_behind(client, name, shape, witness));
+    sleep(ms(50)).await;
+    change(&world.agent);
+    sending.await.unwrap();
+}
+
+#[test]
+fn nothing_new_goes_to_a_host_whose_drain_was_told_while_a_read_stalled() {
+    run_within(LIMIT, async {
+        let world = World::start_with_shim("drain_read", 5, &[]).await;
+        for host in 0..HOSTS - 1 {
+            list_comes_while_a_read_stalls(&world, host, |agent| agent.drain(host)).await;
+        }
+        println!("drain while a read stalled: {}", world.witness);
+        assert_eq!(world.witness.begun_at_drained_hosts(), Vec::<String>::new());
+    });
+}
--- a/crates/stairfront/tests/stalls/stand_ins.rs
+++ b/crates/stairfront/tests/stalls/stand_ins.rs
@@ -69,11 +69,7 @@
                     begun_at,
                     told_ms: told_ms(&words[3]),
                 });
-                format!(
-                    "*3\r\n${}\r\n{}\r\n$3\r\nhit\r\n$-1\r\n",
-                    words[2].len(),
-                    words[2]
-                )
+                "*3\r\n$1\r\nv\r\n$3\r\nhit\r\n$-1\r\n".to_string()
             };
             sleep(ms(work_ms)).await;
             let _ = socket.write_all(answer.as_bytes()).await;
@@ -170,8 +166,12 @@
 
     /// Has a host drain.
     pub fn drain(&self, host: usize) {
+        self.change(host, "status", json!("DRAINING"));
+    }
+
+    fn change(&self, host: usize, key: &str, value: Value) {
         let mut entry = self.addresses.borrow()[host].clone();
-        entry["status"] = json!("DRAINING");
+        entry[key] = value;
         self.changes.borrow_mut().push((format!("c{host}"), entry));
         self.changed.notify_waiters();
     }
@@ -219,7 +219,8 @@
         let changes = self.changes.borrow();
         let new = &changes[from.saturating_sub(FIRST_INDEX).min(changes.len())..];
         let now = Instant::now();
-        for (host, _) in new {
+        let drains = |(_, entry): &&(String, Value)| entry["status"] == "DRAINING";
+        for (host, _) in new.iter().filter(drains) {
             let mut drained_at = self.witness.drained_at.borrow_mut();
             drained_at.entry(host.clone()).or_insert(now);
         }
