--- a/crates/stairfront-balancer/src/lifecycle/assembly.rs
+++ b/crates/stairfront-balancer/src/lifecycle/assembly.rs
@@ -16,10 +16,9 @@
 use tokio::task::{spawn_local, JoinHandle};
 use tracing::info;
 
-use crate::arrival::PollClock;
 use crate::client::admission::ConnectionPressure;
 use crate::client::context::ClientContext;
-use crate::clock::timer_duration;
+use crate::clock::{timer_duration, Instant};
 use crate::configuration::config::Config;
 use crate::configuration::limits::{stall_timeout, Memory, Sockets};
 use crate::configuration::request_catalog::RequestCatalog;
@@ -40,7 +39,7 @@
 use crate::lifecycle::handover_state::HandoverState;
 use crate::lifecycle::loop_monitor::{admission_controller, RuntimeHandles};
 use crate::lifecycle::server::ServerDependencies;
-use crate::lifecycle::shutdown::Phase;
+use crate::lifecycle::shutdown::{Phase, ShutdownTime};
 use crate::list_freshness::ListFreshness;
 use crate::messages::EngineEvent;
 use crate::stages::parse::RequestParser;
@@ -89,6 +88,7 @@
     successor: Rc<HandoverChannel>,
     ready: watch::Receiver<bool>,
     phase: watch::Receiver<Phase>,
+    told_at: ShutdownTime,
     membership: Option<Rc<MembershipAgent>>,
     maintenance: Rc<OnceCell<Rc<MaintenanceService>>>,
     poll_agent: Rc<Notify>,
@@ -110,7 +110,7 @@
             clock,
             admission: admission_controller(&start.settings, clock, config.seed),
             counters: Rc::new(Counters::default()),
-            polls: Rc::new(PollClock::start()),
+            polls: Rc::clone(&dependencies.polls),
         };
         let held_clients = connections_held_by(dependencies.predecessor.as_ref()).clients;
         let free_clients = config.sockets.clients.saturating_sub(held_clients);
@@ -135,6 +135,7 @@
             successor,
             ready,
             phase: dependencies.phase.clone(),
+            told_at: Rc::clone(&dependencies.told_at),
             membership: dependencies.membership.clone(),
             maintenance: Rc::new(OnceCell::new()),
             poll_agent: Rc::new(Notify::new()),
@@ -274,11 +275,13 @@
     pub(super) fn report_shutdown(&self) -> impl Future<Output = ()> + 'static {
         let mut phase = self.phase.clone();
         let events = self.events.clone();
+        let told_at = Rc::clone(&self.told_at);
         async move {
             let ending = phase.wait_for(|phase| *phase != Phase::Running).await;
             if ending.is_ok() {
+                let told_at = told_at.get().unwrap_or_else(Instant::now);
                 // The engine ends only with the whole balancer.
-                let _ = events.send(EngineEvent::ShuttingDown).await;
+                let _ = events.send(EngineEvent::ShuttingDown { told_at }).await;
             }
         }
     }
--- a/crates/stairfront-balancer/src/lifecycle/server.rs
+++ b/crates/stairfront-balancer/src/lifecycle/server.rs
@@ -11,13 +11,14 @@
 use tokio::task::{spawn_local, LocalSet};
 use tracing::info;
 
+use crate::arrival::PollClock;
 use crate::client::accept;
 use crate::clock::Clock;
 use crate::configuration::config::Config;
 use crate::control::reload;
 use crate::lifecycle::assembly::{Assembly, BackgroundTasks};
 use crate::lifecycle::handover::{self, HandoverChannel, Predecessor};
-use crate::lifecycle::shutdown::{watch_signals, Phase};
+use crate::lifecycle::shutdown::{Phase, ShutdownTime, SignalWatch};
 use crate::lifecycle::{handover_socket, loop_monitor};
 use crate::stages::route::Decide;
 use crate::transport::{self, Listener, Network, Tcp};
@@ -48,7 +49,13 @@
             let successor = Rc::clone(&successor);
             move || successor.is_connected()
         };
-        let stopping = spawn_local(watch_signals(phase, has_successor));
+        let (told_at, polls) = (ShutdownTime::default(), Rc::new(PollClock::start()));
+        let signals = SignalWatch {
+            phase,
+            told_at: Rc::clone(&told_at),
+            polls: Rc::clone(&polls),
+        };
+        let stopping = spawn_local(signals.run(has_successor));
         let reloading = spawn_local(reload::forward_hangups(hangups, hangup_sender));
         let membership = start_membership(&config, state_directory.as_deref());
         let dependencies = ServerDependencies {
@@ -60,7 +67,9 @@
             successor,
             membership,
             clock: Clock::start(),
+            polls,
             phase: phases,
+            told_at,
             hangups: hangup_receiver,
         };
         let served = serve(config, build_policy, dependencies).await;
@@ -128,8 +137,12 @@
     pub membership: Option<Rc<MembershipAgent>>,
     /// The clock.
     pub clock: Clock,
+    /// When the event loop has polled the network.
+    pub polls: Rc<PollClock>,
     /// How far the end of this process has come.
     pub phase: watch::Receiver<Phase>,
+    /// When this process was told to end.
+    pub told_at: ShutdownTime,
     /// Each message has the configuration read again.
     pub hangups: mpsc::Receiver<()>,
 }
--- a/crates/stairfront-balancer/src/lifecycle/shutdown.rs
+++ b/crates/stairfront-balancer/src/lifecycle/shutdown.rs
@@ -1,5 +1,7 @@
 //! The end of a balancer process: SIGTERM, and the phases that follow.
+use std::cell::Cell;
 use std::io;
+use std::rc::Rc;
 use std::time::Duration;
 
 use stairfront_common::time::{Micros, MS, SECOND};
@@ -8,12 +10,15 @@
 use tokio::sync::watch;
 use tracing::info;
 
-use crate::clock::sleep;
+use crate::arrival::{ArrivalTime, PollClock};
+use crate::clock::{sleep_until, Instant};
 
 /// New connections still arrive 0.2 to 0.4 s after SIGTERM; those that the kernel has accepted must be served.
 const ACCEPT_PERIOD: Duration = Duration::from_millis(500);
 /// A request that arrives later than 0.7 s after SIGTERM is lost if SIGKILL finds it unanswered; it is not read.
 const READ_PERIOD: Duration = Duration::from_millis(200);
+/// Each phase lasts as long at least, however late the signal was seen: what has come meanwhile is accepted and read.
+const MIN_PHASE: Duration = Duration::from_millis(100);
 /// SIGKILL comes no sooner than the longest deadline, of which no more than this counts...
 const MAX_DEADLINE: Micros = 3 * SECOND;
 /// ...and 0.7 s more after SIGTERM, less what an answer may take to be written.
@@ -61,35 +66,56 @@
     }
 }
 
-/// Moves the phase on at SIGTERM (or SIGINT, for a person at a terminal). `has_successor` says whether another process
-/// has the listener.
-///
-/// # Errors
-///
-/// If the signals cannot be caught.
-pub async fn watch_signals(
-    phase: watch::Sender<Phase>,
-    has_successor: impl Fn() -> bool,
-) -> io::Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
-    if has_successor() {
-        info!("stopping: handing connections over between requests");
-        phase.send_replace(Phase::HandingOver);
-        phase.closed().await;
-        return Ok(());
+/// When this process was told to end, at the earliest; set before the phase changes.
+pub type ShutdownTime = Rc<Cell<Option<Instant>>>;
+
+/// What the end of a process is watched with.
+pub struct SignalWatch {
+    /// Gets each phase.
+    pub phase: watch::Sender<Phase>,
+    /// Gets the time of the signal.
+    pub told_at: ShutdownTime,
+    /// When the event loop has polled: a signal may have come during a stall.
+    pub polls: Rc<PollClock>,
+}
+
+impl SignalWatch {
+    /// Moves the phase on at SIGTERM (or SIGINT, for a person at a terminal). `has_successor` says whether another process
+    /// has the listener.
+    ///
+    /// # Errors
+    ///
+    /// If the signals cannot be caught.
+    pub async fn run(self, has_successor: impl Fn() -> bool) -> io::Result<()> {
+        let mut terminate = signal(SignalKind::terminate())?;
+        let mut interrupt = signal(SignalKind::interrupt())?;
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+        let seen_at = Instant::now();
+        let told_at = ArrivalTime::between(self.polls.last_poll_without(), seen_at).counted_from();
+        self.told_at.set(Some(told_at));
+        let late_ms = (seen_at - told_at).as_millis() as u64;
+        if has_successor() {
+            info!(
+                late_ms,
+                "stopping: handing connections over between requests"
+            );
+            self.phase.send_replace(Phase::HandingOver);
+            self.phase.closed().await;
+            return Ok(());
+        }
+        info!(late_ms, "stopping: closing connections between requests");
+        self.phase.send_replace(Phase::Draining);
+        let accept_until = (told_at + ACCEPT_PERIOD).max(seen_at + MIN_PHASE);
+        sleep_until(accept_until).await;
+        self.phase.send_replace(Phase::Closing);
+        let read_until = (told_at + ACCEPT_PERIOD + READ_PERIOD).max(accept_until + MIN_PHASE);
+        sleep_until(read_until).await;
+        self.phase.send_replace(Phase::Last);
+        // The receivers' side ends the process; until then the phase must stay readable.
+        self.phase.closed().await;
+        Ok(())
     }
-    info!("stopping: closing connections between requests");
-    phase.send_replace(Phase::Draining);
-    sleep(ACCEPT_PERIOD).await;
-    phase.send_replace(Phase::Closing);
-    sleep(READ_PERIOD).await;
-    phase.send_replace(Phase::Last);
-    // The receivers' side ends the process; until then the phase must stay readable.
-    phase.closed().await;
-    Ok(())
 }
--- a/crates/stairfront-balancer/src/messages.rs
+++ b/crates/stairfront-balancer/src/messages.rs
@@ -343,7 +343,10 @@
     /// There is no other process of this balancer any more.
     PeerEnded,
     /// The shutdown of this process has begun.
-    ShuttingDown,
+    ShuttingDown {
+        /// When the process was told, at the earliest: whoever tells it may end its life counted from there.
+        told_at: Instant,
+    },
     /// Another member of the group has a newer endpoint list than this balancer, or a hint of that kind has ended.
     DrainHint {
         /// Name of the cache host.
--- a/crates/stairfront-balancer/tests/common/mod.rs
+++ b/crates/stairfront-balancer/tests/common/mod.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use serde_json::{json, Value};
+use stairfront_balancer::arrival::PollClock;
 use stairfront_balancer::clock::Clock;
 use stairfront_balancer::configuration::config::Config;
 use stairfront_balancer::lifecycle::server::{self, ServerDependencies};
@@ -407,7 +408,9 @@
             successor: Rc::default(),
             membership: None,
             clock,
+            polls: Rc::new(PollClock::start()),
             phase: phase_receiver,
+            told_at: Rc::default(),
             hangups: hangup_receiver,
         };
         let served = server::serve(config, build_policy, dependencies);
--- a/crates/stairfront-balancer/tests/virtual_network.rs
+++ b/crates/stairfront-balancer/tests/virtual_network.rs
@@ -12,6 +12,7 @@
 
 use common::{command, config, cut_resp, get, hit, line, Step};
 use rustc_hash::FxHashMap;
+use stairfront_balancer::arrival::PollClock;
 use stairfront_balancer::clock::{sleep, Clock, Instant};
 use stairfront_balancer::configuration::config::Config;
 use stairfront_balancer::lifecycle::server::{serve, ServerDependencies};
@@ -228,7 +229,9 @@
             successor: Rc::default(),
             membership: None,
             clock: Clock::starting_at(0),
+            polls: Rc::new(PollClock::start()),
             phase: phase_receiver,
+            told_at: Rc::default(),
             hangups: hangup_receiver,
         };
         let balancer = spawn_local(serve(config, Policy::new, dependencies));
--- a/crates/stairfront/tests/stalls/stall_shim.c
+++ b/crates/stairfront/tests/stalls/stall_shim.c
@@ -3,7 +3,8 @@
  * once they have their result, connect before it begins.
  *
  * A recv whose bytes contain "~stallN~" stalls for N milliseconds. With STALL_ONE_IN=K every call named in STALL_CALLS stalls
- * with a chance of one in K, for STALL_MS_MIN to STALL_MS_MAX milliseconds, drawn from STALL_SEED. There is one thread.
+ * with a chance of one in K, for STALL_MS_MIN to STALL_MS_MAX milliseconds, drawn from STALL_SEED, until there is a file named
+ * STALL_OFF. There is one thread.
  */
 #define _GNU_SOURCE
 #include <dlfcn.h>
@@ -14,6 +15,7 @@
 #include <sys/epoll.h>
 #include <sys/socket.h>
 #include <time.h>
+#include <unistd.h>
 
 static const char MARK[] = "~stall";
 
@@ -47,8 +49,11 @@
 {
     const char *calls = getenv("STALL_CALLS");
     uint64_t one_in = number_of("STALL_ONE_IN", 0);
+    const char *off = getenv("STALL_OFF");
     if (!calls || one_in == 0 || !strstr(calls, call) || draw() % one_in != 0)
         return;
+    if (off && access(off, F_OK) == 0)
+        return;
     uint64_t least = number_of("STALL_MS_MIN", 250), most = number_of("STALL_MS_MAX", 1200);
     stall(least + draw() % (most - least + 1));
 }
