Commands that waited behind open ones are read before their connection is handed over

What could be seen: in an upgrade, commands that had waited behind sixteen open ones went to the new process unread, which took them for new and told servers 0.4 s more than was left. Cause: the age of what is unread does not travel with a connection (and the form of that message stays). Change: the old process hands a connection over only when nothing on it may have waited for longer than usual; what has is read and served there, eight rounds at most for a client that always has more. While nothing is read, a look every 50 ms keeps the time at which the connection was last empty.

--- a/crates/stairfront-balancer/src/arrival.rs
+++ b/crates/stairfront-balancer/src/arrival.rs
@@ -85,6 +85,11 @@
         self.is_awaited.set(false);
     }
 
+    /// Whether input that is unread at this time may have waited for longer than usual.
+    pub fn is_old(&self, now: Instant) -> bool {
+        ArrivalTime::between(self.empty_at.get(), now).is_uncertain()
+    }
+
     /// Notes that the source was polled and has nothing yet.
     pub fn note_pending(&self) {
         // A task that has used up its share of a turn is told to wait without a look at the source.
@@ -143,13 +148,18 @@
 
     /// From when its age counts: it came no earlier, but for the usual uncertainty of a loop that is in time.
     pub fn counted_from(self) -> Instant {
-        if self.uncertainty() > USUAL_UNCERTAINTY {
+        if self.is_uncertain() {
             self.earliest
         } else {
             self.latest
         }
     }
 
+    /// Whether its arrival is more uncertain than that of input which is read in time.
+    pub fn is_uncertain(self) -> bool {
+        self.uncertainty() > USUAL_UNCERTAINTY
+    }
+
     /// By how much its arrival is uncertain.
     pub fn uncertainty(self) -> Duration {
         self.latest.saturating_duration_since(self.earliest)
--- a/crates/stairfront-balancer/src/client/accept.rs
+++ b/crates/stairfront-balancer/src/client/accept.rs
@@ -10,7 +10,7 @@
 use tokio_util::task::TaskTracker;
 use tracing::warn;
 
-use crate::arrival::InputWatch;
+use crate::arrival::{InputWatch, PollClock};
 use crate::client::admission::{ClientPermit, PermitSource};
 use crate::client::context::ClientContext;
 use crate::client::ending::serve_connection;
@@ -42,12 +42,13 @@
         }
     }
 
-    pub(super) fn adopt(handed_over: HandedOverConnection) -> io::Result<Self> {
+    /// A connection of another process, which gives none away on which something old is unread.
+    pub(super) fn adopt(handed_over: HandedOverConnection, polls: &PollClock) -> io::Result<Self> {
         Ok(AcceptedConnection {
             socket: T::adopt(handed_over.socket)?,
             used: handed_over.used,
             unread: handed_over.unread,
-            empty_at: Instant::now(),
+            empty_at: polls.last_poll_without(),
         })
     }
 }
@@ -134,7 +135,7 @@
                 Err(_) => return,
             },
         };
-        match AcceptedConnection::<T>::adopt(connection) {
+        match AcceptedConnection::<T>::adopt(connection, &context.polls) {
             Ok(accepted) => {
                 let serving = serve_connection(accepted, Rc::clone(&context), permit);
                 spawn_local(tasks.track_future(serving));
--- a/crates/stairfront-balancer/src/client/connection.rs
+++ b/crates/stairfront-balancer/src/client/connection.rs
@@ -37,6 +37,8 @@
 pub(super) const DEPARTURE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Between two checks whether there is memory for a large command.
 const MEMORY_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+/// A client that always has more commands waiting is handed over with some after so many rounds of them.
+const MAX_HANDOVER_READS: u32 = 8;
 /// First read buffer of a connection, in bytes: a usual command has some hundred, and each open one keeps its buffer.
 const READ_BUFFER: usize = 1024;
 
@@ -109,6 +111,8 @@
     pub(super) answered: bool,
     /// Whether the process that takes over cannot have it, so that it ends here, between two requests.
     pub(super) must_stay: bool,
+    /// How often commands were read here although the process that takes over will have the connection.
+    pub(super) handover_reads: u32,
 }
 
 /// The events that a connection waits for, until one of them happens.
@@ -179,6 +183,7 @@
             spare_until,
             answered: used,
             must_stay: false,
+            handover_reads: 0,
         }
     }
 
@@ -199,6 +204,9 @@
             if self.write_ready(None).await.is_err() {
                 return ConnectionEnd::Disconnected;
             }
+            if let Err(end) = self.read_before_handover().await {
+                return end;
+            }
             let conditions = match self.wait_conditions() {
                 Ok(conditions) => conditions,
                 Err(end) => return end,
@@ -277,6 +285,7 @@
                 if self.framed.get_ref().has_ended() {
                     return Err(ConnectionEnd::Disconnected);
                 }
+                self.framed.get_ref().note_unread();
             }
             // Bytes that the client has not sent yet stay with the client.
             () = sleep(MEMORY_CHECK_INTERVAL), if conditions.waiting_for_memory => {}
@@ -371,6 +380,30 @@
         Ok(())
     }
 
+    /// Handles commands that may have waited while earlier ones were answered, before the connection is handed over: the
+    /// process that takes over cannot know how old they are.
+    async fn read_before_handover(&mut self) -> Result<(), ConnectionEnd> {
+        let hands_over = !self.must_stay && self.context.phase.borrow().hands_over();
+        let has_buffered = !self.framed.read_buffer().is_empty();
+        if !hands_over
+            || !self.pending.is_empty()
+            || self.handover_reads >= MAX_HANDOVER_READS
+            || !self.framed.get_ref().may_hold_old_input(has_buffered)
+        {
+            return Ok(());
+        }
+        self.handover_reads += 1;
+        while self.final_end.is_none() && self.pending.len() < MAX_OPEN && !self.waits_for_memory()
+        {
+            self.framed.get_ref().resume_reading();
+            let Some(input) = self.framed.next().now_or_never() else {
+                return Ok(());
+            };
+            self.handle_input(input).await?;
+        }
+        Ok(())
+    }
+
     /// Handles a command; fails only when the balancer itself ends.
     async fn handle_command(
         &mut self,
--- a/crates/stairfront-balancer/src/client/ending.rs
+++ b/crates/stairfront-balancer/src/client/ending.rs
@@ -116,7 +116,7 @@
         return Ok(permit);
     };
     warn!(%error, "connection not handed over, serving it to its end");
-    let accepted = AcceptedConnection::<T>::adopt(handed_over).map_err(|_| None)?;
+    let accepted = AcceptedConnection::<T>::adopt(handed_over, &context.polls).map_err(|_| None)?;
     let kept = Connection::new(accepted, context, permit);
     Err(Some(Connection {
         must_stay: true,
--- a/crates/stairfront-balancer/src/shared_stream.rs
+++ b/crates/stairfront-balancer/src/shared_stream.rs
@@ -7,7 +7,7 @@
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
-use crate::arrival::{InputWatch, PollClock};
+use crate::arrival::{ArrivalTime, InputWatch, PollClock};
 use crate::clock::Instant;
 use crate::transport::{Peer, Stream, Unread};
 
@@ -50,6 +50,22 @@
         self.stream.borrow().unread()
     }
 
+    /// Looks whether anything is unread, while nothing is read for a while.
+    pub(crate) fn note_unread(&self) {
+        let asked_at = Instant::now();
+        if self.unread() == Unread::Nothing {
+            self.input.note_empty(asked_at);
+        }
+    }
+
+    /// Whether what is unread, or a whole command in the read buffer, may have waited for longer than usual.
+    pub(crate) fn may_hold_old_input(&self, has_buffered: bool) -> bool {
+        self.note_unread();
+        let now = Instant::now();
+        let is_old = |since| ArrivalTime::between(since, now).is_uncertain();
+        self.input.is_old(now) || (has_buffered && is_old(self.arrived_after))
+    }
+
     pub(crate) fn has_ended(&self) -> bool {
         self.stream.borrow().has_ended()
     }
--- a/crates/stairfront/tests/upgrade.rs
+++ b/crates/stairfront/tests/upgrade.rs
@@ -276,3 +276,45 @@
         assert_eq!(client.answer().await.unwrap(), bulk("small"));
     });
 }
+
+/// The process that takes over cannot know how long commands have waited behind open ones.
+#[test]
+fn commands_that_waited_behind_open_ones_tell_what_is_left_of_their_time_after_an_upgrade() {
+    run(async {
+        let (log, directory) = (Log::default(), memory_folder());
+        let host = cache("cache", &log, |_, words| match hit(&words[1]) {
+            Step::Say(bytes) => Step::After(ms(400), bytes),
+            step => step,
+        })
+        .await;
+        let text = single_host_configuration(&log, host).await;
+        let directory = Some(directory.path());
+        let mut first = BalancerProcess::start_with("waiting", text.clone(), directory).await;
+        // It connects to the old process for certain.
+        let mut client = Client::connect(first.address).await.unwrap();
+        assert_eq!(client.ask(&["PING"]).await, "+PONG\r\n");
+        let second = BalancerProcess::spawn("reading", text, directory);
+        second.wait_until_healthy().await;
+        let batch: Vec<u8> = (0..60)
+            .flat_map(|i| get(&format!("k{i}"), &i.to_string(), 1400))
+            .collect();
+        client.send(&batch).await;
+        sleep(ms(50)).await;
+        first.signal("-TERM");
+        let mut served = 0;
+        for _ in 0..60 {
+            let answer = client.answer().await.expect("the connection ended");
+            served += usize::from(answer.starts_with('$'));
+        }
+        first.wait_for_exit().await;
+        let told_too_much = |words: &&Vec<String>| {
+            let (_, told) = words[3].split_once("d=").unwrap();
+            let is_later = words[2].parse::<u32>().unwrap() >= 16;
+            is_later && told.parse::<u64>().unwrap() > 1400 - 400 + 150
+        };
+        let sent = commands(&log, "cache");
+        let told: Vec<&Vec<String>> = sent.iter().filter(told_too_much).collect();
+        assert!(served > 10, "{served} served");
+        assert_eq!(told, Vec::<&Vec<String>>::new());
+    });
+}
