--- a/crates/stairfront-balancer/src/client/connection.rs
+++ b/crates/stairfront-balancer/src/client/connection.rs
@@ -3,17 +3,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
-use futures_util::{FutureExt, StreamExt};
-use stairfront_codec::budget::Reservation;
-use stairfront_codec::resp::RespError;
+use bytes::BytesMut;
+use futures_util::StreamExt;
 use stairfront_policy::interface::RequestId;
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{oneshot, watch};
 use tokio::task::yield_now;
 use tokio_util::codec::{Framed, FramedParts};
-use tracing::debug;
 
-use crate::arrival::ArrivalTime;
 use crate::client::accept::AcceptedConnection;
 use crate::client::admission::{ClientPermit, SilentGuard};
 use crate::client::codec::ClientCodec;
@@ -23,22 +19,19 @@
 use crate::clock::{sleep, sleep_until, Instant};
 use crate::lifecycle::handover::MAX_UNREAD_BYTES;
 use crate::lifecycle::shutdown::Phase;
-use crate::messages::{Answer, Arrival, EngineEvent, FinalAnswer};
+use crate::messages::{Answer, FinalAnswer};
 use crate::shared_stream::SharedStream;
 use crate::stages::liveness::RequestLiveness;
-use crate::stages::parse::Accepted;
 use crate::transport::Stream;
 
 /// Commands of one connection that may be open at once; reading waits beyond that. The number is small so that one client
 /// that sends hundreds at once does not fill the servers.
-const MAX_OPEN: usize = 16;
+pub(super) const MAX_OPEN: usize = 16;
 /// Between two checks whether a client is still connected while nothing is read from it. Requests of a client that has
 /// left are sent on for 0.3 s at most.
 pub(super) const DEPARTURE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Between two checks whether there is memory for a large command.
 const MEMORY_CHECK_INTERVAL: Duration = Duration::from_millis(20);
-/// A client that always has more commands waiting is handed over with some after so many rounds of them.
-const MAX_HANDOVER_READS: u32 = 8;
 /// First read buffer of a connection, in bytes: a usual command has some hundred, and each open one keeps its buffer.
 const READ_BUFFER: usize = 1024;
 
@@ -53,7 +46,7 @@
 pub(super) struct InFlightReply {
     pub(super) id: RequestId,
     pub(super) answer: oneshot::Receiver<FinalAnswer>,
-    liveness: Rc<RequestLiveness>,
+    pub(super) liveness: Rc<RequestLiveness>,
 }
 
 impl Drop for InFlightReply {
@@ -323,147 +316,6 @@
         }
         Ok(())
     }
-
-    /// Whether a large command at the front waits for memory.
-    fn waits_for_memory(&self) -> bool {
-        self.missing_memory
-            .is_some_and(|bytes| self.context.large_budget.available() < bytes)
-    }
-
-    /// Handles what was read: a command, an error or the end of the connection.
-    async fn handle_input(
-        &mut self,
-        input: Option<Result<Vec<Bytes>, RespError>>,
-    ) -> Result<(), ConnectionEnd> {
-        match input {
-            Some(Ok(words)) => {
-                let memory = self.framed.codec_mut().take_memory();
-                self.handle_command(words, memory)
-                    .await
-                    .map_err(|_| ConnectionEnd::Disconnected)
-            }
-            Some(Err(RespError::Malformed(problem))) => {
-                debug!(problem, "malformed input of a client");
-                self.context.counters.malformed.add();
-                self.pending
-                    .push_back(PendingReply::Ready(Answer::Error("ERR Protocol error")));
-                self.final_end = Some(ConnectionEnd::AfterAnswer);
-                Ok(())
-            }
-            Some(Err(RespError::AwaitingMemory(bytes))) => {
-                self.missing_memory = Some(bytes);
-                // After an error the framed reader reports its end once before it goes on.
-                let _ = self.framed.next().now_or_never();
-                Ok(())
-            }
-            Some(Err(RespError::Io(_))) | None => Err(ConnectionEnd::Disconnected),
-        }
-    }
-
-    /// Handles the commands that have come already, so that their answers can be written together: one write for each is
-    /// what a balancer that is behind can afford least.
-    async fn read_available(&mut self) -> Result<(), ConnectionEnd> {
-        let handing_over = !self.must_stay && self.context.phase.borrow().hands_over();
-        // Nothing is read behind a command that waits for memory, or all that its client sends would be kept here.
-        while !handing_over
-            && !self.pending.is_empty()
-            && self.final_end.is_none()
-            && self.pending.len() < MAX_OPEN
-            && !self.waits_for_memory()
-        {
-            self.framed.get_ref().resume_reading();
-            let Some(command) = self.framed.next().now_or_never() else {
-                return Ok(());
-            };
-            self.handle_input(command).await?;
-        }
-        Ok(())
-    }
-
-    /// Handles commands that may have waited while earlier ones were answered, before the connection is handed over: the
-    /// process that takes over cannot know how old they are.
-    async fn read_before_handover(&mut self) -> Result<(), ConnectionEnd> {
-        let hands_over = !self.must_stay && self.context.phase.borrow().hands_over();
-        let has_buffered = !self.framed.read_buffer().is_empty();
-        if !hands_over
-            || !self.pending.is_empty()
-            || self.handover_reads >= MAX_HANDOVER_READS
-            || !self.framed.get_ref().may_hold_old_input(has_buffered)
-        {
-            return Ok(());
-        }
-        self.handover_reads += 1;
-        while self.final_end.is_none() && self.pending.len() < MAX_OPEN && !self.waits_for_memory()
-        {
-            self.framed.get_ref().resume_reading();
-            let Some(input) = self.framed.next().now_or_never() else {
-                return Ok(());
-            };
-            self.handle_input(input).await?;
-        }
-        Ok(())
-    }
-
-    /// Handles a command; fails only when the balancer itself ends.
-    async fn handle_command(
-        &mut self,
-        words: Vec<Bytes>,
-        memory: Option<Reservation>,
-    ) -> Result<(), mpsc::error::SendError<EngineEvent>> {
-        let spare = self.is_spare();
-        self.state = ConnectionState::Used;
-        self.closing = None;
-        self.partial_since = None;
-        self.partial_bytes = 0;
-        self.idle_since = Instant::now();
-        let context = &self.context;
-        let arrival = ArrivalTime::between(self.framed.get_ref().arrived_after(), Instant::now());
-        let reply = match context.parser.parse(words, arrival) {
-            // The connection stays open for a while, since the client's next request may be on its way.
-            Accepted::Request { .. } if spare => {
-                context.counters.over_cap.add();
-                self.spare_until = Some(Instant::now() + SPARE_TIMEOUT);
-                PendingReply::Ready(Answer::Busy { after_ms: None })
-            }
-            Accepted::Request {
-                command,
-                mut request,
-            } => {
-                request.id = context.new_id();
-                debug!(
-                    connection = self.number,
-                    request = %command.id.escape_ascii(),
-                    info = %command.info.escape_ascii(),
-                    uncertain_ms = arrival.uncertainty().as_millis() as u64,
-                    "request read"
-                );
-                let (sender, answer) = oneshot::channel();
-                let liveness = Rc::new(RequestLiveness::of(self.framed.get_ref().peer()));
-                let in_flight = InFlightReply {
-                    id: request.id,
-                    answer,
-                    liveness: Rc::clone(&liveness),
-                };
-                let arrival = Arrival {
-                    request,
-                    arrived_at: context.parser.clock.now(),
-                    command,
-                    memory,
-                    answer: sender,
-                    liveness,
-                };
-                context.events.send(EngineEvent::Arrived(arrival)).await?;
-                PendingReply::InFlight(in_flight)
-            }
-            Accepted::Answered(answer) => PendingReply::Ready(answer),
-            Accepted::Last(answer) => {
-                self.final_end = Some(ConnectionEnd::AfterAnswer);
-                PendingReply::Ready(answer)
-            }
-        };
-        self.pending.push_back(reply);
-        Ok(())
-    }
 }
 
 /// The answer to the oldest unanswered command. Cancel safe: nothing is removed from the queue here.
