The last check and the first write of an attempt stand next to each other

Cause: the command was encoded, and two timers were set up, between them; and a first write that had to wait was not asked everything again. Change: the command is encoded first, everything is asked last, and the write follows in the same step; while nothing is written all of it is asked again. Drawn runs now also have a class that may be repeated for 0.4 s, and hosts that refuse, hang or reset.

--- a/crates/stairfront-balancer/src/upstream/command_write.rs
+++ b/crates/stairfront-balancer/src/upstream/command_write.rs
@@ -4,6 +4,7 @@
 use std::pin::Pin;
 use std::task::{ready, Context, Poll};
 
+use bytes::buf::Chain;
 use bytes::{Buf, Bytes, BytesMut};
 use stairfront_codec::buffer::shrink;
 use stairfront_policy::interface::Outcome;
@@ -19,7 +20,7 @@
 use crate::upstream::exchange::cancelled;
 use crate::upstream::send_gate::{ask_until_fresh, SendConditions, SendRefusal};
 
-/// Parts of a command that go out in one system call: the command, a value that stands apart, and what ends it.
+/// Parts of a command that go out in one system call.
 const MAX_SLICES: usize = 3;
 
 /// Why a command was not written as a whole; the server does not run it then.
@@ -58,6 +59,9 @@
     }
 }
 
+/// An encoded command, the value that goes out behind it without being copied, and what ends that.
+type CommandBytes = Chain<Chain<BytesMut, Bytes>, &'static [u8]>;
+
 /// Writes the command of a job as a whole, until its time is over or it is cancelled.
 pub(super) async fn write_command<T: Stream, P: UpstreamProtocol>(
     framed: &mut Framed<T, P>,
@@ -65,74 +69,97 @@
     lists: &ListFreshness,
 ) -> Result<(), WriteError> {
     let (conditions, deadline) = (job.conditions(), job.send_deadline());
-    let mut buffer = std::mem::take(framed.write_buffer_mut());
-    let written = match ask_until_fresh(|| encode_if_allowed(framed, job, lists, &mut buffer)) {
-        // Nothing is awaited between the check and the first byte.
-        Ok(value) => {
-            let terminator = value.as_ref().map_or(&[][..], |_| P::VALUE_TERMINATOR);
-            let mut bytes = Buf::chain(&mut buffer, value.unwrap_or_default()).chain(terminator);
-            let write = write_while_allowed(framed.get_mut(), &mut bytes, &conditions);
-            tokio::select! {
-                biased;
-                () = cancelled(&mut job.cancel) => Err(WriteError::Cancelled),
-                written = timeout_at(deadline, write) => {
-                    written.unwrap_or(Err(WriteError::Late))
-                }
-            }
+    let begun = timeout_at(deadline, poll_fn(|cx| poll_begin(framed, job, lists, cx))).await;
+    let mut bytes = begun.unwrap_or(Err(WriteError::Late))?;
+    log_begin(job);
+    let written = if bytes.has_remaining() {
+        let rest = write_rest(framed.get_mut(), &mut bytes, &conditions);
+        tokio::select! {
+            biased;
+            () = cancelled(&mut job.cancel) => Err(WriteError::Cancelled),
+            written = timeout_at(deadline, rest) => written.unwrap_or(Err(WriteError::Late)),
         }
-        Err(error) => Err(error),
+    } else {
+        Ok(())
     };
-    buffer.clear();
-    shrink(&mut buffer);
-    *framed.write_buffer_mut() = buffer;
-    written.inspect_err(|error| debug!(%error, "request not written"))
+    recycle(framed, bytes);
+    written.inspect_err(|error| debug!(%error, "request not written as a whole"))
 }
 
-/// Encodes the command into a buffer if nothing forbids it, with the time that is left. Returns a value that goes out
-/// behind it without being copied.
+/// Asks all that forbids the attempt, and writes its first bytes in the same step: a stall between the two is the only one
+/// that is not seen. While nothing is written all of it is asked again.
+fn poll_begin<T: Stream, P: UpstreamProtocol>(
+    framed: &mut Framed<T, P>,
+    job: &Job,
+    lists: &ListFreshness,
+    cx: &mut Context<'_>,
+) -> Poll<Result<CommandBytes, WriteError>> {
+    let mut bytes = ask_until_fresh(|| encode_if_allowed(framed, job, lists))?;
+    match poll_write_slices(framed.get_mut(), &mut bytes, cx) {
+        Poll::Ready(Ok(())) => Poll::Ready(Ok(bytes)),
+        Poll::Ready(Err(error)) => Poll::Ready(Err(WriteError::Failed(error.to_string()))),
+        Poll::Pending => {
+            recycle(framed, bytes);
+            Poll::Pending
+        }
+    }
+}
+
+/// Encodes the command with the time that is left, and asks last whether anything forbids it.
 fn encode_if_allowed<T: Stream, P: UpstreamProtocol>(
     framed: &mut Framed<T, P>,
     job: &Job,
     lists: &ListFreshness,
-    buffer: &mut BytesMut,
-) -> Result<Option<Bytes>, WriteError> {
-    job.may_be_written(lists).map_err(WriteError::NotBegun)?;
+) -> Result<CommandBytes, WriteError> {
     let left = job.give_up_at.saturating_duration_since(Instant::now());
     let outgoing = Outgoing {
         command: job.command.clone(),
         left_ms: left.as_millis() as u64,
     };
-    log_begin(job, outgoing.left_ms);
     let value = outgoing.separate_value().cloned();
+    let terminator = value.as_ref().map_or(&[][..], |_| P::VALUE_TERMINATOR);
+    let mut buffer = std::mem::take(framed.write_buffer_mut());
     buffer.clear();
-    let encoded = framed.codec_mut().encode(outgoing, buffer);
+    let encoded = framed.codec_mut().encode(outgoing, &mut buffer);
     encoded.map_err(|error| WriteError::Failed(error.to_string()))?;
-    Ok(value)
+    let bytes = buffer.chain(value.unwrap_or_default()).chain(terminator);
+    if let Err(refusal) = job.may_be_written(lists) {
+        recycle(framed, bytes);
+        return Err(WriteError::NotBegun(refusal));
+    }
+    Ok(bytes)
 }
 
-fn log_begin(job: &Job, told_ms: u64) {
+/// Returns the memory of the command to its connection.
+fn recycle<T, P>(framed: &mut Framed<T, P>, bytes: CommandBytes) {
+    let (command, _) = bytes.into_inner();
+    let (mut buffer, _) = command.into_inner();
+    buffer.clear();
+    shrink(&mut buffer);
+    *framed.write_buffer_mut() = buffer;
+}
+
+fn log_begin(job: &Job) {
+    let left = job.give_up_at.saturating_duration_since(Instant::now());
     debug!(
         request = %job.command.id.escape_ascii(),
         attempt = job.attempt.number,
-        told_ms,
+        left_ms = left.as_millis() as u64,
         waited_ms = job.decided_at.elapsed().as_millis() as u64,
         "attempt begun"
     );
 }
 
-/// Writes all bytes, the first ones at once. Each time that the connection takes more only later, it is asked again
-/// whether the attempt may go on.
-async fn write_while_allowed<T: Stream>(
+/// Writes what is left of a command. Each time that the connection takes more, it is asked again whether the attempt may
+/// go on.
+async fn write_rest<T: Stream>(
     socket: &mut T,
-    bytes: &mut impl Buf,
+    bytes: &mut CommandBytes,
     conditions: &SendConditions,
 ) -> Result<(), WriteError> {
-    let mut is_first_piece = true;
     while bytes.has_remaining() {
         poll_fn(|cx| {
-            if !std::mem::take(&mut is_first_piece) {
-                ask_until_fresh(|| conditions.may_go_on()).map_err(WriteError::BrokenOff)?;
-            }
+            ask_until_fresh(|| conditions.may_go_on()).map_err(WriteError::BrokenOff)?;
             let written = ready!(poll_write_slices(socket, bytes, cx));
             Poll::Ready(written.map_err(|error| WriteError::Failed(error.to_string())))
         })
@@ -144,7 +171,7 @@
 
 fn poll_write_slices<T: Stream>(
     socket: &mut T,
-    bytes: &mut impl Buf,
+    bytes: &mut CommandBytes,
     cx: &mut Context<'_>,
 ) -> Poll<io::Result<()>> {
     let mut slices = [IoSlice::new(&[]); MAX_SLICES];
--- a/crates/stairfront/tests/stalls/main.rs
+++ b/crates/stairfront/tests/stalls/main.rs
@@ -18,10 +18,10 @@
 use common::{config, line, ms, run_within, until, Client};
 use serde_json::{json, Value};
 use stairfront_common::random::SeededRng;
-use stand_ins::{leave_behind, ListAgent, RequestShape};
+use stand_ins::{leave_behind, CacheBehaviour, ListAgent, RequestShape};
 use tokio::task::{spawn_local, JoinHandle};
 use tokio::time::{sleep, sleep_until, Instant};
-use witness::Witness;
+use witness::{Witness, KEY_TTL};
 
 const LIMIT: Duration = Duration::from_secs(60);
 const HOSTS: usize = 4;
@@ -55,7 +55,7 @@
     })
 }
 
-/// A configuration with a class that may be repeated and one that may not.
+/// A configuration with a class that may be repeated, one that never may, and one that may while hosts know its key.
 fn configuration_with(agent: SocketAddr, lines: &[Value], settings: WorldSettings) -> Value {
     let mut configuration = config(unused_address(), agent, lines, settings.sockets);
     let profiles = configuration["settings"]["profiles"]
@@ -65,7 +65,12 @@
     let mut hold = profiles[0].clone();
     hold["name"] = json!("hold");
     hold["semantics"] = json!("single_shot");
-    profiles.push(hold);
+    let mut keyed = profiles[0].clone();
+    keyed["name"] = json!("keyed");
+    keyed["semantics"] = json!("guarded");
+    keyed["group"] = json!("all");
+    keyed["key_ttl"] = json!(KEY_TTL.as_millis() as f64);
+    profiles.extend([hold, keyed]);
     configuration
 }
 
@@ -78,6 +83,9 @@
     sockets: usize,
     /// Time in which an answer is worth something.
     aim_ms: f64,
+    /// Part of the commands that cache hosts refuse, never answer, or end with a reset.
+    faulty: f64,
+    seed: u64,
 }
 
 impl WorldSettings {
@@ -86,6 +94,8 @@
             work_ms,
             sockets: 1024,
             aim_ms: 750.0,
+            faulty: 0.0,
+            seed: 0,
         }
     }
 }
@@ -110,7 +120,12 @@
         let witness = Rc::new(Witness::default());
         let mut lines = Vec::new();
         for i in 0..HOSTS {
-            let address = stand_ins::start_cache(i, settings.work_ms, &witness).await;
+            let behaviour = CacheBehaviour {
+                work_ms: settings.work_ms,
+                faulty: settings.faulty,
+                seed: settings.seed * HOSTS as u64 + i as u64,
+            };
+            let address = stand_ins::start_cache(i, behaviour, &witness).await;
             lines.push(line(&format!("c{i}"), address, "box"));
         }
         let origin = stand_ins::start_origin(settings.work_ms, &witness).await;
--- a/crates/stairfront/tests/stalls/soak.rs
+++ b/crates/stairfront/tests/stalls/soak.rs
@@ -36,6 +36,7 @@
 #[derive(Debug)]
 struct Script {
     work_ms: u64,
+    faulty: f64,
     sockets: usize,
     /// Clients that send one request after the other until the end.
     staying: usize,
@@ -87,6 +88,7 @@
     let hangups = random.below(4_u64);
     Script {
         work_ms: 1 + random.below(60_u64),
+        faulty: [0.0, 0.02, 0.05][random.below(3_usize)],
         sockets: if scarce { 60 } else { 1024 },
         staying: 4 + random.below(8_usize),
         crowd: if random.happens(0.3) { 30 } else { 0 },
@@ -188,6 +190,8 @@
     let off = std::env::temp_dir().join(format!("stall-off-{seed}-{}", std::process::id()));
     let settings = WorldSettings {
         sockets: script.sockets,
+        faulty: script.faulty,
+        seed,
         ..WorldSettings::working_for(script.work_ms)
     };
     let variables = stall_variables(&script, seed, &off);
--- a/crates/stairfront/tests/stalls/stand_ins.rs
+++ b/crates/stairfront/tests/stalls/stand_ins.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use serde_json::{json, Value};
+use stairfront_common::random::SeededRng;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
@@ -32,49 +33,91 @@
     }
 }
 
-/// A cache host that answers each read with a value after its work. Keys that begin with `miss` are missing.
-pub async fn start_cache(number: usize, work_ms: u64, witness: &Rc<Witness>) -> SocketAddr {
+/// How a cache host works.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct CacheBehaviour {
+    /// Time that a request takes.
+    pub work_ms: u64,
+    /// Part of the commands that end in each of three other ways: refused, begun and never answered, begun and reset.
+    pub faulty: f64,
+    pub seed: u64,
+}
+
+struct CacheHost {
+    name: String,
+    behaviour: CacheBehaviour,
+    random: RefCell<SeededRng>,
+    witness: Rc<Witness>,
+}
+
+/// Starts a cache host that has every value but those of keys that begin with `miss`.
+pub async fn start_cache(
+    number: usize,
+    behaviour: CacheBehaviour,
+    witness: &Rc<Witness>,
+) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
-    let (name, witness) = (format!("c{number}"), Rc::clone(witness));
+    let host = Rc::new(CacheHost {
+        name: format!("c{number}"),
+        behaviour,
+        random: RefCell::new(SeededRng::for_part(behaviour.seed, "cache host")),
+        witness: Rc::clone(witness),
+    });
     spawn_local(async move {
         while let Ok((socket, _)) = listener.accept().await {
             socket.set_nodelay(true).unwrap();
-            spawn_local(serve_cache(
-                socket,
-                name.clone(),
-                work_ms,
-                Rc::clone(&witness),
-            ));
+            spawn_local(Rc::clone(&host).serve(socket));
         }
     });
     address
 }
 
-async fn serve_cache(mut socket: TcpStream, server: String, work_ms: u64, witness: Rc<Witness>) {
-    let mut buffer = Vec::new();
-    while read_more(&mut socket, &mut buffer).await {
-        let begun_at = Instant::now();
-        while let Some(words) = cut_resp(&mut buffer) {
-            if !words[0].starts_with("C.") {
-                let _ = socket.write_all(b"+OK\r\n").await;
-                continue;
+impl CacheHost {
+    fn draws(&self, part: f64) -> bool {
+        self.random.borrow_mut().happens(part)
+    }
+
+    async fn serve(self: Rc<Self>, mut socket: TcpStream) {
+        let mut buffer = Vec::new();
+        while read_more(&mut socket, &mut buffer).await {
+            let begun_at = Instant::now();
+            while let Some(words) = cut_resp(&mut buffer) {
+                let Some(answer) = self.answer(&words, begun_at).await else {
+                    let _ = socket.set_zero_linger();
+                    return;
+                };
+                let _ = socket.write_all(answer).await;
             }
-            let answer = if words[1].starts_with("miss") {
-                "*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n".to_string()
-            } else {
-                witness.attempts.borrow_mut().push(BegunAttempt {
-                    id: words[2].clone(),
-                    server: server.clone(),
-                    begun_at,
-                    told_ms: told_ms(&words[3]),
-                });
-                "*3\r\n$1\r\nv\r\n$3\r\nhit\r\n$-1\r\n".to_string()
-            };
-            sleep(ms(work_ms)).await;
-            let _ = socket.write_all(answer.as_bytes()).await;
         }
     }
+
+    /// The answer to a command; `None` where the connection is reset.
+    async fn answer(&self, words: &[String], begun_at: Instant) -> Option<&'static [u8]> {
+        if !words[0].starts_with("C.") {
+            return Some(b"+OK\r\n");
+        }
+        if words[1].starts_with("miss") {
+            return Some(b"*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n");
+        }
+        if self.draws(self.behaviour.faulty) {
+            return Some(b"-BUSY\r\n");
+        }
+        self.witness.attempts.borrow_mut().push(BegunAttempt {
+            id: words[2].clone(),
+            server: self.name.clone(),
+            begun_at,
+            told_ms: told_ms(&words[3]),
+        });
+        if self.draws(self.behaviour.faulty) {
+            std::future::pending::<()>().await;
+        }
+        sleep(ms(self.behaviour.work_ms)).await;
+        if self.draws(self.behaviour.faulty) {
+            return None;
+        }
+        Some(b"*3\r\n$1\r\nv\r\n$3\r\nhit\r\n$-1\r\n")
+    }
 }
 
 /// The origin, which has every value.
@@ -297,16 +340,16 @@
 }
 
 /// A client that sends one request after the other on a connection until that ends, and again on a new one while there is
-/// one to be had. Every second request must not be repeated.
+/// one to be had. Of three requests one may be repeated, one for a time, and one never.
 pub async fn stay(address: SocketAddr, name: usize, witness: Rc<Witness>) {
     let mut number = 0;
     while let Ok(mut client) = Client::connect(address).await {
         loop {
             number += 1;
-            let class = ["read", "hold"][number % 2];
+            let class = ["read", "hold", "keyed"][number % 3];
             let (id, wait_ms) = (
                 format!("stay-{name}-{number}-{class}"),
-                [1400, 700][number % 3 / 2],
+                [1400, 700][number % 4 / 3],
             );
             let key = if number % 5 == 0 {
                 format!("miss{id}")
--- a/crates/stairfront/tests/stalls/witness.rs
+++ b/crates/stairfront/tests/stalls/witness.rs
@@ -14,6 +14,10 @@
 const TOLD_SLACK_MS: f64 = 150.0;
 /// The settings' `stop_sending_within` and the 50 ms that each limit is longer on sockets.
 const DRAIN_GRACE: Duration = Duration::from_millis(250 + 50);
+/// How long hosts know the key of a request that may be repeated meanwhile.
+pub const KEY_TTL: Duration = Duration::from_millis(400);
+/// Each limit is longer by this on sockets.
+const LIMIT_SLACK: Duration = Duration::from_millis(50);
 /// Half a second after its time an answer only earns nothing.
 const ANSWER_SLACK: Duration = Duration::from_millis(500);
 
@@ -93,19 +97,22 @@
         })
     }
 
-    /// Requests that may not be repeated and were begun more than once.
+    /// Requests that were begun again although they may never be repeated, or after the hosts have forgotten their key.
     pub fn begun_twice(&self) -> Vec<String> {
-        let mut begun = HashMap::<String, u32>::new();
-        for attempt in self.attempts.borrow().iter() {
-            if attempt.id.ends_with("hold") {
-                *begun.entry(attempt.id.clone()).or_default() += 1;
+        let attempts = self.attempts.borrow();
+        let mut first = HashMap::<&str, Instant>::new();
+        let mut broken = Vec::new();
+        for attempt in attempts.iter() {
+            let begun_at = *first.entry(&attempt.id).or_insert(attempt.begun_at);
+            let after = attempt.begun_at - begun_at;
+            let is_again = !after.is_zero();
+            if is_again && attempt.id.ends_with("hold")
+                || attempt.id.ends_with("keyed") && after > KEY_TTL + LIMIT_SLACK
+            {
+                broken.push(format!("{} was begun again after {after:?}", attempt.id));
             }
         }
-        begun.retain(|_, times| *times > 1);
-        begun
-            .into_iter()
-            .map(|(id, times)| format!("{id} was begun {times} times"))
-            .collect()
+        broken
     }
 
     /// Requests whose client, still there, had no answer or one long after its time; the process has stood still for so
