Server connections: large values on their way have a module of their own

upstream/connection.rs had grown to 486 lines; forwarding a large value chunk by chunk stands in upstream/large_body.rs now.

--- a/crates/stairfront-balancer/src/upstream/connection.rs
+++ b/crates/stairfront-balancer/src/upstream/connection.rs
@@ -7,8 +7,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use futures_util::StreamExt;
 use stairfront_codec::budget::Budget;
 use stairfront_codec::message_part::MessagePart;
 use stairfront_policy::interface::Outcome;
@@ -16,25 +14,20 @@
 use tokio_util::codec::{Decoder, Encoder, Framed};
 use tracing::{debug, warn};
 
-use crate::clock::{timeout, timeout_at, Instant};
+use crate::clock::{timeout_at, Instant};
 use crate::counters::Counters;
 use crate::list_freshness::ListFreshness;
 use crate::messages::{
-    AnswerBody, AttemptEnd, AttemptOutcome, BodyChunk, ConnectionId, EngineEvent, Job, Outgoing,
-    PoolEvent,
+    AnswerBody, AttemptEnd, AttemptOutcome, ConnectionId, EngineEvent, Job, Outgoing, PoolEvent,
 };
 use crate::transport::{is_quiet, Network, Stream, Unread};
 use crate::upstream::exchange::{cancelled, exchange, ExchangeOutcome};
+use crate::upstream::large_body::{forward_body, LargeBody};
 use crate::upstream::proof::AnswerProof;
 use crate::upstream::send_gate::SendRefusal;
 
 /// Chunks of a large value that wait for its client.
 const MAX_QUEUED_CHUNKS: usize = 1;
-/// The most bytes that one chunk of a large value has. Each costs two system calls and two wakes; with the few kilobytes
-/// that a codec reads at once they would take a part of a core by themselves.
-const CHUNK_BYTES: usize = 32 * 1024;
-/// With less free space than this a buffer is not read into any more.
-const MIN_BUFFER_SPACE: usize = 4 * 1024;
 /// How often an attempt waits for a list that is on its way; most take a turn of the event loop or two.
 const MAX_LIST_WAITS: u32 = 100;
 /// Time between two log lines on a surplus.
@@ -396,91 +389,3 @@
 fn has_more_input<T: Stream, P>(framed: &Framed<T, P>) -> bool {
     !framed.read_buffer().is_empty() || framed.get_ref().unread() == Unread::Bytes
 }
-
-/// A large value that has begun to come.
-#[derive(Clone, Copy)]
-struct LargeBody {
-    /// Its length in bytes.
-    length: usize,
-    /// What proves that it answers the request.
-    proof: AnswerProof,
-}
-
-/// Forwards a large value as it comes; whether it came as a whole and was proved. Only one chunk is read ahead of the
-/// client, since such values together may be far larger than the memory limit; the rest stays with the server. The last
-/// chunk is held back until the proof is there, so that the client can tell that a value without it is not complete.
-async fn forward_body<T: Stream, P: UpstreamProtocol, N>(
-    framed: &mut Framed<T, P>,
-    body: LargeBody,
-    chunks: &mpsc::Sender<BodyChunk>,
-    context: &ConnectionContext<N>,
-) -> bool {
-    let stall_timeout = context.stall_timeout.get();
-    let mut remaining = body.length;
-    let mut last = None;
-    while let Some(part) = read_body_part(framed, stall_timeout).await {
-        match part {
-            MessagePart::Chunk(bytes) => {
-                remaining = remaining.saturating_sub(bytes.len());
-                if remaining == 0 {
-                    last = Some(bytes);
-                } else if chunks.send(BodyChunk::Bytes(bytes)).await.is_err() {
-                    // The client has left, or reads nothing.
-                    return false;
-                }
-            }
-            MessagePart::End(reply) => {
-                let result = P::interpret(reply, &context.report_fields);
-                // Bytes behind the value belong to no answer, so the value may be wrong as well.
-                if result.outcome != Outcome::Served
-                    || !is_proved(framed, body.proof, stall_timeout).await
-                {
-                    break;
-                }
-                return send_last(chunks, last).await;
-            }
-            MessagePart::Complete(_) | MessagePart::Head { .. } => break,
-        }
-    }
-    context.counters.streams_broken.add();
-    false
-}
-
-/// Whether the proof of a large value comes within a time.
-async fn is_proved<T: Stream, P: UpstreamProtocol>(
-    framed: &mut Framed<T, P>,
-    proof: AnswerProof,
-    limit: Duration,
-) -> bool {
-    timeout(limit, proof.confirm(framed)).await == Ok(Ok(()))
-}
-
-/// Forwards the end of a large value; whether its client was still there.
-async fn send_last(chunks: &mpsc::Sender<BodyChunk>, last: Option<Bytes>) -> bool {
-    if let Some(bytes) = last {
-        if chunks.send(BodyChunk::Bytes(bytes)).await.is_err() {
-            return false;
-        }
-    }
-    chunks.send(BodyChunk::End).await.is_ok()
-}
-
-/// The next part of a large value; `None` if the server stalls or the connection fails.
-async fn read_body_part<T: Stream, P: UpstreamProtocol>(
-    framed: &mut Framed<T, P>,
-    limit: Duration,
-) -> Option<MessagePart<P::Reply>> {
-    // The rest of the last buffer is filled first, so that many small chunks share one.
-    let buffer = framed.read_buffer_mut();
-    if buffer.capacity() - buffer.len() < MIN_BUFFER_SPACE {
-        buffer.reserve(CHUNK_BYTES);
-    }
-    match timeout(limit, framed.next()).await {
-        Ok(Some(Ok(part))) => Some(part),
-        Ok(Some(Err(error))) => {
-            debug!(%error, "large value broken off");
-            None
-        }
-        Ok(None) | Err(_) => None,
-    }
-}
--- a/crates/stairfront-balancer/src/upstream/mod.rs
+++ b/crates/stairfront-balancer/src/upstream/mod.rs
@@ -3,6 +3,7 @@
 mod command_write;
 pub mod connection;
 mod exchange;
+mod large_body;
 pub mod load_report;
 pub mod origin;
 mod proof;
