A client has left only where the kernel says that it sends no more

The question of the gate took a hang-up or an error alone for the end of a client, too. A client's close and a reset both set POLLRDHUP: the question goes by that alone. A test has a reset behind unread bytes seen at once, without a look of the event loop.

--- a/crates/stairfront-balancer/src/transport.rs
+++ b/crates/stairfront-balancer/src/transport.rs
@@ -196,12 +196,12 @@
     }
 
     /// The event queue reports an end however far the input has been read, but only that of its last look. The kernel
-    /// itself knows of the end at once.
+    /// itself knows of the end at once; a reset sets this flag too. A hang-up alone is no end: a socket that the kernel does
+    /// not hold for connected always has one.
     fn has_ended(&self) -> bool {
-        const ENDED: PollFlags = PollFlags::RDHUP.union(PollFlags::HUP).union(PollFlags::ERR);
         let mut descriptors = [PollFd::new(self, PollFlags::RDHUP)];
         let asked = retry_on_intr(|| poll(&mut descriptors, Some(&Timespec::default())));
-        if descriptors[0].revents().intersects(ENDED) {
+        if descriptors[0].revents().contains(PollFlags::RDHUP) {
             return true;
         }
         let ready = self.ready(Interest::READABLE).now_or_never();
--- a/crates/stairfront-balancer/tests/upstream_pool/send_gate.rs
+++ b/crates/stairfront-balancer/tests/upstream_pool/send_gate.rs
@@ -55,6 +55,19 @@
     });
 }
 
+#[test]
+fn a_reset_behind_unread_bytes_is_an_end_at_once() {
+    run(async {
+        let (held, mut client) = client_connection().await;
+        client.write_all(b"half a command").await.unwrap();
+        assert!(!Peer::has_ended(&*held));
+        client.set_zero_linger().unwrap();
+        drop(client);
+        // No await in between: the event loop has not looked since.
+        assert!(Peer::has_ended(&*held));
+    });
+}
+
 #[test]
 fn an_attempt_is_not_sent_after_its_client_left_while_its_connection_was_made() {
     run(async {
