--- a/crates/stairfront-balancer/src/engine/mod.rs
+++ b/crates/stairfront-balancer/src/engine/mod.rs
@@ -217,8 +217,8 @@
             EngineEvent::DrainHint { host, draining } => {
                 self.apply_drain_hint(cache_id(&host), draining);
             }
-            EngineEvent::ShuttingDown { told_at } => {
-                let by = self.clock.at(told_at) + self.min_remaining_lifetime;
+            EngineEvent::ShuttingDown { requested_at } => {
+                let by = self.clock.at(requested_at) + self.min_remaining_lifetime;
                 self.notify_policy(Event::ShuttingDown { by });
             }
             EngineEvent::PeerEnded => {
--- a/crates/stairfront-balancer/src/lifecycle/assembly.rs
+++ b/crates/stairfront-balancer/src/lifecycle/assembly.rs
@@ -88,7 +88,7 @@
     successor: Rc<HandoverChannel>,
     ready: watch::Receiver<bool>,
     phase: watch::Receiver<Phase>,
-    told_at: ShutdownTime,
+    requested_at: ShutdownTime,
     membership: Option<Rc<MembershipAgent>>,
     maintenance: Rc<OnceCell<Rc<MaintenanceService>>>,
     poll_agent: Rc<Notify>,
@@ -135,7 +135,7 @@
             successor,
             ready,
             phase: dependencies.phase.clone(),
-            told_at: Rc::clone(&dependencies.told_at),
+            requested_at: Rc::clone(&dependencies.requested_at),
             membership: dependencies.membership.clone(),
             maintenance: Rc::new(OnceCell::new()),
             poll_agent: Rc::new(Notify::new()),
@@ -275,13 +275,15 @@
     pub(super) fn report_shutdown(&self) -> impl Future<Output = ()> + 'static {
         let mut phase = self.phase.clone();
         let events = self.events.clone();
-        let told_at = Rc::clone(&self.told_at);
+        let requested_at = Rc::clone(&self.requested_at);
         async move {
             let ending = phase.wait_for(|phase| *phase != Phase::Running).await;
             if ending.is_ok() {
-                let told_at = told_at.get().unwrap_or_else(Instant::now);
+                let requested_at = requested_at.get().unwrap_or_else(Instant::now);
                 // The engine ends only with the whole balancer.
-                let _ = events.send(EngineEvent::ShuttingDown { told_at }).await;
+                let _ = events
+                    .send(EngineEvent::ShuttingDown { requested_at })
+                    .await;
             }
         }
     }
--- a/crates/stairfront-balancer/src/lifecycle/server.rs
+++ b/crates/stairfront-balancer/src/lifecycle/server.rs
@@ -49,10 +49,10 @@
             let successor = Rc::clone(&successor);
             move || successor.is_connected()
         };
-        let (told_at, polls) = (ShutdownTime::default(), Rc::new(PollClock::start()));
+        let (requested_at, polls) = (ShutdownTime::default(), Rc::new(PollClock::start()));
         let signals = SignalWatch {
             phase,
-            told_at: Rc::clone(&told_at),
+            requested_at: Rc::clone(&requested_at),
             polls: Rc::clone(&polls),
         };
         let stopping = spawn_local(signals.run(has_successor));
@@ -69,7 +69,7 @@
             clock: Clock::start(),
             polls,
             phase: phases,
-            told_at,
+            requested_at,
             hangups: hangup_receiver,
         };
         let served = serve(config, build_policy, dependencies).await;
@@ -142,7 +142,7 @@
     /// How far the end of this process has come.
     pub phase: watch::Receiver<Phase>,
     /// When this process was told to end.
-    pub told_at: ShutdownTime,
+    pub requested_at: ShutdownTime,
     /// Each message has the configuration read again.
     pub hangups: mpsc::Receiver<()>,
 }
--- a/crates/stairfront-balancer/src/lifecycle/shutdown.rs
+++ b/crates/stairfront-balancer/src/lifecycle/shutdown.rs
@@ -74,7 +74,7 @@
     /// Gets each phase.
     pub phase: watch::Sender<Phase>,
     /// Gets the time of the signal.
-    pub told_at: ShutdownTime,
+    pub requested_at: ShutdownTime,
     /// When the event loop has polled: a signal may have come during a stall.
     pub polls: Rc<PollClock>,
 }
@@ -94,9 +94,10 @@
             _ = interrupt.recv() => {}
         }
         let seen_at = Instant::now();
-        let told_at = ArrivalTime::between(self.polls.last_poll_without(), seen_at).counted_from();
-        self.told_at.set(Some(told_at));
-        let late_ms = (seen_at - told_at).as_millis() as u64;
+        let requested_at =
+            ArrivalTime::between(self.polls.last_poll_without(), seen_at).counted_from();
+        self.requested_at.set(Some(requested_at));
+        let late_ms = (seen_at - requested_at).as_millis() as u64;
         if has_successor() {
             info!(
                 late_ms,
@@ -108,10 +109,10 @@
         }
         info!(late_ms, "stopping: closing connections between requests");
         self.phase.send_replace(Phase::Draining);
-        let accept_until = (told_at + ACCEPT_PERIOD).max(seen_at + MIN_PHASE);
+        let accept_until = (requested_at + ACCEPT_PERIOD).max(seen_at + MIN_PHASE);
         sleep_until(accept_until).await;
         self.phase.send_replace(Phase::Closing);
-        let read_until = (told_at + ACCEPT_PERIOD + READ_PERIOD).max(accept_until + MIN_PHASE);
+        let read_until = (requested_at + ACCEPT_PERIOD + READ_PERIOD).max(accept_until + MIN_PHASE);
         sleep_until(read_until).await;
         self.phase.send_replace(Phase::Last);
         // The receivers' side ends the process; until then the phase must stay readable.
--- a/crates/stairfront-balancer/src/messages.rs
+++ b/crates/stairfront-balancer/src/messages.rs
@@ -345,7 +345,7 @@
     /// The shutdown of this process has begun.
     ShuttingDown {
         /// When the process was told, at the earliest: whoever tells it may end its life counted from there.
-        told_at: Instant,
+        requested_at: Instant,
     },
     /// Another member of the group has a newer endpoint list than this balancer, or a hint of that kind has ended.
     DrainHint {
--- a/crates/stairfront-balancer/tests/common/mod.rs
+++ b/crates/stairfront-balancer/tests/common/mod.rs
@@ -410,7 +410,7 @@
             clock,
             polls: Rc::new(PollClock::start()),
             phase: phase_receiver,
-            told_at: Rc::default(),
+            requested_at: Rc::default(),
             hangups: hangup_receiver,
         };
         let served = server::serve(config, build_policy, dependencies);
--- a/crates/stairfront-balancer/tests/virtual_network.rs
+++ b/crates/stairfront-balancer/tests/virtual_network.rs
@@ -231,7 +231,7 @@
             clock: Clock::starting_at(0),
             polls: Rc::new(PollClock::start()),
             phase: phase_receiver,
-            told_at: Rc::default(),
+            requested_at: Rc::default(),
             hangups: hangup_receiver,
         };
         let balancer = spawn_local(serve(config, Policy::new, dependencies));
