review: an upgrade while discovery is down undoes drains

Seen: the old process has been told that a host drains and keeps to it. Discovery falls silent for 8 s, the new process takes over, and sends to that host again until discovery is back.

Code at fault: the state that is handed over has neither the list in use nor its version (lifecycle/handover_state.rs, policy/hand_off.rs); the new process starts from the known list of its file (engine/mod.rs, start).

Nothing was fixed.

--- a/review/common/kit.rs
+++ b/review/common/kit.rs
@@ -587,6 +587,8 @@
     state: Arc<(Mutex<AgentState>, Condvar)>,
     /// How long each answer takes, beyond its hold.
     pub delay: Arc<Mutex<Duration>>,
+    /// Discovery is down: the agent takes calls and is silent.
+    pub down: Arc<AtomicBool>,
 }
 
 struct AgentState {
@@ -610,6 +612,7 @@
                 Condvar::new(),
             )),
             delay: Arc::default(),
+            down: Arc::default(),
         }
     }
 
@@ -665,6 +668,9 @@
             let body = self.list(number("from"), ms(number("hold_ms").unwrap_or(0)));
             let delay = *self.delay.lock().unwrap();
             thread::sleep(delay);
+            while self.down.load(Ordering::SeqCst) {
+                thread::sleep(ms(20));
+            }
             let answer = format!(
                 "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
                 body.len()
@@ -765,6 +771,25 @@
     std::fs::rename(&next, path)
 }
 
+/// Whether a call to the operators' door is answered with a yes.
+pub fn ask_operators(door: SocketAddr, method: &str, path: &str, record: &Record) -> bool {
+    let ask = || -> io::Result<String> {
+        let mut socket = TcpStream::connect_timeout(&door, ms(500))?;
+        socket.set_read_timeout(Some(ms(1000)))?;
+        socket.write_all(
+            format!("{method} {path} HTTP/1.1\r\nHost: {door}\r\nContent-Length: 0\r\n\r\n")
+                .as_bytes(),
+        )?;
+        read_line(&mut BufReader::new(socket))
+    };
+    let answer = ask().unwrap_or_else(|error| format!("no answer ({:?})", error.kind()));
+    record.note(format!("operators: {method} {path} at {door}: {answer}"));
+    answer
+        .split(' ')
+        .nth(1)
+        .is_some_and(|status| status.starts_with('2'))
+}
+
 /// A flag that threads look at.
 pub fn flag() -> Arc<AtomicBool> {
     Arc::default()
