A command that has lapsed does not reach a hung server out of the kernel's queue

Callers saw: a long keyed write ran twice.

Cause: window, time, cancel and client were asked until the kernel had accepted the bytes. The kernel sends what it has accepted whenever the server reads, also after a common close and after the end of the process.

A command that is not written whole is broken off when its server drains.

--- a/crates/stairfront-balancer/src/transport.rs
+++ b/crates/stairfront-balancer/src/transport.rs
@@ -8,6 +8,7 @@
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::os::fd::{AsFd, OwnedFd};
+use std::time::Duration;
 
 use futures_util::FutureExt;
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
@@ -20,6 +21,8 @@
 
 /// Connections that may wait to be accepted; the number of tokio's own listeners.
 const BACKLOG: u32 = 1024;
+/// Bytes that the kernel may hold unsent before it accepts no more: any.
+const MAX_UNSENT_BYTES: u32 = 1;
 
 /// Input that has come on a connection and was not read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -45,6 +48,23 @@
     fn has_ended(&self) -> bool;
     /// Resolves when something can be read or the connection has ended; reads nothing.
     fn arrival(&self) -> impl Future<Output = ()>;
+    /// Prepares a connection for requests: the network accepts hardly more than it can send at once, so that what was
+    /// decided is not kept in a queue, and what it has accepted and not sent is dropped as the connection is closed, also
+    /// by the end of the process. Without that it would send the rest of an abandoned request.
+    fn discard_unsent_on_close(&self) {}
+    /// Has the network deliver all that was accepted, also after the close.
+    fn deliver_unsent_on_close(&self) {}
+    /// Has the network break the connection where what it sent is not acknowledged within this time; never with `None`.
+    /// It holds while this process stands still, too.
+    fn set_unacknowledged_timeout(&self, _: Option<Duration>) {}
+    /// Whether all that was written has left this machine. True where the network cannot tell.
+    fn is_sent(&self) -> bool {
+        true
+    }
+    /// Resolves when all that was written has left this machine, or the connection is broken.
+    fn sent(&self) -> impl Future<Output = ()> {
+        std::future::ready(())
+    }
     /// Gives the connection up as a descriptor, for another process.
     ///
     /// # Errors
@@ -219,6 +239,47 @@
         TcpStream::from_std(socket)
     }
 
+    /// With this low-water mark the kernel reports room only while it holds nothing that is not sent.
+    fn discard_unsent_on_close(&self) {
+        let socket = SockRef::from(self);
+        if let Err(error) = socket.set_tcp_notsent_lowat(MAX_UNSENT_BYTES) {
+            debug!(%error, "TCP_NOTSENT_LOWAT not set");
+        }
+        if let Err(error) = socket.set_linger(Some(Duration::ZERO)) {
+            debug!(%error, "SO_LINGER not set");
+        }
+    }
+
+    fn deliver_unsent_on_close(&self) {
+        if let Err(error) = SockRef::from(self).set_linger(None) {
+            debug!(%error, "SO_LINGER not set");
+        }
+    }
+
+    fn set_unacknowledged_timeout(&self, limit: Option<Duration>) {
+        if let Err(error) = SockRef::from(self).set_tcp_user_timeout(limit) {
+            debug!(%error, "TCP_USER_TIMEOUT not set");
+        }
+    }
+
+    fn is_sent(&self) -> bool {
+        let mut descriptors = [PollFd::new(self, PollFlags::OUT)];
+        let asked = retry_on_intr(|| poll(&mut descriptors, Some(&Timespec::default())));
+        asked.is_err() || !descriptors[0].revents().is_empty()
+    }
+
+    async fn sent(&self) {
+        let ask = || {
+            if self.is_sent() {
+                Ok(())
+            } else {
+                Err(io::Error::from(ErrorKind::WouldBlock))
+            }
+        };
+        // An error is an end, which the next write or read reports.
+        let _ = self.async_io(Interest::WRITABLE, ask).await;
+    }
+
     async fn arrival(&self) {
         // An error is an end, which the next read reports.
         let _ = self.peek(&mut [0]).await;
--- a/crates/stairfront-balancer/src/upstream/command_write.rs
+++ b/crates/stairfront-balancer/src/upstream/command_write.rs
@@ -1,6 +1,7 @@
 //! Writes the command of an attempt, and asks before each piece whether it may still go out.
 use std::future::poll_fn;
 use std::task::{ready, Context, Poll};
+use std::time::Duration;
 
 use bytes::buf::Chain;
 use bytes::{Buf, Bytes, BytesMut};
@@ -15,9 +16,19 @@
 use crate::transport::Stream;
 use crate::upstream::connection::UpstreamProtocol;
 use crate::upstream::exchange::cancelled;
-use crate::upstream::send_gate::{ask_until_fresh, SendConditions, SendRefusal};
+use crate::upstream::send_gate::{
+    ask_until_fresh, wait_while_allowed, SendConditions, SendRefusal,
+};
 use crate::vectored::poll_write_slices;
 
+/// Bytes at the end of a long command that are written only once the network has sent all before them. A server begins a
+/// command when its last byte has come, and what the network has accepted it sends whenever the server reads: a process that
+/// stands still meanwhile could not stop it.
+const WITHHELD_BYTES: usize = 1;
+
+/// The shortest such time that is not taken for none.
+const MIN_UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1);
+
 /// Why a command was not written as a whole; the server does not run it then.
 #[derive(Debug, thiserror::Error)]
 pub(super) enum WriteError {
@@ -44,9 +55,9 @@
         match self {
             WriteError::Cancelled => Outcome::Cancelled,
             WriteError::NotBegun(_)
-            | WriteError::BrokenOff(SendRefusal::RequestFinished | SendRefusal::ClientLeft) => {
-                Outcome::NeverSent
-            }
+            | WriteError::BrokenOff(
+                SendRefusal::RequestFinished | SendRefusal::ClientLeft | SendRefusal::ServerBarred,
+            ) => Outcome::NeverSent,
             WriteError::BrokenOff(_) | WriteError::Late | WriteError::Failed(_) => {
                 Outcome::ConnectFailed
             }
@@ -64,6 +75,11 @@
     lists: &ListFreshness,
 ) -> Result<(), WriteError> {
     let (conditions, deadline) = (job.conditions(), job.send_deadline());
+    if let Some(end) = job.window_end {
+        let left = end.saturating_duration_since(Instant::now());
+        let limit = left.max(MIN_UNACKNOWLEDGED_TIMEOUT);
+        framed.get_ref().set_unacknowledged_timeout(Some(limit));
+    }
     let begun = timeout_at(deadline, poll_fn(|cx| poll_begin(framed, job, lists, cx))).await;
     let mut bytes = begun.unwrap_or(Err(WriteError::Late))?;
     job.liveness.note_begun();
@@ -91,7 +107,8 @@
     cx: &mut Context<'_>,
 ) -> Poll<Result<CommandBytes, WriteError>> {
     let mut bytes = ask_until_fresh(|| encode_if_allowed(framed, job, lists))?;
-    match poll_write_slices(framed.get_mut(), &mut bytes, cx) {
+    let limit = writable_bytes(&bytes);
+    match poll_write_slices(framed.get_mut(), &mut (&mut bytes).take(limit), cx) {
         Poll::Ready(Ok(())) => Poll::Ready(Ok(bytes)),
         Poll::Ready(Err(error)) => Poll::Ready(Err(WriteError::Failed(error.to_string()))),
         Poll::Pending => {
@@ -147,20 +164,45 @@
     );
 }
 
+/// Number of bytes that may be written before the network has sent all that it has accepted. A value that is written
+/// separately is what makes a command long.
+fn writable_bytes(bytes: &CommandBytes) -> usize {
+    let remaining = bytes.remaining();
+    let has_value =
+        bytes.first_ref().last_ref().has_remaining() || bytes.last_ref().has_remaining();
+    if has_value && remaining > WITHHELD_BYTES {
+        remaining - WITHHELD_BYTES
+    } else {
+        remaining
+    }
+}
+
 /// Writes what is left of a command. Each time that the connection takes more, it is asked again whether the attempt may
-/// go on.
+/// go on, and for the last byte once all before it are sent.
 async fn write_rest<T: Stream>(
     socket: &mut T,
     bytes: &mut CommandBytes,
     conditions: &SendConditions,
 ) -> Result<(), WriteError> {
     while bytes.has_remaining() {
-        poll_fn(|cx| {
-            ask_until_fresh(|| conditions.may_go_on()).map_err(WriteError::BrokenOff)?;
-            let written = ready!(poll_write_slices(socket, bytes, cx));
+        if bytes.remaining() <= WITHHELD_BYTES {
+            wait_while_allowed(conditions, SendConditions::may_write_more, socket.sent())
+                .await
+                .map_err(WriteError::BrokenOff)?;
+        }
+        let limit = writable_bytes(bytes);
+        let write = poll_fn(|cx| {
+            ask_until_fresh(|| conditions.may_write_more()).map_err(WriteError::BrokenOff)?;
+            let written = ready!(poll_write_slices(
+                socket,
+                &mut (&mut *bytes).take(limit),
+                cx
+            ));
             Poll::Ready(written.map_err(|error| WriteError::Failed(error.to_string())))
-        })
-        .await?;
+        });
+        wait_while_allowed(conditions, SendConditions::may_write_more, write)
+            .await
+            .map_err(WriteError::BrokenOff)??;
     }
     let flushed = socket.flush().await;
     flushed.map_err(|error| WriteError::Failed(error.to_string()))
--- a/crates/stairfront-balancer/src/upstream/connection.rs
+++ b/crates/stairfront-balancer/src/upstream/connection.rs
@@ -112,6 +112,8 @@
     next: Option<AnswerProof>,
     /// Whether more came than the answer.
     surplus: bool,
+    /// Whether the server has answered, and all of the command was sent.
+    complete: bool,
 }
 
 /// The last report of a connection.
@@ -151,6 +153,7 @@
             match self.wait_for_job(&mut framed).await {
                 Ok(next) => job = next,
                 Err(mut closing) => {
+                    framed.get_ref().deliver_unsent_on_close();
                     drop(framed);
                     self.jobs.close();
                     closing.unsent = closing.unsent.or_else(|| self.jobs.try_recv().ok());
@@ -171,6 +174,7 @@
             () = cancelled(&mut job.cancel) => Err(Outcome::Cancelled),
             connected = timeout_at(deadline, context.network.connect(self.address)) => match connected {
                 Ok(Ok(socket)) => {
+                    socket.discard_unsent_on_close();
                     let replies = &context.memory.replies;
                     let codec = P::new(self.address, context.max_value_bytes, replies);
                     Ok(framed(socket, codec))
@@ -210,16 +214,24 @@
         if carried.surplus {
             self.record_surplus(Some(&job));
         }
+        if carried.complete {
+            framed.get_ref().set_unacknowledged_timeout(None);
+        }
         match carried.next {
             Some(next) if is_quiet(framed) => {
                 self.report_idle(carried.end).await;
                 Ok(next)
             }
-            _ => Err(Box::new(Closing {
-                end: carried.end,
-                unsent: None,
-                surplus: carried.surplus,
-            })),
+            _ => {
+                if carried.complete {
+                    framed.get_ref().deliver_unsent_on_close();
+                }
+                Err(Box::new(Closing {
+                    end: carried.end,
+                    unsent: None,
+                    surplus: carried.surplus,
+                }))
+            }
         }
     }
 
@@ -255,14 +267,19 @@
     ) -> Result<CarriedAttempt, SendRefusal> {
         let proof = proof.required_for::<P>(&job.command);
         let carried = match exchange(framed, job, proof, &self.context).await {
-            ExchangeOutcome::Finished(result, memory) => CarriedAttempt {
-                end: Some(AttemptEnd {
-                    memory,
-                    ..job.end(result)
-                }),
-                next: proof.next::<P>(),
-                surplus: has_more_input(framed),
-            },
+            ExchangeOutcome::Finished(result, memory) => {
+                // A server may answer before it has read all; the rest must not reach it later.
+                let complete = framed.get_ref().is_sent();
+                CarriedAttempt {
+                    end: Some(AttemptEnd {
+                        memory,
+                        ..job.end(result)
+                    }),
+                    next: proof.next::<P>().filter(|_| complete),
+                    surplus: has_more_input(framed),
+                    complete,
+                }
+            }
             ExchangeOutcome::BodyStarted { result, length } => {
                 let Some(memory) = StreamMemory::reserve(&self.context.memory.streams) else {
                     return Ok(served_without_value(job));
@@ -277,6 +294,7 @@
                     end: None,
                     next: proof.next::<P>().filter(|_| complete),
                     surplus: complete && has_more_input(framed),
+                    complete,
                 }
             }
             ExchangeOutcome::NotBegun(refusal) => return Err(refusal),
@@ -284,12 +302,14 @@
                 end: Some(unanswered(job, outcome)),
                 next: None,
                 surplus: false,
+                complete: false,
             },
             ExchangeOutcome::OutOfMemory => served_without_value(job),
             ExchangeOutcome::Unproven => CarriedAttempt {
                 end: Some(unanswered(job, Outcome::Malformed)),
                 next: None,
                 surplus: true,
+                complete: false,
             },
         };
         Ok(carried)
@@ -410,6 +430,7 @@
         end: Some(unanswered(job, Outcome::Served)),
         next: None,
         surplus: false,
+        complete: false,
     }
 }
 
--- a/crates/stairfront-balancer/src/upstream/exchange.rs
+++ b/crates/stairfront-balancer/src/upstream/exchange.rs
@@ -7,17 +7,17 @@
 use stairfront_policy::interface::Outcome;
 use tokio::io::AsyncWriteExt;
 use tokio::sync::oneshot;
-use tokio_util::codec::Framed;
+use tokio_util::codec::{Decoder, Framed};
 use tracing::debug;
 
-use crate::clock::sleep_until;
+use crate::clock::{sleep_until, timeout_at};
 use crate::memory::ledger::reserve_value;
 use crate::messages::{AttemptOutcome, Job};
 use crate::transport::Stream;
 use crate::upstream::command_write::{write_command, WriteError};
 use crate::upstream::connection::{ConnectionContext, UpstreamProtocol};
 use crate::upstream::proof::{AnswerProof, ProofError};
-use crate::upstream::send_gate::SendRefusal;
+use crate::upstream::send_gate::{ask_until_fresh, SendConditions, SendRefusal};
 
 /// The result of sending a command.
 pub(super) enum ExchangeOutcome {
@@ -51,12 +51,19 @@
         Err(error) => return ExchangeOutcome::Failed(error.outcome()),
     }
     // From here on it may run, whatever becomes of the marker.
+    let conditions = job.conditions();
     let talk = async {
         if let Err(error) = framed.get_mut().write_all(proof.marker::<P>()).await {
             debug!(%error, "marker not written");
             return ExchangeOutcome::Failed(Outcome::Reset);
         }
-        read_reply(framed, proof, context).await
+        match next_part(framed, &conditions).await {
+            Ok(part) => interpret_reply(framed, part, proof, context).await,
+            Err(refusal) => {
+                debug!(reason = %refusal, "attempt abandoned with a part of it unsent");
+                ExchangeOutcome::Failed(outcome_of_unsent(refusal))
+            }
+        }
     };
     tokio::select! {
         biased;
@@ -66,12 +73,40 @@
     }
 }
 
-async fn read_reply<T: Stream, P: UpstreamProtocol, N>(
+/// A part of a reply as its codec reads it; `None` at the end of the connection.
+type ReplyPart<P> =
+    Option<Result<MessagePart<<P as UpstreamProtocol>::Reply>, <P as Decoder>::Error>>;
+
+/// The next part of the reply. As long as a part of the command is not sent, as with a server that has stopped reading, the
+/// attempt has to be wanted: closing the connection drops what is not sent.
+async fn next_part<T: Stream, P: UpstreamProtocol>(
+    framed: &mut Framed<T, P>,
+    conditions: &SendConditions,
+) -> Result<ReplyPart<P>, SendRefusal> {
+    while !framed.get_ref().is_sent() {
+        ask_until_fresh(|| conditions.may_go_on())?;
+        if let Ok(part) = timeout_at(conditions.next_check(), framed.next()).await {
+            return Ok(part);
+        }
+    }
+    Ok(framed.next().await)
+}
+
+/// The outcome of an attempt that is abandoned before all of its command was sent. What was sent may have been the whole.
+fn outcome_of_unsent(refusal: SendRefusal) -> Outcome {
+    match refusal {
+        SendRefusal::RequestFinished | SendRefusal::ClientLeft => Outcome::Cancelled,
+        _ => Outcome::TimedOut,
+    }
+}
+
+async fn interpret_reply<T: Stream, P: UpstreamProtocol, N>(
     framed: &mut Framed<T, P>,
+    part: ReplyPart<P>,
     proof: AnswerProof,
     context: &ConnectionContext<N>,
 ) -> ExchangeOutcome {
-    match framed.next().await {
+    match part {
         Some(Ok(MessagePart::Complete(reply))) => {
             let frame = framed.codec_mut().take_memory();
             let mut result = P::interpret(reply, &context.report_fields);
--- a/crates/stairfront-balancer/src/upstream/send_gate.rs
+++ b/crates/stairfront-balancer/src/upstream/send_gate.rs
@@ -1,11 +1,14 @@
 //! Whether an attempt may be written: everything that forbids it is asked here, directly before its bytes go out.
+use std::cell::Cell;
+use std::future::Future;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use stairfront_policy::interface::Outcome;
 use tracing::debug;
 
-use crate::clock::Instant;
+use crate::clock::{timeout_at, Instant};
 use crate::list_freshness::ListFreshness;
 use crate::messages::{AttemptEnd, AttemptOutcome, Job};
 use crate::stages::liveness::RequestLiveness;
@@ -38,6 +41,8 @@
 
 /// What was asked longer ago than this is asked again: it may not hold any more.
 const MAX_CHECK_DURATION: Duration = Duration::from_millis(10);
+/// How often an attempt that waits for its server to read asks whether it may go on.
+const RECHECK_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Asks until an answer is fresh as it is returned: the process may stand still in the middle of a check.
 ///
@@ -54,16 +59,45 @@
     }
 }
 
+/// Waits for a step of an attempt that has begun, and asks meanwhile whether the attempt may go on.
+///
+/// # Errors
+///
+/// The first refusal.
+pub(super) async fn wait_while_allowed<F: Future>(
+    conditions: &SendConditions,
+    may_go_on: impl Fn(&SendConditions) -> Result<(), SendRefusal>,
+    step: F,
+) -> Result<F::Output, SendRefusal> {
+    let mut step = pin!(step);
+    loop {
+        if let Ok(done) = timeout_at(conditions.next_check(), &mut step).await {
+            return Ok(done);
+        }
+        may_go_on(conditions)?;
+    }
+}
+
 /// What has to hold while an attempt is written.
 #[derive(Clone, Debug)]
 pub(super) struct SendConditions {
     liveness: Rc<RequestLiveness>,
     give_up_at: Instant,
     window_end: Option<Instant>,
+    barred: Rc<Cell<bool>>,
 }
 
 impl SendConditions {
-    /// Whether more of an attempt may be written that has begun.
+    /// Whether more of a command may be written that has begun. Without its last byte it never runs, so it is broken off
+    /// where its server gets nothing new any more.
+    pub(super) fn may_write_more(&self) -> Result<(), SendRefusal> {
+        if self.barred.get() {
+            return Err(SendRefusal::ServerBarred);
+        }
+        self.may_go_on()
+    }
+
+    /// Whether a command may go on to its server of which all is written and a part is not sent yet.
     pub(super) fn may_go_on(&self) -> Result<(), SendRefusal> {
         self.check_known(Instant::now())?;
         if self.liveness.client_has_left() {
@@ -72,6 +106,14 @@
         Ok(())
     }
 
+    /// The next time at which this is to be asked while an attempt waits for its server: a request may lapse by an event that
+    /// wakes no attempt.
+    pub(super) fn next_check(&self) -> Instant {
+        let end = self.window_end.unwrap_or(self.give_up_at);
+        let next = Instant::now() + RECHECK_INTERVAL;
+        next.min(end).min(self.give_up_at)
+    }
+
     /// The part that this process knows without asking the network.
     fn check_known(&self, now: Instant) -> Result<(), SendRefusal> {
         if self.liveness.is_finished() {
@@ -94,6 +136,7 @@
             liveness: Rc::clone(&self.liveness),
             give_up_at: self.give_up_at,
             window_end: self.window_end,
+            barred: Rc::clone(&self.barred),
         }
     }
 
--- a/crates/stairfront-balancer/tests/upstream_pool/main.rs
+++ b/crates/stairfront-balancer/tests/upstream_pool/main.rs
@@ -3,6 +3,7 @@
 mod common;
 mod fixture;
 mod send_gate;
+mod unsent;
 
 use std::rc::Rc;
 
