A file short of any key, compared as it was written, changes nothing at SIGHUP

Cause: the check compared what the balancer uses. discovery, known and seed were removed first, since their values may differ; group and key_ttl were never missed; of lists only keys that all entries had; null counted as a value; and the comparison was with the file of the start, not the last accepted.

Change: configuration/missing_key.rs compares the text of the last accepted JSON file with the new one: every key at every depth, entries of lists by their identity, group and key_ttl excused together where a class's effect changed from guarded, and required where it becomes that. TOML as before.

--- a/crates/stairfront-balancer/src/configuration/config.rs
+++ b/crates/stairfront-balancer/src/configuration/config.rs
@@ -11,15 +11,16 @@
 use stairfront_settings::{LoadedSettings, FIXED_KEYS};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::configuration::difference::{differing_keys, missing_key};
+use crate::configuration::difference::differing_keys;
 use crate::configuration::error::{ConfigError, KeyError, Source, ADMIN_VARIABLE, CONFIG_VARIABLE};
 use crate::configuration::limits::{Sockets, MAX_SOCKETS};
 use crate::configuration::memory::Memory;
+use crate::configuration::missing_key::missing_key;
 use crate::configuration::toml_config;
 use crate::control::server_list::{RawList, ServerList};
 
-/// Keys that a running balancer does not compare with a new file: the address of discovery takes effect at once, the list
-/// and the seed are for a start alone.
+/// Keys whose values a running balancer does not compare with those of a new file: the address of discovery takes effect at
+/// once, the list and the seed are for a start alone.
 const NOT_COMPARED: [&str; 3] = ["discovery", "known", "seed"];
 
 /// The file in the platform's form.
@@ -125,6 +126,9 @@
     pub path: String,
     /// The file in the platform's form, for comparison, without the keys that are not compared.
     compared: Value,
+    /// The JSON file as it was written; none of a TOML file, which may leave keys out. As a text it takes less memory than
+    /// its values, and is looked at only when another file comes.
+    written: Option<Box<str>>,
     /// Name of this balancer.
     pub name: String,
     /// Where clients connect.
@@ -189,7 +193,10 @@
     /// [`ConfigError`] for the first error.
     pub fn from_text(path: &str, text: &str) -> Result<Self, ConfigError> {
         let (platform, source) = platform_form(path, text)?;
-        Self::from_platform(path, platform).map_err(|errors| source.error(first(errors)))
+        let config = Self::from_platform(path, platform);
+        let config = config.map_err(|errors| source.error(first(errors)))?;
+        let written = (!is_toml(path)).then(|| text.into());
+        Ok(Config { written, ..config })
     }
 
     /// Every error of a text; none if `from_text` accepts it.
@@ -235,6 +242,7 @@
         Ok(Config {
             path: path.to_string(),
             compared: platform,
+            written: None,
             name: raw.name,
             listen: raw.listen,
             discovery: raw.discovery,
@@ -260,17 +268,18 @@
         paths
     }
 
-    /// Accepts a new configuration of a running balancer. A JSON file that lacks a key which this one has was cut or lost
-    /// in editing, and would set that key to its default; a TOML file is written by hand and may leave keys out.
+    /// Accepts a new configuration of a running balancer. A JSON file that lacks a key which the last accepted one has was
+    /// cut or lost in editing, and would set that key to its default; a TOML file is written by hand and may leave keys out.
     ///
     /// # Errors
     ///
     /// [`ConfigError::Key`] for the first key that is missing.
     pub fn accept_successor(&self, new: Config) -> Result<Config, ConfigError> {
-        if self.path.ends_with(".toml") {
-            return Ok(new);
-        }
-        match missing_key("", &self.compared, &new.compared) {
+        let missing = match (&self.written, &new.written) {
+            (Some(old), Some(new)) => missing_key(&written_value(old), &written_value(new)),
+            _ => None,
+        };
+        match missing {
             Some(key) => Err(ConfigError::Key {
                 path: new.path,
                 key,
@@ -279,6 +288,17 @@
             None => Ok(new),
         }
     }
+
+    /// Notes that a new configuration was accepted: the next file is compared with what was written there.
+    pub fn note_accepted(&mut self, new: Config) {
+        self.discovery = new.discovery;
+        self.written = new.written;
+    }
+}
+
+/// The value of a text that was read before.
+fn written_value(text: &str) -> Value {
+    serde_json::from_str(text).unwrap_or_default()
 }
 
 fn first(errors: Vec<KeyError>) -> KeyError {
@@ -286,9 +306,13 @@
     first.unwrap_or_else(|| KeyError::new(".", "no configuration"))
 }
 
+fn is_toml(path: &str) -> bool {
+    path.ends_with(".toml")
+}
+
 /// The file in the platform's form, and where it came from.
 fn platform_form(path: &str, text: &str) -> Result<(Value, Source), ConfigError> {
-    let is_toml = path.ends_with(".toml");
+    let is_toml = is_toml(path);
     let source = Source {
         path: path.to_string(),
         toml: is_toml.then(|| text.to_string()),
--- a/crates/stairfront-balancer/src/configuration/mod.rs
+++ b/crates/stairfront-balancer/src/configuration/mod.rs
@@ -4,5 +4,6 @@
 pub mod error;
 pub mod limits;
 pub mod memory;
+mod missing_key;
 pub mod request_catalog;
 pub mod toml_config;
--- a/crates/stairfront-balancer/src/control/reload.rs
+++ b/crates/stairfront-balancer/src/control/reload.rs
@@ -34,7 +34,8 @@
 
 /// Takes over what can change in the configuration of a running balancer.
 pub struct ConfigReloader {
-    /// The configuration that this process was started with, but for the address of discovery, which is the one in use.
+    /// The configuration that this process was started with, but for the address of discovery, which is the one in use, and
+    /// the text of the last file that was accepted.
     current: Config,
     /// The settings in use.
     in_use: LoadedSettings,
@@ -100,7 +101,7 @@
         if new.discovery.is_none() {
             let list = ServerList {
                 full: true,
-                ..new.known
+                ..new.known.clone()
             };
             let received = ReceivedList {
                 list,
@@ -110,7 +111,7 @@
             let _ = self.events.send(EngineEvent::EndpointList(received)).await;
         }
         // The other keys stay those of the start, so that a key that is changed back is not named.
-        self.current.discovery = new.discovery;
+        self.current.note_accepted(new);
     }
 
     fn read_file(&self) -> Result<Config, ConfigError> {
--- a/crates/stairfront-balancer/tests/reload.rs
+++ b/crates/stairfront-balancer/tests/reload.rs
@@ -230,6 +230,11 @@
         "/settings/profiles/0/semantics",
         "/settings/rules/cold_from",
         "/settings/profiles/1/name",
+        "/discovery",
+        "/known",
+        "/known/index",
+        "/seed",
+        "/limits/cores",
     ] {
         let mut text = good.clone();
         let (parent, key) = path.rsplit_once('/').unwrap();
