Commands that have come are answered before their connection ends at a shutdown

Cause: at the last phase nothing more was read of a connection, which also cut off what had come and waited unread: behind 16 open commands, behind paced ones, behind a large value without memory. The linger then read and dropped it.

Change: client/refusal.rs reads all that has come once the open requests of a connection are answered, without limits of pace or number, and refuses it in order, in 1 s at most. The connection ends right behind a last look at its socket.

An upgrade was not changed.

--- a/crates/stairfront-balancer/src/arrival.rs
+++ b/crates/stairfront-balancer/src/arrival.rs
@@ -115,6 +115,11 @@
         }
     }
 
+    /// Number of bytes read so far.
+    pub fn bytes_read(&self) -> u64 {
+        self.position.get()
+    }
+
     /// Notes that the source held nothing at this time.
     pub fn note_empty(&self, at: Instant) {
         self.empty_at.set(self.empty_at.get().max(at));
--- a/crates/stairfront-balancer/src/client/connection.rs
+++ b/crates/stairfront-balancer/src/client/connection.rs
@@ -105,6 +105,8 @@
     pub(super) must_stay: bool,
     /// How often commands were read here although the process that takes over will have the connection.
     pub(super) handover_reads: u32,
+    /// Set at the end of the process: further requests are refused as they are read.
+    pub(super) refusing: bool,
 }
 
 /// The events that a connection waits for, until one of them happens.
@@ -180,6 +182,7 @@
             answered: used,
             must_stay: false,
             handover_reads: 0,
+            refusing: false,
         }
     }
 
@@ -204,6 +207,9 @@
             if let Err(end) = self.read_before_handover().await {
                 return end;
             }
+            if self.refusing && self.pending.is_empty() && self.final_end.is_none() {
+                return self.refuse_rest().await;
+            }
             let conditions = match self.wait_conditions() {
                 Ok(conditions) => conditions,
                 Err(end) => return end,
@@ -236,6 +242,7 @@
         // The successor reads what was not read here, but for the rest of a command that is too large to move.
         let left_to_successor = handing_over && movable;
         let reading = self.final_end.is_none()
+            && !self.refusing
             && self.pending.len() < MAX_OPEN
             && !left_to_successor
             && !waiting_for_memory
@@ -325,8 +332,8 @@
                 self.closing = Some(CloseReason::AfterPartialCommand);
             }
             // A client that always has one more command open, or half of one, must not keep the balancer from ending.
-            _ = phases.last.wait_for(|phase| *phase == Phase::Last), if self.final_end.is_none() => {
-                self.final_end = Some(self.own_end());
+            _ = phases.last.wait_for(|phase| *phase == Phase::Last), if !self.refusing => {
+                self.refusing = true;
             }
         }
         Ok(())
--- a/crates/stairfront-balancer/src/client/memory_wait.rs
+++ b/crates/stairfront-balancer/src/client/memory_wait.rs
@@ -59,7 +59,7 @@
                 self.final_end = Some(ConnectionEnd::AfterAnswer);
             }
             // Behind a usual command there may be others, whose time would go by with its own.
-            Some(_) if !command.is_large || self.is_spare() => self.refuse_unreserved(&command),
+            Some(_) if !command.is_large || self.refusing || self.is_spare() => self.refuse_unreserved(&command),
             Some(patience) => {
                 let until = arrival.counted_from() + patience / MEMORY_WAIT_DIVISOR;
                 debug!(
--- a/crates/stairfront-balancer/src/client/mod.rs
+++ b/crates/stairfront-balancer/src/client/mod.rs
@@ -13,4 +13,5 @@
 mod memory_wait;
 pub mod pacing;
 pub mod read;
+mod refusal;
 mod write;
--- a/crates/stairfront-balancer/src/client/read.rs
+++ b/crates/stairfront-balancer/src/client/read.rs
@@ -101,6 +101,7 @@
     /// Whether a further command may be read behind those that are open.
     fn may_read_on(&mut self) -> bool {
         self.pending.len() < MAX_OPEN
+            && !self.refusing
             && !self.waits_for_memory()
             && self.pacer.paused_until().is_none()
     }
@@ -164,6 +165,10 @@
         let context = &self.context;
         let arrival = ArrivalTime::between(self.framed.get_ref().arrived_after(), Instant::now());
         let reply = match context.parser.parse(words, arrival) {
+            Accepted::Request { .. } if self.refusing => {
+                context.counters.over_cap.add();
+                PendingReply::Ready(Answer::Busy { after_ms: None })
+            }
             // The connection stays open for a while, since the client's next request may be on its way.
             Accepted::Request { .. } if spare => {
                 context.counters.over_cap.add();
--- a/crates/stairfront-balancer/src/shared_stream.rs
+++ b/crates/stairfront-balancer/src/shared_stream.rs
@@ -46,6 +46,16 @@
         Rc::downgrade(&shared)
     }
 
+    /// Number of bytes read so far.
+    pub(crate) fn bytes_read(&self) -> u64 {
+        self.input.bytes_read()
+    }
+
+    /// Number of bytes that have come and were not read; `None` where the network cannot tell.
+    pub(crate) fn unread_bytes(&self) -> Option<u64> {
+        self.stream.borrow().unread_bytes()
+    }
+
     pub(crate) fn unread(&self) -> Unread {
         self.stream.borrow().unread()
     }
--- a/crates/stairfront-balancer/tests/cut_configuration.rs
+++ b/crates/stairfront-balancer/tests/cut_configuration.rs
@@ -5,6 +5,9 @@
 use serde_json::{json, Value};
 use stairfront_balancer::configuration::config::Config;
 
+/// How a file writes a class, by its name and effect.
+type ClassForm = fn(&str, &str) -> Value;
+
 /// A file of the platform with all keys that its pages name.
 fn platform_file() -> Value {
     let host = |name: &str, port: u16| {
@@ -72,7 +75,7 @@
 }
 
 /// Changes that a running balancer takes over, each of a file that has these classes.
-fn allowed_changes(old: &Value, class: fn(&str, &str) -> Value) -> Vec<(&'static str, Value)> {
+fn allowed_changes(old: &Value, class: ClassForm) -> Vec<(&'static str, Value)> {
     let changed = |change: &dyn Fn(&mut Value)| {
         let mut file = old.clone();
         change(&mut file);
@@ -189,8 +192,7 @@
 
 #[test]
 fn a_file_short_of_any_one_key_is_rejected_alone_and_beside_other_changes() {
-    let files: [(Value, fn(&str, &str) -> Value); 2] =
-        [(platform_file(), class), (sparse_file(), sparse_class)];
+    let files: [(Value, ClassForm); 2] = [(platform_file(), class), (sparse_file(), sparse_class)];
     let mut taken = Vec::new();
     let mut tried = 0;
     for (old, class) in files {
@@ -219,8 +221,7 @@
 
 #[test]
 fn a_file_short_of_any_one_line_or_of_its_end_is_rejected() {
-    let files: [(Value, fn(&str, &str) -> Value); 2] =
-        [(platform_file(), class), (sparse_file(), sparse_class)];
+    let files: [(Value, ClassForm); 2] = [(platform_file(), class), (sparse_file(), sparse_class)];
     let mut taken = Vec::new();
     let mut tried = 0;
     for (old, class) in files {
