A large command that finds no memory ends no connection over the commands behind it

Callers saw: with memory short, a large command of an unknown class, or one larger than its whole account (little memory, an upgrade), was answered as a protocol error and its connection ended; what stood behind it was lost.

Cause: both were errors of the decoder or the reader, which end a connection, although the words before the value and its length are known.

Change: UnreservedCommand::exceeds_limit; such commands get their error line or -BUSY and are dropped as they come. One whose end is not known is a protocol error as before.

Evidence: two tests in tests/commands_at_the_end.rs, both fail on the code before.

--- a/crates/stairfront-balancer/src/client/memory_wait.rs
+++ b/crates/stairfront-balancer/src/client/memory_wait.rs
@@ -52,15 +52,21 @@
         }
         let arrival = ArrivalTime::between(self.framed.get_ref().arrived_after(), Instant::now());
         let patience = self.context.parser.patience(&command.words);
+        // Behind a usual command there may be others, whose time would go by with its own.
+        let waits = command.is_large && !command.exceeds_limit && !self.refusing;
         match patience {
-            None => {
+            // Its end is not known, nor where the commands behind it begin.
+            Err(_) if command.words.is_empty() => {
                 let answer = Answer::Error("ERR Protocol error");
                 self.pending.push_back(PendingReply::Ready(answer));
                 self.final_end = Some(ConnectionEnd::AfterAnswer);
             }
-            // Behind a usual command there may be others, whose time would go by with its own.
-            Some(_) if !command.is_large || self.refusing || self.is_spare() => self.refuse_unreserved(&command),
-            Some(patience) => {
+            Err(text) => {
+                self.context.counters.rejected.add();
+                self.drop_unreserved(&command, Answer::Error(text));
+            }
+            Ok(_) if !waits || self.is_spare() => self.refuse_unreserved(&command),
+            Ok(patience) => {
                 let until = arrival.counted_from() + patience / MEMORY_WAIT_DIVISOR;
                 debug!(
                     connection = self.number,
@@ -95,11 +101,15 @@
             "command refused for want of memory"
         );
         self.context.counters.over_cap.add();
+        self.drop_unreserved(command, Answer::Busy { after_ms: None });
+    }
+
+    /// Answers a command that is dropped as it comes. What comes behind it is read as usual.
+    fn drop_unreserved(&mut self, command: &UnreservedCommand, answer: Answer) {
         self.state = ConnectionState::Used;
         self.closing = None;
         self.idle_since = Instant::now();
         self.framed.codec_mut().skip(command);
-        let answer = Answer::Busy { after_ms: None };
         self.pending.push_back(PendingReply::Ready(answer));
     }
 
--- a/crates/stairfront-balancer/src/stages/parse.rs
+++ b/crates/stairfront-balancer/src/stages/parse.rs
@@ -114,20 +114,29 @@
         format!("{}{group}{maintenance}{}", self.counters, self.memory)
     }
 
-    /// How long the client of a write waits, by the words before its value; `None` where they make no request.
-    pub fn patience(&self, words: &[Bytes]) -> Option<Duration> {
+    /// How long the client of a write waits, by the words before its value.
+    ///
+    /// # Errors
+    ///
+    /// The line that answers the command, where they make no request.
+    pub fn patience(&self, words: &[Bytes]) -> Result<Duration, &'static str> {
         let [name, key, id, list] = words else {
-            return None;
+            return Err(BAD_COMMAND);
         };
-        let is_write = name.eq_ignore_ascii_case(b"C.SET");
-        if !is_write || ![key, id, list].iter().all(|word| is_word(word)) {
-            return None;
+        if !name.eq_ignore_ascii_case(b"C.SET") {
+            return Err(UNKNOWN_COMMAND);
         }
-        let info = RequestInfo::read(list).ok()?;
+        if ![key, id, list].iter().all(|word| is_word(word)) {
+            return Err(BAD_COMMAND);
+        }
+        let info = RequestInfo::read(list).map_err(|_| BAD_COMMAND)?;
         let catalog = self.catalog.borrow();
-        let (_, rules) = catalog.class(self.clock.now(), info.class?)?;
+        let class = info
+            .class
+            .and_then(|name| catalog.class(self.clock.now(), name));
+        let (_, rules) = class.ok_or(UNKNOWN_CLASS)?;
         let wait = info.wait.unwrap_or(rules.deadline).min(rules.deadline);
-        Some(timer_duration(wait))
+        Ok(timer_duration(wait))
     }
 
     fn reject(&self, text: &'static str) -> Accepted {
--- a/crates/stairfront-balancer/tests/commands_at_the_end.rs
+++ b/crates/stairfront-balancer/tests/commands_at_the_end.rs
@@ -200,3 +200,35 @@
         assert_eq!(client.answer().await, None);
     });
 }
+
+/// There was no memory for its value, and its connection ended over the commands behind it.
+#[test]
+fn a_large_command_that_makes_no_request_ends_no_connection_for_want_of_memory() {
+    run_within(TEST_TIMEOUT, async {
+        let log = Log::default();
+        let small = |text: &mut serde_json::Value| text["limits"]["memory_mb"] = 48.into();
+        let balancer = with_a_hung_host(&log, small).await;
+        let _held = hold_memory(&balancer).await;
+        let mut client = balancer.client().await;
+        client.send(&put(100_000, "unknown", "no-such-class")).await;
+        client.send(&command(&["PING"])).await;
+        assert_eq!(client.answer().await.unwrap(), "-ERR unknown class\r\n");
+        assert_eq!(client.answer().await.unwrap(), "+PONG\r\n");
+    });
+}
+
+/// Its account will never be large enough, and its connection ended over the commands behind it.
+#[test]
+fn a_value_beyond_all_memory_is_refused_and_its_connection_stays_open() {
+    run_within(TEST_TIMEOUT, async {
+        let log = Log::default();
+        let small = |text: &mut serde_json::Value| text["limits"]["memory_mb"] = 16.into();
+        let balancer = with_a_hung_host(&log, small).await;
+        let mut client = balancer.client().await;
+        let whole = put(4 << 20, "large", "read");
+        client.send(&whole).await;
+        client.send(&command(&["PING"])).await;
+        assert_eq!(client.answer().await.unwrap(), "-BUSY\r\n");
+        assert_eq!(client.answer().await.unwrap(), "+PONG\r\n");
+    });
+}
--- a/crates/stairfront-codec/src/resp/command_decoder.rs
+++ b/crates/stairfront-codec/src/resp/command_decoder.rs
@@ -25,6 +25,8 @@
     pub bytes: usize,
     /// Whether its value is a large one.
     pub is_large: bool,
+    /// Whether there will never be memory for it.
+    pub exceeds_limit: bool,
     /// Its elements before the value; none where it stops at another element.
     pub words: Vec<Bytes>,
 }
@@ -109,13 +111,16 @@
         if prepare_read(src, required, reservation) {
             return Ok(());
         }
-        if !reservation.fits_budget(required) {
+        let exceeds_limit = !reservation.fits_budget(required);
+        let words = words_before_value(src);
+        if exceeds_limit && words.is_empty() {
             return Err(RespError::Malformed("no memory for so large a message"));
         }
         Err(RespError::AwaitingMemory(UnreservedCommand {
             bytes: required,
             is_large,
-            words: words_before_value(src),
+            exceeds_limit,
+            words,
         }))
     }
 }
