--- a/crates/stairfront-balancer/src/upstream/command_write.rs
+++ b/crates/stairfront-balancer/src/upstream/command_write.rs
@@ -26,7 +26,7 @@
 /// stands still meanwhile could not stop it.
 const WITHHELD_BYTES: usize = 1;
 
-/// The shortest such time that is not taken for none.
+/// The shortest limit on the time for an acknowledgement; zero would be none.
 const MIN_UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1);
 
 /// Why a command was not written as a whole; the server does not run it then.
@@ -75,14 +75,10 @@
     lists: &ListFreshness,
 ) -> Result<(), WriteError> {
     let (conditions, deadline) = (job.conditions(), job.send_deadline());
-    if let Some(end) = job.window_end {
-        let left = end.saturating_duration_since(Instant::now());
-        let limit = left.max(MIN_UNACKNOWLEDGED_TIMEOUT);
-        framed.get_ref().set_unacknowledged_timeout(Some(limit));
-    }
     let begun = timeout_at(deadline, poll_fn(|cx| poll_begin(framed, job, lists, cx))).await;
     let mut bytes = begun.unwrap_or(Err(WriteError::Late))?;
     job.liveness.note_begun();
+    bound_retransmission(framed.get_ref(), job);
     log_begin(job);
     let written = if bytes.has_remaining() {
         let rest = write_rest(framed.get_mut(), &mut bytes, &conditions);
@@ -98,6 +94,15 @@
     written.inspect_err(|error| debug!(%error, "request not written as a whole"))
 }
 
+/// What of a retry is lost on its way must not be sent again after its window. A connection on which something was written
+/// carries no other attempt unless this one is complete, which ends the bound.
+fn bound_retransmission(socket: &impl Stream, job: &Job) {
+    if let Some(end) = job.window_end {
+        let left = end.saturating_duration_since(Instant::now());
+        socket.set_unacknowledged_timeout(Some(left.max(MIN_UNACKNOWLEDGED_TIMEOUT)));
+    }
+}
+
 /// Asks all that forbids the attempt, and writes its first bytes in the same step: a stall between the two is the only one
 /// that is not seen. While nothing is written all of it is asked again.
 fn poll_begin<T: Stream, P: UpstreamProtocol>(
--- a/crates/stairfront-balancer/src/upstream/connection.rs
+++ b/crates/stairfront-balancer/src/upstream/connection.rs
@@ -214,7 +214,7 @@
         if carried.surplus {
             self.record_surplus(Some(&job));
         }
-        if carried.complete {
+        if carried.complete && job.window_end.is_some() {
             framed.get_ref().set_unacknowledged_timeout(None);
         }
         match carried.next {
--- a/crates/stairfront-balancer/tests/upstream_pool/unsent.rs
+++ b/crates/stairfront-balancer/tests/upstream_pool/unsent.rs
@@ -8,15 +8,15 @@
 use socket2::SockRef;
 use stairfront_balancer::messages::{Job, Verb};
 use stairfront_balancer::stages::liveness::RequestLiveness;
-use stairfront_balancer::transport::{listen, Listener, Peer, Stream};
+use stairfront_balancer::transport::{listen, Listener, Network, Peer, Stream, Tcp};
 use stairfront_policy::interface::Outcome;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::oneshot;
 use tokio::time::{sleep, timeout, Instant};
 
-use super::common::{ms, run, run_within};
-use super::fixture::{end, job, pool, CACHE};
+use super::common::{cache, commands, hit, ms, run, run_within, until, Log, Step};
+use super::fixture::{end, job, pool, pool_on, CACHE};
 
 /// How long a server hangs beyond the moment at which the command has lapsed.
 const HANG_AFTER: Duration = Duration::from_millis(150);
@@ -327,3 +327,56 @@
         }
     });
 }
+
+/// The kernel's TCP, with another descriptor of each connection for the test.
+#[derive(Clone, Default)]
+struct Observed(Rc<RefCell<Vec<socket2::Socket>>>);
+
+impl Network for Observed {
+    type Stream = TcpStream;
+
+    async fn connect(&self, to: SocketAddr) -> std::io::Result<TcpStream> {
+        let socket = Tcp.connect(to).await?;
+        let other = SockRef::from(&socket).try_clone()?;
+        self.0.borrow_mut().push(other);
+        Ok(socket)
+    }
+}
+
+impl Observed {
+    fn unacknowledged_timeout(&self) -> Option<Duration> {
+        self.0.borrow()[0].tcp_user_timeout().unwrap()
+    }
+}
+
+/// The next attempt on the connection would be broken off by the kernel for the retry's window.
+#[test]
+fn the_bound_of_a_retry_on_retransmission_ends_with_it() {
+    run(async {
+        let log = Log::default();
+        let late = |_: usize, _: &[String]| match hit("v") {
+            Step::Say(bytes) => Step::After(ms(100), bytes),
+            step => step,
+        };
+        let address = cache("cache", &log, late).await;
+        let network = Observed::default();
+        let (mut pool, mut events) = pool_on(network.clone(), address, 1, ms(10_000));
+        let (mut retry, _kept) = job(1);
+        retry.window_end = Some(Instant::now() + ms(800));
+        assert!(pool.dispatch(retry).is_none());
+        until(|| commands(&log, "cache").len() == 1).await;
+        let during = network.unacknowledged_timeout();
+        assert!(during.is_some_and(|limit| limit <= ms(800)), "{during:?}");
+        let ended = end(&mut pool, &mut events).await;
+        assert_eq!(ended.result.outcome, Outcome::Served);
+        assert_eq!(network.unacknowledged_timeout(), None);
+        // One that is not begun leaves no bound behind either.
+        let (mut lapsed, _kept) = job(2);
+        lapsed.window_end = Some(Instant::now() + ms(20));
+        assert!(pool.dispatch(lapsed).is_none());
+        std::thread::sleep(ms(30));
+        let ended = end(&mut pool, &mut events).await;
+        assert_eq!(ended.result.outcome, Outcome::NeverSent);
+        assert_eq!(network.unacknowledged_timeout(), None);
+    });
+}
