One refusal of a request and one incomplete attempt in place of three copies each

Change: Connection::refuse_request, CarriedAttempt::incomplete; comments in plainer words. No change of behaviour.

--- a/crates/stairfront-balancer/src/client/memory_wait.rs
+++ b/crates/stairfront-balancer/src/client/memory_wait.rs
@@ -104,7 +104,7 @@
         self.drop_unreserved(command, Answer::Busy { after_ms: None });
     }
 
-    /// Answers a command that is dropped as it comes. What comes behind it is read as usual.
+    /// Answers a command that is dropped as it comes. Commands behind it are read as usual.
     fn drop_unreserved(&mut self, command: &UnreservedCommand, answer: Answer) {
         self.state = ConnectionState::Used;
         self.closing = None;
--- a/crates/stairfront-balancer/src/client/read.rs
+++ b/crates/stairfront-balancer/src/client/read.rs
@@ -165,15 +165,11 @@
         let context = &self.context;
         let arrival = ArrivalTime::between(self.framed.get_ref().arrived_after(), Instant::now());
         let reply = match context.parser.parse(words, arrival) {
-            Accepted::Request { .. } if self.refusing => {
-                context.counters.over_cap.add();
-                PendingReply::Ready(Answer::Busy { after_ms: None })
-            }
+            Accepted::Request { .. } if self.refusing => self.refuse_request(),
             // The connection stays open for a while, since the client's next request may be on its way.
             Accepted::Request { .. } if spare => {
-                context.counters.over_cap.add();
                 self.spare_until = Some(Instant::now() + SPARE_TIMEOUT);
-                PendingReply::Ready(Answer::Busy { after_ms: None })
+                self.refuse_request()
             }
             Accepted::Request { command, request } => {
                 debug!(
@@ -188,10 +184,7 @@
                         let in_flight = self.open_request(command, request, memory).await?;
                         PendingReply::InFlight(in_flight)
                     }
-                    None => {
-                        context.counters.over_cap.add();
-                        PendingReply::Ready(Answer::Busy { after_ms: None })
-                    }
+                    None => self.refuse_request(),
                 }
             }
             Accepted::Answered(answer) => {
@@ -209,6 +202,12 @@
         Ok(())
     }
 
+    /// The refusal of a request before any decision.
+    fn refuse_request(&self) -> PendingReply {
+        self.context.counters.over_cap.add();
+        PendingReply::Ready(Answer::Busy { after_ms: None })
+    }
+
     /// Reports a request to the engine, which answers it.
     async fn open_request(
         &self,
--- a/crates/stairfront-balancer/src/client/refusal.rs
+++ b/crates/stairfront-balancer/src/client/refusal.rs
@@ -14,7 +14,7 @@
 
 /// How long the refusals may take in all: a client that always sends more must not keep the process from ending.
 const REFUSAL_TIMEOUT: Duration = Duration::from_secs(1);
-/// What is assumed to have come where the network cannot tell.
+/// Bytes that are assumed to have come where the network cannot tell.
 const UNKNOWN_UNREAD_BYTES: u64 = 64 * 1024;
 
 impl<T: Stream> Connection<T> {
--- a/crates/stairfront-balancer/src/configuration/missing_key.rs
+++ b/crates/stairfront-balancer/src/configuration/missing_key.rs
@@ -31,7 +31,7 @@
         (Value::Array(old_entries), Value::Array(new_entries)) => {
             missing_of_list(path, old_entries, new_entries)
         }
-        // What stands in the place of an object, a list or a value has none of what was there.
+        // Another kind of value in the place of an object or a list has none of its keys or entries.
         (Value::Object(old_keys), _) => old_keys.keys().next().map(|key| join(path, key)),
         (Value::Array(_), _) => Some(path.to_string()),
         (_, Value::Null) if !old.is_null() => Some(path.to_string()),
--- a/crates/stairfront-balancer/src/upstream/command_write.rs
+++ b/crates/stairfront-balancer/src/upstream/command_write.rs
@@ -94,7 +94,7 @@
     written.inspect_err(|error| debug!(%error, "request not written as a whole"))
 }
 
-/// What of a retry is lost on its way must not be sent again after its window. A connection on which something was written
+/// Bytes of a retry that are lost on their way must not be sent again after its window. A connection on which something was written
 /// carries no other attempt unless this one is complete, which ends the bound.
 fn bound_retransmission(socket: &impl Stream, job: &Job) {
     if let Some(end) = job.window_end {
--- a/crates/stairfront-balancer/src/upstream/connection.rs
+++ b/crates/stairfront-balancer/src/upstream/connection.rs
@@ -116,6 +116,18 @@
     complete: bool,
 }
 
+impl CarriedAttempt {
+    /// One that ends its connection before the exchange is complete.
+    fn incomplete(job: &Job, outcome: Outcome) -> Self {
+        CarriedAttempt {
+            end: Some(unanswered(job, outcome)),
+            next: None,
+            surplus: false,
+            complete: false,
+        }
+    }
+}
+
 /// The last report of a connection.
 #[derive(Default)]
 struct Closing {
@@ -298,18 +310,11 @@
                 }
             }
             ExchangeOutcome::NotBegun(refusal) => return Err(refusal),
-            ExchangeOutcome::Failed(outcome) => CarriedAttempt {
-                end: Some(unanswered(job, outcome)),
-                next: None,
-                surplus: false,
-                complete: false,
-            },
+            ExchangeOutcome::Failed(outcome) => CarriedAttempt::incomplete(job, outcome),
             ExchangeOutcome::OutOfMemory => served_without_value(job),
             ExchangeOutcome::Unproven => CarriedAttempt {
-                end: Some(unanswered(job, Outcome::Malformed)),
-                next: None,
                 surplus: true,
-                complete: false,
+                ..CarriedAttempt::incomplete(job, Outcome::Malformed)
             },
         };
         Ok(carried)
@@ -426,12 +431,7 @@
         request = %job.command.id.escape_ascii(),
         "no memory for a reply"
     );
-    CarriedAttempt {
-        end: Some(unanswered(job, Outcome::Served)),
-        next: None,
-        surplus: false,
-        complete: false,
-    }
+    CarriedAttempt::incomplete(job, Outcome::Served)
 }
 
 /// A connection with buffers of the size that it keeps.
--- a/crates/stairfront-balancer/src/upstream/exchange.rs
+++ b/crates/stairfront-balancer/src/upstream/exchange.rs
@@ -92,7 +92,7 @@
     Ok(framed.next().await)
 }
 
-/// The outcome of an attempt that is abandoned before all of its command was sent. What was sent may have been the whole.
+/// The outcome of an attempt that is abandoned before all of its command was sent. The bytes that were sent may have been the whole.
 fn outcome_of_unsent(refusal: SendRefusal) -> Outcome {
     match refusal {
         SendRefusal::RequestFinished | SendRefusal::ClientLeft => Outcome::Cancelled,
