The address of no server in tests cannot be given to a listener of another test

Cause: dead_address frees a port on 127.0.0.1 that listeners of tests beside it bind to. That another test had the port is the likely cause by these counters and not proved: 25 runs of it alone passed.

Change: it is taken on a loopback address where no stand-in listens. The checks stay as they are.

Measured: tests upstream and cache_modes pass once each.

--- a/crates/stairfront-balancer/tests/common/mod.rs
+++ b/crates/stairfront-balancer/tests/common/mod.rs
@@ -298,7 +298,8 @@
 
 /// An address that refuses connections.
 pub async fn dead_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0")
+    // A port freed on the common loopback address may be given to a listener of another test at once.
+    TcpListener::bind("127.0.65.1:0")
         .await
         .unwrap()
         .local_addr()
