Review: case 7, connections handed over in an upgrade wait for places without end

Seen: with 256 descriptors and 84 usual clients, 44 of which come while both processes run, four connections that the old process hands over are never read. Requests on them, sent once the old process has ended, get no answer and no close. At fault, as far as known: client/accept.rs (adopt_connections) waits for a permit beyond those that the old process reported at its welcome, and asks no idle connection to make room.

--- a/review/common-2/main.rs
+++ b/review/common-2/main.rs
@@ -10,6 +10,8 @@
 
 #[path = "../6/case.rs"]
 mod case6;
+#[path = "../7/case.rs"]
+mod case7;
 
 use std::path::PathBuf;
 use std::process::exit;
@@ -68,6 +70,7 @@
     record.note(&format!("case {number}, trouble {}", rig.trouble));
     let verdict = match number.as_str() {
         "6" => case6::run(&rig),
+        "7" => case7::run(&rig),
         other => Err(format!("no case {other}").into()),
     };
     balancer::end_all();
