Review: case 8, a large answer that breaks takes the answers behind it along

Seen: a client sends four commands at once; the cache host's connection of the first is reset within a value of 1 MiB. The three others were sent on and answered, a write that must not run twice among them; the client gets a close. At fault, as far as known: client/write.rs (write_large) and client/ending.rs (abandon_requests).

--- a/review/common-2/main.rs
+++ b/review/common-2/main.rs
@@ -12,6 +12,8 @@
 mod case6;
 #[path = "../7/case.rs"]
 mod case7;
+#[path = "../8/case.rs"]
+mod case8;
 
 use std::path::PathBuf;
 use std::process::exit;
@@ -71,6 +73,7 @@
     let verdict = match number.as_str() {
         "6" => case6::run(&rig),
         "7" => case7::run(&rig),
+        "8" => case8::run(&rig),
         other => Err(format!("no case {other}").into()),
     };
     balancer::end_all();
