Review: case 9, an upgrade during an outage of discovery forgets a drain

Seen: the old process was told that a cache host drains and sent nothing there. Discovery goes down, the balancer is upgraded, and the new process sends there again from the list of its configuration until discovery is back. At fault, as far as known: lifecycle/handover_state.rs and policy/hand_off.rs hand over no list.

--- /dev/null
+++ b/review/9/case.rs
@@ -0,0 +1,116 @@
+//! An upgrade while discovery is down: the new process has the list of its configuration alone.
+use std::fs;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::thread::{sleep, spawn};
+use std::time::Duration;
+
+use crate::agent::Agent;
+use crate::balancer::{configuration, entry, free_address, Balancer};
+use crate::client::{get, Answer, Client};
+use crate::servers::{cache, origin, Begun, Reaction, Work};
+use crate::{Failure, Rig, Verdict};
+
+const LIMITS: &str = r#"{"cores":1.0,"memory_mb":192,"sockets":1024}"#;
+const PATIENCE: u64 = 1500;
+/// What discovery has to tell counts as told 2 s after the yes; the grace of a drain is 250 ms, and 50 ms more on sockets.
+const TOLD_AFTER_YES: Duration = Duration::from_secs(2);
+const GRACE: Duration = Duration::from_millis(300);
+/// For how long discovery is down.
+const OUTAGE: Duration = Duration::from_secs(8);
+const CLIENTS: usize = 8;
+
+pub fn run(rig: &Rig) -> Result<Verdict, Failure> {
+    let work = Work::default();
+    let draining = Arc::new(AtomicBool::new(false));
+    let mut known = Vec::new();
+    let mut drained = None;
+    for n in 1..=4 {
+        let name = format!("s-{n}");
+        let drains = Arc::clone(&draining);
+        let reactions = Arc::new(move |begun: &Begun| {
+            if begun.server == "s-1" && drains.load(Ordering::SeqCst) {
+                Reaction::Busy
+            } else {
+                Reaction::Value(Duration::from_millis(60), begun.key.clone().into_bytes())
+            }
+        });
+        let address = cache(&rig.record, &work, &name, reactions)?;
+        if n == 1 {
+            drained = Some(entry(&name, address, "std-box", "DRAINING"));
+        }
+        known.push((name.clone(), entry(&name, address, "std-box", "SERVING")));
+    }
+    let drained = drained.ok_or("no cache host")?;
+    let address = origin(&rig.record, &work, Duration::from_millis(60))?;
+    known.push(("db".to_string(), entry("db", address, "origin", "SERVING")));
+    let agent = Agent::start(&rig.record, &known)?;
+    let (listen, old_ops, new_ops) = (free_address(), free_address(), free_address());
+    let lines: Vec<String> = known.iter().map(|(_, line)| line.clone()).collect();
+    let config = rig.folder.join("config.json");
+    fs::write(&config, configuration(listen, agent.address, old_ops, LIMITS, &lines))?;
+    let state = rig.folder.join("state");
+    fs::create_dir(&state)?;
+    let old = Balancer::start(rig, "old", &config, old_ops, &state)?;
+    old.wait_until_healthy(Duration::from_secs(10))?;
+
+    let stopped = Arc::new(AtomicBool::new(false));
+    let mut clients = Vec::new();
+    for n in 0..CLIENTS {
+        let stopped = Arc::clone(&stopped);
+        clients.push(spawn(move || {
+            let mut connection = None;
+            for request in 0.. {
+                if stopped.load(Ordering::SeqCst) {
+                    return;
+                }
+                let mut kept = match connection.take().map_or_else(|| Client::connect(listen), Ok) {
+                    Ok(kept) => kept,
+                    Err(_) => continue,
+                };
+                let command = get(&format!("k{}", (n + request * CLIENTS) % 64), &format!("r{n}-{request}"), PATIENCE);
+                if kept.send(&command).is_ok() {
+                    if let Answer::Value(_) | Answer::Line(_) = kept.answer(Duration::from_secs(2)) {
+                        connection = Some(kept);
+                    }
+                }
+                sleep(Duration::from_millis(100));
+            }
+        }));
+    }
+    sleep(Duration::from_secs(2));
+    if work.at("s-1").is_empty() {
+        return Err("the cache host was not in use".into());
+    }
+    draining.store(true, Ordering::SeqCst);
+    agent.tell("s-1", &drained);
+    let told = rig.record.now();
+    sleep(Duration::from_secs(2));
+    let kept = work.at("s-1").iter().filter(|begun| begun.at > told + GRACE).count();
+    rig.record.note(&format!("old: sent {kept} requests to s-1 later than the grace"));
+    if rig.trouble {
+        agent.set_down(true);
+    }
+    let down = rig.record.now();
+    let new = Balancer::start(rig, "new", &config, new_ops, &state)?;
+    new.wait_until_healthy(Duration::from_secs(6))?;
+    let yes = rig.record.now();
+    rig.record.note("new: says yes");
+    old.signal("TERM")?;
+    rig.record.note("old: told to end");
+    sleep(OUTAGE.saturating_sub(rig.record.now() - down));
+    if rig.trouble {
+        agent.set_down(false);
+    }
+    sleep(Duration::from_secs(2));
+    stopped.store(true, Ordering::SeqCst);
+    for client in clients {
+        let _ = client.join();
+    }
+    let late = |begun: &&Begun| begun.at > yes + TOLD_AFTER_YES + GRACE;
+    let at_drained = work.at("s-1");
+    let late: Vec<&Begun> = at_drained.iter().filter(late).collect();
+    let served = work.all().len();
+    let text = format!("{} requests sent to the draining host later than 2.3 s after the yes, {kept} by the old process before, {served} to all hosts", late.len());
+    Ok(if late.is_empty() && kept == 0 { Verdict::Held(text) } else { Verdict::Broken(text) })
+}
--- a/review/common-2/main.rs
+++ b/review/common-2/main.rs
@@ -14,6 +14,8 @@
 mod case7;
 #[path = "../8/case.rs"]
 mod case8;
+#[path = "../9/case.rs"]
+mod case9;
 
 use std::path::PathBuf;
 use std::process::exit;
@@ -74,6 +76,7 @@
         "6" => case6::run(&rig),
         "7" => case7::run(&rig),
         "8" => case8::run(&rig),
+        "9" => case9::run(&rig),
         other => Err(format!("no case {other}").into()),
     };
     balancer::end_all();
