Review: case 10, the id of an open request is served at the other process of an upgrade

Seen: while a usual client's read is open at the old process, a bad client names its id. The new process sends it on, a second attempt with that id at once, and serves it with a value. One process alone answers `-ERR id is open already`. At fault, as far as known: stages/admit.rs asks the table of its own process; lifecycle/id_log.rs shares ids of classes alone that must not run twice.

--- a/review/common-2/main.rs
+++ b/review/common-2/main.rs
@@ -8,6 +8,8 @@
 mod record;
 mod servers;
 
+#[path = "../10/case.rs"]
+mod case10;
 #[path = "../6/case.rs"]
 mod case6;
 #[path = "../7/case.rs"]
@@ -77,6 +79,7 @@
         "7" => case7::run(&rig),
         "8" => case8::run(&rig),
         "9" => case9::run(&rig),
+        "10" => case10::run(&rig),
         other => Err(format!("no case {other}").into()),
     };
     balancer::end_all();
