Review: the sources of the cases have a name that the earlier build does not take up

Seen: review/build.sh compiles each */case.rs as a program of its own, and ended with an error at the new cases' modules, so that the earlier cases 2 to 5 could not run. Ours are called scenario.rs now.

--- a/review/common-2/agent.rs
+++ b/review/common-2/agent.rs
@@ -2,6 +2,7 @@
 use std::io::{self, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Condvar, Mutex};
+use std::thread::sleep;
 use std::time::{Duration, Instant};
 
 use crate::record::Record;
@@ -12,6 +13,8 @@
     index: u64,
     entries: Vec<(String, String, u64)>,
     down: bool,
+    /// Time that each answer takes.
+    takes: Duration,
 }
 
 /// One agent.
@@ -30,6 +33,7 @@
             index: 1,
             entries: entries.collect(),
             down: false,
+            takes: Duration::ZERO,
         };
         let state = Arc::new((Mutex::new(state), Condvar::new()));
         let (shared, log) = (Arc::clone(&state), Arc::clone(record));
@@ -61,6 +65,12 @@
         self.record.note(if down { "agent: discovery is down" } else { "agent: discovery is back" });
         self.change(|state| state.down = down);
     }
+
+    /// Each answer takes so long from now on.
+    pub fn set_slow(&self, takes: Duration) {
+        self.record.note(&format!("agent: answers take {} ms", takes.as_millis()));
+        self.change(|state| state.takes = takes);
+    }
 }
 
 fn answer_calls(socket: TcpStream, shared: &(Mutex<State>, Condvar), record: &Record) -> io::Result<()> {
@@ -76,7 +86,8 @@
         };
         let from = parameter("from");
         let until = Instant::now() + Duration::from_millis(parameter("hold_ms").unwrap_or(0));
-        let body = wait_for_list(shared, from, until);
+        let (body, takes) = wait_for_list(shared, from, until);
+        sleep(takes);
         reader.socket.write_all(
             format!(
                 "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
@@ -90,7 +101,7 @@
 }
 
 /// The list that answers a call, once there is something newer or its time is over, and discovery is there.
-fn wait_for_list(shared: &(Mutex<State>, Condvar), from: Option<u64>, until: Instant) -> String {
+fn wait_for_list(shared: &(Mutex<State>, Condvar), from: Option<u64>, until: Instant) -> (String, Duration) {
     let (state, changed) = shared;
     let mut state = state.lock().unwrap();
     loop {
@@ -107,9 +118,10 @@
         .filter(|(_, _, changed)| full || from.is_some_and(|from| *changed > from))
         .map(|(_, entry, _)| entry.as_str())
         .collect();
-    format!(
+    let body = format!(
         r#"{{"index":{},"snapshot":{full},"endpoints":[{}]}}"#,
         state.index,
         entries.join(",")
-    )
+    );
+    (body, state.takes)
 }
--- a/review/common-2/main.rs
+++ b/review/common-2/main.rs
@@ -8,15 +8,15 @@
 mod record;
 mod servers;
 
-#[path = "../10/case.rs"]
+#[path = "../10/scenario.rs"]
 mod case10;
-#[path = "../6/case.rs"]
+#[path = "../6/scenario.rs"]
 mod case6;
-#[path = "../7/case.rs"]
+#[path = "../7/scenario.rs"]
 mod case7;
-#[path = "../8/case.rs"]
+#[path = "../8/scenario.rs"]
 mod case8;
-#[path = "../9/case.rs"]
+#[path = "../9/scenario.rs"]
 mod case9;
 
 use std::path::PathBuf;
