--- a/review/7/scenario.rs
+++ b/review/7/scenario.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use crate::agent::Agent;
-use crate::balancer::{configuration, entry, free_address, Balancer};
+use crate::balancer::{configuration, entry, free_address, Balancer, SIGKILL, SIGTERM};
 use crate::client::{get, Answer, Client};
 use crate::record::Record;
 use crate::servers::{cache, origin, Reaction, Work};
@@ -42,7 +42,8 @@
     let mut known = Vec::new();
     for n in 1..=12 {
         let name = format!("s-{n}");
-        let reactions = Arc::new(|_: &_| Reaction::Value(Duration::from_millis(60), b"map".to_vec()));
+        let reactions =
+            Arc::new(|_: &_| Reaction::Value(Duration::from_millis(60), b"map".to_vec()));
         let address = cache(&rig.record, &work, &name, reactions)?;
         known.push((name.clone(), entry(&name, address, "std-box", "SERVING")));
     }
@@ -52,7 +53,10 @@
     let (listen, old_ops, new_ops) = (free_address(), free_address(), free_address());
     let lines: Vec<String> = known.iter().map(|(_, line)| line.clone()).collect();
     let config = rig.folder.join("config.json");
-    fs::write(&config, configuration(listen, agent.address, old_ops, LIMITS, &lines))?;
+    fs::write(
+        &config,
+        configuration(listen, agent.address, old_ops, LIMITS, &lines),
+    )?;
     let state = rig.folder.join("state");
     fs::create_dir(&state)?;
 
@@ -86,20 +90,23 @@
     }
     sleep(Duration::from_secs(2));
     if rig.trouble {
-        old.signal("TERM")?;
+        old.signal(SIGTERM)?;
         rig.record.note("old: told to end");
         let told = Instant::now();
         while !old.has_ended() {
             // The longest deadline and 0.7 s more.
             if told.elapsed() > Duration::from_millis(2200) {
-                old.signal("KILL")?;
+                old.signal(SIGKILL)?;
                 rig.record.note("old: killed");
                 break;
             }
             sleep(Duration::from_millis(10));
         }
         shared.is_alone.store(true, Ordering::SeqCst);
-        rig.record.note(&format!("old: ended {} ms after it was told", told.elapsed().as_millis()));
+        rig.record.note(&format!(
+            "old: ended {} ms after it was told",
+            told.elapsed().as_millis()
+        ));
     }
     sleep(Duration::from_secs(6));
     shared.stopped.store(true, Ordering::SeqCst);
@@ -107,13 +114,20 @@
         let _ = client.join();
     }
     let lost = shared.lost.lock().unwrap();
-    let (answered, refused) = (shared.answered.load(Ordering::SeqCst), shared.refused.load(Ordering::SeqCst));
+    let (answered, refused) = (
+        shared.answered.load(Ordering::SeqCst),
+        shared.refused.load(Ordering::SeqCst),
+    );
     let text = format!("{} requests sent after the upgrade never answered, {answered} answered, {refused} of them refused", lost.len());
     rig.record.note(&text);
     if answered < 1000 {
         return Err(format!("too little was served: {text}").into());
     }
-    Ok(if lost.is_empty() { Verdict::Held(text) } else { Verdict::Broken(format!("{text}: {}", lost.join(" "))) })
+    Ok(if lost.is_empty() {
+        Verdict::Held(text)
+    } else {
+        Verdict::Broken(format!("{text}: {}", lost.join(" ")))
+    })
 }
 
 /// A client that keeps its connection and sends one request after another.
@@ -145,7 +159,9 @@
         // What ends at the door while there are two processes is priced, and not lost.
         let counts = shared.is_alone.load(Ordering::SeqCst);
         if again {
-            shared.record.note(&format!("client {n}: sends {id} once more"));
+            shared
+                .record
+                .note(&format!("client {n}: sends {id} once more"));
         }
         if kept.send(&command).is_err() {
             continue;
@@ -154,7 +170,9 @@
             Answer::Ended if !again => continue,
             Answer::Nothing | Answer::Ended | Answer::CutValue(_) => {
                 let waited = sent.elapsed().as_millis();
-                shared.record.note(&format!("client {n}: {id} not answered after {waited} ms, counts: {counts}"));
+                shared.record.note(&format!(
+                    "client {n}: {id} not answered after {waited} ms, counts: {counts}"
+                ));
                 if counts {
                     shared.lost.lock().unwrap().push(id.to_string());
                 }
--- a/review/8/scenario.rs
+++ b/review/8/scenario.rs
@@ -24,11 +24,20 @@
     for n in 1..=4 {
         let name = format!("s-{n}");
         let trouble = rig.trouble;
-        let reactions = Arc::new(move |begun: &Begun| match (begun.key.starts_with("large"), trouble) {
-            (true, true) => Reaction::Cut { length: LARGE, brought: 300 * 1024, after: Duration::from_millis(300) },
-            (true, false) => Reaction::Value(Duration::from_millis(20), vec![b'v'; LARGE]),
-            (false, _) => Reaction::Value(Duration::from_millis(20), begun.key.clone().into_bytes()),
-        });
+        let reactions =
+            Arc::new(
+                move |begun: &Begun| match (begun.key.starts_with("large"), trouble) {
+                    (true, true) => Reaction::Cut {
+                        length: LARGE,
+                        brought: 300 * 1024,
+                        after: Duration::from_millis(300),
+                    },
+                    (true, false) => Reaction::Value(Duration::from_millis(20), vec![b'v'; LARGE]),
+                    (false, _) => {
+                        Reaction::Value(Duration::from_millis(20), begun.key.clone().into_bytes())
+                    }
+                },
+            );
         let address = cache(&rig.record, &work, &name, reactions)?;
         known.push((name.clone(), entry(&name, address, "std-box", "SERVING")));
     }
@@ -38,7 +47,10 @@
     let (listen, ops) = (free_address(), free_address());
     let lines: Vec<String> = known.iter().map(|(_, line)| line.clone()).collect();
     let config = rig.folder.join("config.json");
-    fs::write(&config, configuration(listen, agent.address, ops, LIMITS, &lines))?;
+    fs::write(
+        &config,
+        configuration(listen, agent.address, ops, LIMITS, &lines),
+    )?;
     let state = rig.folder.join("state");
     fs::create_dir(&state)?;
     let balancer = Balancer::start(rig, "balancer", &config, ops, &state)?;
@@ -46,7 +58,10 @@
 
     let (mut lost, mut answered) = (Vec::new(), 0);
     for round in 0..ROUNDS {
-        let ids: Vec<String> = ["a", "b", "c", "d"].iter().map(|name| format!("{name}{round}")).collect();
+        let ids: Vec<String> = ["a", "b", "c", "d"]
+            .iter()
+            .map(|name| format!("{name}{round}"))
+            .collect();
         let batch = [
             get(&format!("large{round}"), &ids[0], PATIENCE),
             get(&format!("small{round}"), &ids[1], PATIENCE),
@@ -54,19 +69,27 @@
             get(&format!("other{round}"), &ids[3], PATIENCE),
         ];
         let mut client = Client::connect(listen)?;
-        rig.record.note(&format!("client: sends {} at once", ids.join(" ")));
+        rig.record
+            .note(&format!("client: sends {} at once", ids.join(" ")));
         client.send(&batch.concat())?;
         let sent = Instant::now();
         let limit = Duration::from_millis(PATIENCE + SLACK);
         let mut ended = false;
         for id in &ids {
-            let answer = if ended { Answer::Ended } else { client.answer(limit.saturating_sub(sent.elapsed())) };
+            let answer = if ended {
+                Answer::Ended
+            } else {
+                client.answer(limit.saturating_sub(sent.elapsed()))
+            };
             let shown = match &answer {
                 Answer::Value(value) => format!("a value of {} bytes", value.len()),
                 other => format!("{other:?}"),
             };
             rig.record.note(&format!("client: {id} gets {shown}"));
-            ended |= matches!(answer, Answer::Ended | Answer::CutValue(_) | Answer::Nothing);
+            ended |= matches!(
+                answer,
+                Answer::Ended | Answer::CutValue(_) | Answer::Nothing
+            );
             match answer {
                 Answer::Value(_) | Answer::Line(_) => answered += 1,
                 // It has begun to be passed on, and the client can tell that it is not whole.
@@ -81,5 +104,9 @@
     }
     let writes = lost.iter().filter(|id| id.starts_with('c')).count();
     let text = format!("{} requests that were sent on were never answered ({writes} of them writes that have run), {answered} answered", lost.len());
-    Ok(if lost.is_empty() { Verdict::Held(text) } else { Verdict::Broken(format!("{text}: {}", lost.join(" "))) })
+    Ok(if lost.is_empty() {
+        Verdict::Held(text)
+    } else {
+        Verdict::Broken(format!("{text}: {}", lost.join(" ")))
+    })
 }
--- a/review/9/scenario.rs
+++ b/review/9/scenario.rs
@@ -52,7 +52,10 @@
     let (listen, ops) = (free_address(), free_address());
     let lines: Vec<String> = known.iter().map(|(_, line)| line.clone()).collect();
     let config = rig.folder.join("config.json");
-    fs::write(&config, configuration(listen, agent.address, ops, LIMITS, &lines))?;
+    fs::write(
+        &config,
+        configuration(listen, agent.address, ops, LIMITS, &lines),
+    )?;
     let state = rig.folder.join("state");
     fs::create_dir(&state)?;
     let balancer = Balancer::start(rig, "balancer", &config, ops, &state)?;
@@ -68,13 +71,21 @@
                 if stopped.load(Ordering::SeqCst) {
                     return;
                 }
-                let mut kept = match connection.take().map_or_else(|| Client::connect(listen), Ok) {
+                let mut kept = match connection
+                    .take()
+                    .map_or_else(|| Client::connect(listen), Ok)
+                {
                     Ok(kept) => kept,
                     Err(_) => continue,
                 };
-                let command = get(&format!("k{}", (n + request * CLIENTS) % 64), &format!("r{n}-{request}"), PATIENCE);
+                let command = get(
+                    &format!("k{}", (n + request * CLIENTS) % 64),
+                    &format!("r{n}-{request}"),
+                    PATIENCE,
+                );
                 if kept.send(&command).is_ok() {
-                    if let Answer::Value(_) | Answer::Line(_) = kept.answer(Duration::from_secs(2)) {
+                    if let Answer::Value(_) | Answer::Line(_) = kept.answer(Duration::from_secs(2))
+                    {
                         connection = Some(kept);
                     }
                 }
@@ -99,5 +110,9 @@
     let late = at_drained.iter().filter(late).count();
     let served = work.all().len();
     let text = format!("{late} requests sent to the draining host later than 6.3 s after discovery had its drain, {served} to all hosts");
-    Ok(if late == 0 { Verdict::Held(text) } else { Verdict::Broken(text) })
+    Ok(if late == 0 {
+        Verdict::Held(text)
+    } else {
+        Verdict::Broken(text)
+    })
 }
--- a/review/common-2/agent.rs
+++ b/review/common-2/agent.rs
@@ -1,4 +1,4 @@
-//! Discovery's agent on the balancer's machine. It answers with what it has been sent; while discovery is down it is silent.
+//! Discovery's agent on the balancer's machine. It answers with what it has been sent, at once or slowly.
 use std::io::{self, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Condvar, Mutex};
@@ -12,7 +12,6 @@
     /// The version, and each server's entry with the version of its last change.
     index: u64,
     entries: Vec<(String, String, u64)>,
-    down: bool,
     /// Time that each answer takes.
     takes: Duration,
 }
@@ -28,11 +27,12 @@
 impl Agent {
     /// An agent with version 1 of a list, given as names and entries.
     pub fn start(record: &Arc<Record>, entries: &[(String, String)]) -> io::Result<Self> {
-        let entries = entries.iter().map(|(name, entry)| (name.clone(), entry.clone(), 1));
+        let entries = entries
+            .iter()
+            .map(|(name, entry)| (name.clone(), entry.clone(), 1));
         let state = State {
             index: 1,
             entries: entries.collect(),
-            down: false,
             takes: Duration::ZERO,
         };
         let state = Arc::new((Mutex::new(state), Condvar::new()));
@@ -40,7 +40,11 @@
         let address = serve(move |socket| {
             let _ = answer_calls(socket, &shared, &log);
         })?;
-        Ok(Agent { state, record: Arc::clone(record), address })
+        Ok(Agent {
+            state,
+            record: Arc::clone(record),
+            address,
+        })
     }
 
     fn change(&self, change: impl FnOnce(&mut State)) {
@@ -60,20 +64,19 @@
         });
     }
 
-    /// Discovery goes down, or returns.
-    pub fn set_down(&self, down: bool) {
-        self.record.note(if down { "agent: discovery is down" } else { "agent: discovery is back" });
-        self.change(|state| state.down = down);
-    }
-
     /// Each answer takes so long from now on.
     pub fn set_slow(&self, takes: Duration) {
-        self.record.note(&format!("agent: answers take {} ms", takes.as_millis()));
+        self.record
+            .note(&format!("agent: answers take {} ms", takes.as_millis()));
         self.change(|state| state.takes = takes);
     }
 }
 
-fn answer_calls(socket: TcpStream, shared: &(Mutex<State>, Condvar), record: &Record) -> io::Result<()> {
+fn answer_calls(
+    socket: TcpStream,
+    shared: &(Mutex<State>, Condvar),
+    record: &Record,
+) -> io::Result<()> {
     let mut reader = Reader::new(socket);
     while let Some(request) = reader.line()? {
         while reader.line()?.is_some_and(|line| !line.is_empty()) {}
@@ -100,16 +103,23 @@
     Ok(())
 }
 
-/// The list that answers a call, once there is something newer or its time is over, and discovery is there.
-fn wait_for_list(shared: &(Mutex<State>, Condvar), from: Option<u64>, until: Instant) -> (String, Duration) {
+/// The list that answers a call, once there is something newer or its time is over.
+fn wait_for_list(
+    shared: &(Mutex<State>, Condvar),
+    from: Option<u64>,
+    until: Instant,
+) -> (String, Duration) {
     let (state, changed) = shared;
     let mut state = state.lock().unwrap();
     loop {
         let is_newer = from.is_none_or(|from| from != state.index);
-        if !state.down && (is_newer || Instant::now() >= until) {
+        if is_newer || Instant::now() >= until {
             break;
         }
-        state = changed.wait_timeout(state, Duration::from_millis(5)).unwrap().0;
+        state = changed
+            .wait_timeout(state, Duration::from_millis(5))
+            .unwrap()
+            .0;
     }
     let full = from.is_none_or(|from| from > state.index);
     let entries: Vec<&str> = state
--- a/review/common-2/balancer.rs
+++ b/review/common-2/balancer.rs
@@ -2,6 +2,7 @@
 use std::fs;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::unix::process::CommandExt;
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -14,6 +15,17 @@
 /// `run` of the deploy file.
 const RUN: &str = "exec target/release/stairfront";
 
+extern "C" {
+    fn kill(process: i32, signal: i32) -> i32;
+    fn prctl(option: i32, value: u64) -> i32;
+}
+
+/// The signals of Linux that the cases send.
+pub const SIGKILL: i32 = 9;
+pub const SIGTERM: i32 = 15;
+/// The option by which a process gets a signal as the one that started it ends.
+const PR_SET_PDEATHSIG: i32 = 1;
+
 /// All processes that were started and not waited for.
 static STARTED: Mutex<Vec<Child>> = Mutex::new(Vec::new());
 
@@ -30,7 +42,8 @@
     static NEXT: AtomicU32 = AtomicU32::new(1);
     let [_, _, high, low] = std::process::id().to_be_bytes();
     let host = NEXT.fetch_add(1, Ordering::Relaxed) as u8;
-    let listener = TcpListener::bind(SocketAddr::from(([127, 128 + high % 64, low, host], 0))).unwrap();
+    let listener =
+        TcpListener::bind(SocketAddr::from(([127, 128 + high % 64, low, host], 0))).unwrap();
     listener.local_addr().unwrap()
 }
 
@@ -75,9 +88,23 @@
 
 impl Balancer {
     /// Starts one with this configuration file and this address for operators. `state` is its `$TMPDIR`.
-    pub fn start(rig: &Rig, name: &str, config: &Path, ops: SocketAddr, state: &Path) -> Result<Self, Failure> {
+    pub fn start(
+        rig: &Rig,
+        name: &str,
+        config: &Path,
+        ops: SocketAddr,
+        state: &Path,
+    ) -> Result<Self, Failure> {
         let log = fs::File::create(rig.folder.join(format!("{name}.log")))?;
-        let child = Command::new("/bin/sh")
+        let mut command = Command::new("/bin/sh");
+        // SAFETY: a system call that takes two numbers. No balancer outlives its case.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL as u64);
+                Ok(())
+            });
+        }
+        let child = command
             .args(["-c", RUN])
             .env("ROUTER_NAME", "n1")
             .env("ROUTER_CONFIG", config)
@@ -89,7 +116,8 @@
             .spawn()?;
         let pid = child.id();
         STARTED.lock().unwrap().push(child);
-        rig.record.note(&format!("{name}: started as process {pid}, ops {ops}"));
+        rig.record
+            .note(&format!("{name}: started as process {pid}, ops {ops}"));
         Ok(Balancer { ops, pid })
     }
 
@@ -105,13 +133,12 @@
         Err("a balancer was not ready in time".into())
     }
 
-    /// Sends a signal, such as `TERM`.
-    pub fn signal(&self, name: &str) -> Result<(), Failure> {
-        let status = Command::new("kill").arg(format!("-{name}")).arg(self.pid.to_string()).status()?;
-        if status.success() {
-            Ok(())
-        } else {
-            Err(format!("signal {name} not sent").into())
+    /// Sends a signal.
+    pub fn signal(&self, signal: i32) -> Result<(), Failure> {
+        // SAFETY: a system call that takes two numbers; the process is a child that was not waited for.
+        match unsafe { kill(self.pid as i32, signal) } {
+            0 => Ok(()),
+            _ => Err(format!("signal {signal} not sent").into()),
         }
     }
 
@@ -127,7 +154,9 @@
 pub fn call(ops: SocketAddr, method: &str, path: &str) -> Option<u16> {
     let mut socket = TcpStream::connect_timeout(&ops, Duration::from_millis(500)).ok()?;
     socket.set_read_timeout(Some(Duration::from_secs(2))).ok()?;
-    socket.write_all(format!("{method} {path} HTTP/1.1\r\nHost: ops\r\n\r\n").as_bytes()).ok()?;
+    socket
+        .write_all(format!("{method} {path} HTTP/1.1\r\nHost: ops\r\n\r\n").as_bytes())
+        .ok()?;
     let mut answer = String::new();
     let _ = socket.read_to_string(&mut answer);
     answer.split(' ').nth(1)?.parse().ok()
--- a/review/common-2/client.rs
+++ b/review/common-2/client.rs
@@ -43,8 +43,12 @@
             Err(error) if is_late(&error) => return Answer::Nothing,
             Err(_) => return Answer::Ended,
         };
-        let length = line.strip_prefix('$').and_then(|length| length.parse::<usize>().ok());
-        let Some(length) = length else { return Answer::Line(line) };
+        let length = line
+            .strip_prefix('$')
+            .and_then(|length| length.parse::<usize>().ok());
+        let Some(length) = length else {
+            return Answer::Line(line);
+        };
         let mut value = Vec::new();
         while value.len() < length + 2 {
             let part = (length + 2 - value.len()).min(1024);
@@ -60,7 +64,10 @@
 }
 
 fn is_late(error: &io::Error) -> bool {
-    matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut)
+    matches!(
+        error.kind(),
+        io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut
+    )
 }
 
 /// A read, whose client waits for `ms`.
@@ -70,7 +77,13 @@
 
 /// A write of the class that must not run twice.
 pub fn set(key: &str, id: &str, ms: u64, value: &str) -> Vec<u8> {
-    array(&["C.SET", key, id, &format!("c=seat-book,t=acme,d={ms}"), value])
+    array(&[
+        "C.SET",
+        key,
+        id,
+        &format!("c=seat-book,t=acme,d={ms}"),
+        value,
+    ])
 }
 
 fn array(words: &[&str]) -> Vec<u8> {
--- a/review/common-2/servers.rs
+++ b/review/common-2/servers.rs
@@ -31,7 +31,10 @@
 
     /// What has come to one server.
     pub fn at(&self, server: &str) -> Vec<Begun> {
-        self.all().into_iter().filter(|begun| begun.server == server).collect()
+        self.all()
+            .into_iter()
+            .filter(|begun| begun.server == server)
+            .collect()
     }
 
     fn add(&self, begun: Begun) {
@@ -46,14 +49,23 @@
     /// Turns it away.
     Busy,
     /// Begins a value of so many bytes, brings a part of it, and its connection is reset after a time.
-    Cut { length: usize, brought: usize, after: Duration },
+    Cut {
+        length: usize,
+        brought: usize,
+        after: Duration,
+    },
 }
 
 /// How a cache host reacts to requests.
 pub type Reactions = Arc<dyn Fn(&Begun) -> Reaction + Send + Sync>;
 
 /// Starts a cache host and returns its address.
-pub fn cache(record: &Arc<Record>, work: &Work, name: &str, reactions: Reactions) -> io::Result<SocketAddr> {
+pub fn cache(
+    record: &Arc<Record>,
+    work: &Work,
+    name: &str,
+    reactions: Reactions,
+) -> io::Result<SocketAddr> {
     let (record, work, server) = (Arc::clone(record), work.clone(), name.to_string());
     serve(move |socket| {
         let _ = serve_cache(socket, &record, &work, &server, &reactions);
@@ -93,7 +105,10 @@
 
 impl Reader {
     pub fn new(socket: TcpStream) -> Self {
-        Reader { socket, buffer: Vec::new() }
+        Reader {
+            socket,
+            buffer: Vec::new(),
+        }
     }
 
     /// Reads more; false at the end.
@@ -130,17 +145,26 @@
 
     /// The next command: an array of bulk strings.
     fn command(&mut self) -> io::Result<Option<Vec<Vec<u8>>>> {
-        let Some(head) = self.line()? else { return Ok(None) };
+        let Some(head) = self.line()? else {
+            return Ok(None);
+        };
         let Some(count) = head.strip_prefix('*').and_then(|n| n.parse::<usize>().ok()) else {
             return Ok(None);
         };
         let mut words = Vec::new();
         for _ in 0..count {
-            let Some(length) = self.line()? else { return Ok(None) };
-            let Some(length) = length.strip_prefix('$').and_then(|n| n.parse::<usize>().ok()) else {
+            let Some(length) = self.line()? else {
+                return Ok(None);
+            };
+            let Some(length) = length
+                .strip_prefix('$')
+                .and_then(|n| n.parse::<usize>().ok())
+            else {
+                return Ok(None);
+            };
+            let Some(mut word) = self.bytes(length + 2)? else {
                 return Ok(None);
             };
-            let Some(mut word) = self.bytes(length + 2)? else { return Ok(None) };
             word.truncate(length);
             words.push(word);
         }
@@ -157,7 +181,8 @@
 ) -> io::Result<()> {
     let mut reader = Reader::new(socket);
     while let Some(words) = reader.command()? {
-        let word = |at: usize| String::from_utf8_lossy(words.get(at).map_or(&[][..], |w| w)).into_owned();
+        let word =
+            |at: usize| String::from_utf8_lossy(words.get(at).map_or(&[][..], |w| w)).into_owned();
         let verb = word(0).to_ascii_uppercase();
         match verb.as_str() {
             "C.GET" | "C.SET" => {}
@@ -181,7 +206,13 @@
             key: word(1),
             id: word(2),
         };
-        record.note(&format!("{server}: begins {} {} {} {}", begun.verb, begun.key, begun.id, word(3)));
+        record.note(&format!(
+            "{server}: begins {} {} {} {}",
+            begun.verb,
+            begun.key,
+            begun.id,
+            word(3)
+        ));
         work.add(begun.clone());
         match reactions(&begun) {
             Reaction::Value(takes, value) => {
@@ -196,13 +227,20 @@
                 reader.socket.write_all(b"-BUSY\r\n")?;
                 record.note(&format!("{server}: turned {} away", begun.id));
             }
-            Reaction::Cut { length, brought, after } => {
+            Reaction::Cut {
+                length,
+                brought,
+                after,
+            } => {
                 let mut answer = format!("*3\r\n${length}\r\n").into_bytes();
                 answer.extend(std::iter::repeat_n(b'v', brought));
                 reader.socket.write_all(&answer)?;
                 sleep(after);
                 reset(&reader.socket);
-                record.note(&format!("{server}: connection of {} reset within its answer", begun.id));
+                record.note(&format!(
+                    "{server}: connection of {} reset within its answer",
+                    begun.id
+                ));
                 return Ok(());
             }
         }
@@ -218,7 +256,8 @@
         seconds: i32,
     }
     extern "C" {
-        fn setsockopt(socket: i32, level: i32, name: i32, value: *const Linger, length: u32) -> i32;
+        fn setsockopt(socket: i32, level: i32, name: i32, value: *const Linger, length: u32)
+            -> i32;
     }
     const SOL_SOCKET: i32 = 1;
     const SO_LINGER: i32 = 13;
@@ -227,7 +266,12 @@
     unsafe { setsockopt(socket.as_raw_fd(), SOL_SOCKET, SO_LINGER, &linger, 8) };
 }
 
-fn serve_origin(socket: TcpStream, record: &Record, work: &Work, takes: Duration) -> io::Result<()> {
+fn serve_origin(
+    socket: TcpStream,
+    record: &Record,
+    work: &Work,
+    takes: Duration,
+) -> io::Result<()> {
     let mut reader = Reader::new(socket);
     while let Some(request) = reader.line()? {
         let (mut id, mut length) = (String::new(), 0);
@@ -250,15 +294,30 @@
             at: record.now(),
             server: "origin".to_string(),
             verb: words.next().unwrap_or("").to_string(),
-            key: words.next().unwrap_or("").trim_start_matches('/').to_string(),
+            key: words
+                .next()
+                .unwrap_or("")
+                .trim_start_matches('/')
+                .to_string(),
             id,
         };
-        record.note(&format!("origin: begins {} {} {}", begun.verb, begun.key, begun.id));
+        record.note(&format!(
+            "origin: begins {} {} {}",
+            begun.verb, begun.key, begun.id
+        ));
         work.add(begun.clone());
         sleep(takes);
-        let body = if begun.verb == "PUT" { "receipt" } else { "value" };
+        let body = if begun.verb == "PUT" {
+            "receipt"
+        } else {
+            "value"
+        };
         reader.socket.write_all(
-            format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()).as_bytes(),
+            format!(
+                "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}",
+                body.len()
+            )
+            .as_bytes(),
         )?;
         record.note(&format!("origin: answered {}", begun.id));
     }
