An upgrade shares permits for clients: each belongs to one process at a time

Cause: the old process reported once how many permits it had in use, and both went on taking from the rest. The new one waited, without a limit in time, for a permit for each connection handed over beyond that number, and everything behind that connection waited with it.

Once the new process can serve, it accepts alone and gets the old one's free permits, and each further one as it is released; a connection brings its permit along, and one without any is served at once. The end of either process gives the other what it had. Packets tell a revision; an earlier build is sent nothing that it does not know, and its forms stay byte for byte. Three processes at once: each counts what it gave away, of permits, server connections and id files, and the middle one ends after the first.

--- a/crates/stairfront-balancer/src/client/accept.rs
+++ b/crates/stairfront-balancer/src/client/accept.rs
@@ -6,21 +6,26 @@
 use std::time::Duration;
 
 use tokio::sync::mpsc;
-use tokio::task::spawn_local;
+use tokio::task::{spawn_local, JoinHandle};
 use tokio_util::task::TaskTracker;
 use tracing::warn;
 
 use crate::arrival::{InputWatch, PollClock};
-use crate::client::admission::{ClientPermit, PermitSource};
+use crate::client::admission::PermitSource;
 use crate::client::context::ClientContext;
 use crate::client::ending::serve_connection;
-use crate::clock::{sleep, Instant};
+use crate::client::permits::{ClientPermit, ClientPermits};
+use crate::clock::{sleep, timeout, Instant};
 use crate::lifecycle::handover::HandedOverConnection;
 use crate::transport::{Listener, Stream};
 
 /// Pause after an accept that failed for want of descriptors or memory.
 const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(10);
 
+/// How long a process that hands its connections over waits for the end of the process before it, which was told to end
+/// earlier.
+const PREDECESSOR_END_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// A connection that has been accepted, here or by the old process.
 pub(super) struct AcceptedConnection<T> {
     pub(super) socket: T,
@@ -58,10 +63,9 @@
 pub async fn serve<L: Listener>(
     listener: L,
     context: Rc<ClientContext>,
-    max_clients: usize,
     handed_over: mpsc::Receiver<HandedOverConnection>,
 ) {
-    let mut permits = PermitSource::new(&context.permits, max_clients);
+    let mut permits = PermitSource::new(&context.permits);
     let tasks = TaskTracker::new();
     let mut phase = context.phase.clone();
     let adopting = spawn_local(adopt_connections::<L::Stream>(
@@ -74,13 +78,13 @@
     while !phase.borrow().hands_over() {
         let accepted = tokio::select! {
             biased;
-            accepted = accept_next(&listener, &waiting) => accepted,
+            accepted = accept_in_turn(&listener, &waiting, &context.permits) => accepted,
             _ = phase.wait_for(|phase| phase.listener_closed()) => break,
         };
         match accepted {
             Ok(accepted) => {
                 context.counters.client_connections_accepted.add();
-                permits.relieve(&context.pressure, context.held_by_predecessor.get());
+                permits.relieve(&context.pressure);
                 let Ok(permit) = permits.next(&context.pressure).await else {
                     break;
                 };
@@ -94,11 +98,37 @@
         }
     }
     drop(listener);
-    adopting.abort();
+    stop_adopting(adopting, &context).await;
     tasks.close();
     tasks.wait().await;
 }
 
+/// Ends the adoption of connections. What the process before this one still hands over goes on to the successor, where
+/// there is one; the other process then ends first.
+async fn stop_adopting(mut adopting: JoinHandle<()>, context: &ClientContext) {
+    if context.phase.borrow().hands_over() {
+        // A process that does not end by itself must not keep this one from ending.
+        let _ = timeout(PREDECESSOR_END_TIMEOUT, &mut adopting).await;
+    }
+    adopting.abort();
+}
+
+/// The next connection, while this process of the balancer is the one that accepts.
+async fn accept_in_turn<L: Listener>(
+    listener: &L,
+    waiting: &InputWatch,
+    permits: &ClientPermits,
+) -> io::Result<AcceptedConnection<L::Stream>> {
+    loop {
+        waiting.note_empty(permits.until_accepting().await);
+        tokio::select! {
+            biased;
+            () = permits.until_not_accepting() => {}
+            accepted = accept_next(listener, waiting) => return accepted,
+        }
+    }
+}
+
 /// The next connection. It may have waited, with commands on it, since none was last seen waiting.
 async fn accept_next<L: Listener>(
     listener: &L,
@@ -124,17 +154,7 @@
     tasks: TaskTracker,
 ) {
     while let Some(connection) = handed_over.recv().await {
-        let permit = match context.held_by_predecessor.get().checked_sub(1) {
-            Some(left) => {
-                context.held_by_predecessor.set(left);
-                ClientPermit::inherited(&context.permits)
-            }
-            // The old process has accepted it after it had reported its number of connections.
-            None => match ClientPermit::acquire(&context.permits).await {
-                Ok(permit) => permit,
-                Err(_) => return,
-            },
-        };
+        let permit = ClientPermit::inherited(context.permits.inherit());
         match AcceptedConnection::<T>::adopt(connection, &context.polls) {
             Ok(accepted) => {
                 let serving = serve_connection(accepted, Rc::clone(&context), permit);
@@ -143,7 +163,7 @@
             Err(error) => warn!(%error, "connection of the predecessor lost"),
         }
     }
-    // The permits of the connections that the old process has kept to its end.
-    let released = context.held_by_predecessor.take();
-    context.permits.add_permits(released);
+    context
+        .permits
+        .predecessor_ended(context.polls.last_poll_without());
 }
--- a/crates/stairfront-balancer/src/client/admission.rs
+++ b/crates/stairfront-balancer/src/client/admission.rs
@@ -5,8 +5,9 @@
 use std::time::Duration;
 
 use futures_util::FutureExt;
-use tokio::sync::{AcquireError, Notify, OwnedSemaphorePermit, Semaphore};
+use tokio::sync::{AcquireError, Notify, Semaphore};
 
+use crate::client::permits::{ClientPermit, ClientPermits};
 use crate::clock::timeout;
 use crate::configuration::limits::MAX_SPARE_CONNECTIONS;
 
@@ -40,6 +41,12 @@
         notify.notify_one();
     }
 
+    /// Asks one connection to make room, if one can at once.
+    pub(crate) fn relieve(&self) {
+        self.apply();
+        self.withdraw();
+    }
+
     /// Takes back what no connection has been woken by: it would close the next one to become idle.
     fn withdraw(&self) {
         for notify in [&self.silent, &self.idle] {
@@ -65,90 +72,26 @@
     }
 }
 
-/// A connection's part of the limit on sockets, given back as it ends.
-pub(super) struct ClientPermit {
-    /// Whether it is beyond the limit: requests on such a connection are refused.
-    pub(super) spare: bool,
-    _hold: PermitHold,
-}
-
-impl ClientPermit {
-    fn usual(permit: OwnedSemaphorePermit) -> Self {
-        ClientPermit {
-            spare: false,
-            _hold: PermitHold::Own { _permit: permit },
-        }
-    }
-
-    fn spare(permit: OwnedSemaphorePermit) -> Self {
-        ClientPermit {
-            spare: true,
-            _hold: PermitHold::Own { _permit: permit },
-        }
-    }
-
-    /// The permit of a connection from the old process, by which it is returned here.
-    pub(super) fn inherited(permits: &Arc<Semaphore>) -> Self {
-        ClientPermit {
-            spare: false,
-            _hold: PermitHold::Inherited {
-                _permit: InheritedPermit(Arc::clone(permits)),
-            },
-        }
-    }
-
-    /// The next usual permit that is free.
-    pub(super) async fn acquire(permits: &Arc<Semaphore>) -> Result<Self, AcquireError> {
-        let permit = Arc::clone(permits).acquire_owned().await;
-        permit.map(ClientPermit::usual)
-    }
-
-    /// A usual permit, if one is free.
-    pub(super) fn try_acquire(permits: &Arc<Semaphore>) -> Option<Self> {
-        let permit = Arc::clone(permits).try_acquire_owned().ok();
-        permit.map(ClientPermit::usual)
-    }
-}
-
-enum PermitHold {
-    Own { _permit: OwnedSemaphorePermit },
-    Inherited { _permit: InheritedPermit },
-}
-
-/// A permit that a connection has brought from the old process, and leaves here when it ends. Had it to wait behind new
-/// connections for a permit, its client would wait with it.
-struct InheritedPermit(Arc<Semaphore>);
-
-impl Drop for InheritedPermit {
-    fn drop(&mut self) {
-        self.0.add_permits(1);
-    }
-}
-
 /// Gives permits to accepted connections.
 pub(super) struct PermitSource {
-    permits: Arc<Semaphore>,
+    permits: Rc<ClientPermits>,
     spare_permits: Arc<Semaphore>,
-    max_clients: usize,
     wait: Duration,
 }
 
 impl PermitSource {
-    pub(super) fn new(permits: &Arc<Semaphore>, max_clients: usize) -> Self {
+    pub(super) fn new(permits: &Rc<ClientPermits>) -> Self {
         PermitSource {
-            permits: Arc::clone(permits),
+            permits: Rc::clone(permits),
             spare_permits: Arc::new(Semaphore::new(MAX_SPARE_CONNECTIONS)),
-            max_clients,
             wait: MAX_PERMIT_WAIT,
         }
     }
 
     /// Has an idle connection close in advance where few permits are free. Those of the old process come back soon.
-    pub(super) fn relieve(&self, pressure: &ConnectionPressure, held_by_predecessor: usize) {
-        let free = self.permits.available_permits() + held_by_predecessor;
-        if free < self.max_clients / LOW_CAPACITY_DIVISOR {
-            pressure.apply();
-            pressure.withdraw();
+    pub(super) fn relieve(&self, pressure: &ConnectionPressure) {
+        if self.permits.available() < self.permits.limit() / LOW_CAPACITY_DIVISOR {
+            pressure.relieve();
         }
     }
 
@@ -169,18 +112,19 @@
     }
 
     async fn acquire(&self, pressure: &ConnectionPressure) -> Result<ClientPermit, AcquireError> {
-        if let Some(permit) = ClientPermit::try_acquire(&self.permits) {
-            return Ok(permit);
+        if let Some(permit) = self.permits.try_acquire() {
+            return Ok(ClientPermit::usual(permit));
         }
         pressure.apply();
-        let waited = timeout(self.wait, ClientPermit::acquire(&self.permits)).await;
+        self.permits.want();
+        let waited = timeout(self.wait, self.permits.acquire()).await;
         pressure.withdraw();
         if let Ok(permit) = waited {
-            return permit;
+            return permit.map(ClientPermit::usual);
         }
         tokio::select! {
             biased;
-            permit = ClientPermit::acquire(&self.permits) => permit,
+            permit = self.permits.acquire() => permit.map(ClientPermit::usual),
             permit = Arc::clone(&self.spare_permits).acquire_owned() => permit.map(ClientPermit::spare),
         }
     }
--- a/crates/stairfront-balancer/src/client/connection.rs
+++ b/crates/stairfront-balancer/src/client/connection.rs
@@ -11,13 +11,14 @@
 use tokio_util::codec::{Framed, FramedParts};
 
 use crate::client::accept::AcceptedConnection;
-use crate::client::admission::{ClientPermit, SilentGuard};
+use crate::client::admission::SilentGuard;
 use crate::client::codec::ClientCodec;
 use crate::client::context::ClientContext;
 use crate::client::ending::ConnectionEnd;
 use crate::client::idle::SPARE_TIMEOUT;
 use crate::client::memory_wait::MemoryWait;
 use crate::client::pacing::CommandPacer;
+use crate::client::permits::ClientPermit;
 use crate::client::read::next_input;
 use crate::clock::{sleep, sleep_until, Instant};
 use crate::lifecycle::shutdown::Phase;
--- a/crates/stairfront-balancer/src/client/context.rs
+++ b/crates/stairfront-balancer/src/client/context.rs
@@ -1,14 +1,14 @@
 //! The context that all client connections share.
 use std::cell::Cell;
 use std::rc::Rc;
-use std::sync::Arc;
 
 use stairfront_policy::interface::RequestId;
-use tokio::sync::{mpsc, watch, Semaphore};
+use tokio::sync::{mpsc, watch};
 
 use crate::arrival::PollClock;
 use crate::client::admission::ConnectionPressure;
 use crate::client::pacing::PausedCount;
+use crate::client::permits::ClientPermits;
 use crate::client::read::ScratchBuffer;
 use crate::counters::Counters;
 use crate::lifecycle::handover::HandoverChannel;
@@ -30,11 +30,9 @@
     /// How far the end of this process has come.
     pub phase: watch::Receiver<Phase>,
     /// Has idle connections make room.
-    pub pressure: ConnectionPressure,
+    pub pressure: Rc<ConnectionPressure>,
     /// Permits for client connections.
-    pub permits: Arc<Semaphore>,
-    /// Permits that belong to the old process until it hands over their connections or ends.
-    pub held_by_predecessor: Cell<usize>,
+    pub permits: Rc<ClientPermits>,
     /// The process that takes over, once there is one.
     pub successor: Rc<HandoverChannel>,
     /// Number of connections that are paused, since they send commands at full speed.
--- a/crates/stairfront-balancer/src/client/ending.rs
+++ b/crates/stairfront-balancer/src/client/ending.rs
@@ -10,9 +10,9 @@
 use tracing::{debug, warn};
 
 use crate::client::accept::AcceptedConnection;
-use crate::client::admission::ClientPermit;
 use crate::client::connection::{Connection, ConnectionState, PendingReply};
 use crate::client::context::ClientContext;
+use crate::client::permits::ClientPermit;
 use crate::clock::{sleep, timeout};
 use crate::lifecycle::handover::HandedOverConnection;
 use crate::lifecycle::shutdown::Phase;
@@ -58,7 +58,7 @@
         match hand_over(connection).await {
             Ok(permit) => {
                 context.counters.client_connections_open.sub();
-                return drop(permit);
+                return context.permits.give(permit);
             }
             Err(Some(kept)) => connection = kept,
             // The socket is broken.
--- a/crates/stairfront-balancer/src/client/idle.rs
+++ b/crates/stairfront-balancer/src/client/idle.rs
@@ -1,8 +1,9 @@
 //! How long a connection may be without a whole command or an open request.
 use std::time::Duration;
 
-use crate::client::admission::{ClientPermit, SilentGuard};
+use crate::client::admission::SilentGuard;
 use crate::client::connection::{CloseReason, Connection, ConnectionState};
+use crate::client::permits::ClientPermit;
 use crate::clock::Instant;
 use crate::transport::Stream;
 
@@ -69,8 +70,8 @@
     /// Whether it has only a spare permit. It takes a usual one as soon as one is free.
     pub(super) fn is_spare(&mut self) -> bool {
         if self.permit.spare {
-            if let Some(permit) = ClientPermit::try_acquire(&self.context.permits) {
-                self.permit = permit;
+            if let Some(permit) = self.context.permits.try_acquire() {
+                self.permit = ClientPermit::usual(permit);
                 self.spare_until = None;
             }
         }
--- a/crates/stairfront-balancer/src/engine/mod.rs
+++ b/crates/stairfront-balancer/src/engine/mod.rs
@@ -32,6 +32,7 @@
 use crate::control::pending_order::PendingOrder;
 use crate::control::server_list::{cache_id, ServerList};
 use crate::counters::{Counters, OriginUsage};
+use crate::lifecycle::handover::OtherProcess;
 use crate::lifecycle::handover_state::{HandoverState, Snapshot};
 use crate::lifecycle::id_log::{IdLogFiles, UpgradeSide};
 use crate::lifecycle::loop_monitor::{admission_settings, RuntimeHandles};
@@ -114,8 +115,10 @@
     origin: Rc<OriginUsage>,
     record: CordonRecord,
     id_log: IdLogFiles,
-    /// Whether this process takes over from another one.
+    /// Whether the process from which this one takes over is there.
     has_predecessor: bool,
+    /// Whether a process that takes over from this one is there.
+    has_successor: bool,
     catalog: Rc<RefCell<RequestCatalog>>,
     /// Ends of attempts that the decision module has not been notified of.
     ended_attempts: VecDeque<AttemptEnd>,
@@ -148,6 +151,7 @@
             clock: handles.runtime.clock,
             table,
             has_predecessor: handles.has_predecessor,
+            has_successor: false,
             pool,
             timers: DelayQueue::new(),
             counters: handles.runtime.counters,
@@ -188,9 +192,10 @@
             // Those of processes that were killed.
             self.id_log.remove();
         } else {
-            self.table
-                .used_ids
-                .share(self.id_log.open(UpgradeSide::Successor));
+            self.table.used_ids.share(
+                OtherProcess::Predecessor,
+                self.id_log.open(UpgradeSide::Successor),
+            );
         }
         loop {
             tokio::select! {
@@ -246,13 +251,7 @@
                 let by = self.clock.at(requested_at) + self.min_remaining_lifetime;
                 self.notify_policy(Event::ShuttingDown { by });
             }
-            EngineEvent::PeerEnded => {
-                self.memory.set_shared(false);
-                self.table.used_ids.share(None);
-                self.id_log.remove();
-                self.pool.use_all_connections(&mut self.ended_attempts);
-                self.time_socket_waits();
-            }
+            EngineEvent::PeerEnded(other) => self.end_sharing(other),
             EngineEvent::Pool(event) => {
                 self.pool.handle(event, &mut self.ended_attempts);
                 self.time_socket_waits();
@@ -269,6 +268,22 @@
         self.process_ended_attempts();
     }
 
+    /// Takes what was shared with another process of this balancer, which has ended.
+    fn end_sharing(&mut self, other: OtherProcess) {
+        match other {
+            OtherProcess::Predecessor => self.has_predecessor = false,
+            OtherProcess::Successor => self.has_successor = false,
+        }
+        self.pool
+            .take_connections_of(other, &mut self.ended_attempts);
+        self.time_socket_waits();
+        self.table.used_ids.share(other, None);
+        if !self.has_predecessor && !self.has_successor {
+            self.memory.set_shared(false);
+            self.id_log.remove();
+        }
+    }
+
     fn handle_arrival(&mut self, arrival: Arrival) {
         let waited = self.clock.now() - arrival.arrived_at;
         self.admission.borrow_mut().record_message_delay(waited);
@@ -314,6 +329,7 @@
     }
 
     fn snapshot(&mut self, reply: oneshot::Sender<Snapshot>) {
+        self.has_successor = true;
         self.memory.set_shared(true);
         self.share_ids();
         let state = HandoverState {
@@ -332,9 +348,10 @@
     /// Shares the ids of requests with a successor, before that is welcomed: those that are remembered, and those that are
     /// open now.
     fn share_ids(&mut self) {
-        self.table
-            .used_ids
-            .share(self.id_log.open(UpgradeSide::Predecessor));
+        self.table.used_ids.share(
+            OtherProcess::Successor,
+            self.id_log.open(UpgradeSide::Predecessor),
+        );
         let used: Vec<IdHash> = self.table.used_ids.iter().collect();
         let open = self.table.open.values();
         let open = open.filter(|open| !open.command.idempotent && open.attempts_sent > 0);
--- a/crates/stairfront-balancer/src/lifecycle/assembly.rs
+++ b/crates/stairfront-balancer/src/lifecycle/assembly.rs
@@ -5,18 +5,18 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::rc::Rc;
-use std::sync::Arc;
 
 use stairfront_membership_agent::MembershipAgent;
 use stairfront_policy::interface::Settings;
 use stairfront_raft_node::{AgreementSection, RaftNode, RaftNodeSettings};
 use stairfront_settings::LoadedSettings;
-use tokio::sync::{mpsc, watch, Notify, Semaphore};
+use tokio::sync::{mpsc, watch, Notify};
 use tokio::task::{spawn_local, JoinHandle};
 use tracing::info;
 
 use crate::client::admission::ConnectionPressure;
 use crate::client::context::ClientContext;
+use crate::client::permits::ClientPermits;
 use crate::clock::{timer_duration, Instant};
 use crate::configuration::config::Config;
 use crate::configuration::limits::{stall_timeout, Sockets};
@@ -95,7 +95,8 @@
     maintenance: Rc<OnceCell<Rc<MaintenanceService>>>,
     poll_agent: Rc<Notify>,
     lists: Rc<ListFreshness>,
-    client_permits: Arc<Semaphore>,
+    client_permits: Rc<ClientPermits>,
+    pressure: Rc<ConnectionPressure>,
 }
 
 impl Assembly {
@@ -119,8 +120,8 @@
         runtime
             .memory
             .set_shared(dependencies.predecessor.is_some());
-        let held_clients = connections_held_by(dependencies.predecessor.as_ref()).clients;
-        let free_clients = config.sockets.clients.saturating_sub(held_clients);
+        let client_permits =
+            client_permits(config.sockets.clients, dependencies.predecessor.as_ref());
         let predecessor = Rc::new(HandoverChannel::default());
         let successor = Rc::clone(&dependencies.successor);
         let assembly = Assembly {
@@ -148,7 +149,8 @@
             maintenance: Rc::new(OnceCell::new()),
             poll_agent: Rc::new(Notify::new()),
             lists: Rc::default(),
-            client_permits: Arc::new(Semaphore::new(free_clients)),
+            client_permits: Rc::new(client_permits),
+            pressure: Rc::default(),
         };
         let engine_ends = EngineEnds {
             events: engine_events,
@@ -165,7 +167,8 @@
     ) -> UpstreamPool<N> {
         let settings = PoolSettings {
             max_connections: self.sockets.servers,
-            held_by_predecessor: connections_held_by(predecessor).servers,
+            held_by_predecessor: predecessor
+                .map_or(0, |predecessor| predecessor.server_connections),
             connect_timeout: timer_duration(self.start.settings.limits.connect_timeout),
             servers_idle_timeout: timer_duration(self.start.host.idle_timeout),
             stall_timeout: stall_timeout(&self.start.settings),
@@ -205,7 +208,7 @@
         )
     }
 
-    pub(super) fn client_context(&self, predecessor: Option<&Predecessor>) -> Rc<ClientContext> {
+    pub(super) fn client_context(&self) -> Rc<ClientContext> {
         let parser = RequestParser {
             catalog: Rc::clone(&self.catalog),
             clock: self.runtime.clock,
@@ -222,9 +225,8 @@
             counters: Rc::clone(&self.runtime.counters),
             polls: Rc::clone(&self.runtime.polls),
             phase: self.phase.clone(),
-            pressure: ConnectionPressure::default(),
-            permits: Arc::clone(&self.client_permits),
-            held_by_predecessor: Cell::new(connections_held_by(predecessor).clients),
+            pressure: Rc::clone(&self.pressure),
+            permits: Rc::clone(&self.client_permits),
             successor: Rc::clone(&self.successor),
             paused: Rc::default(),
             scratch: Rc::default(),
@@ -383,9 +385,10 @@
             channel: Rc::clone(&self.successor),
             orders: self.orders.orders.clone(),
             events: self.events.clone(),
-            client_permits: Arc::clone(&self.client_permits),
+            client_permits: Rc::clone(&self.client_permits),
+            pressure: Rc::clone(&self.pressure),
+            polls: Rc::clone(&self.runtime.polls),
             resident: Rc::clone(&self.runtime.resident),
-            max_clients: self.sockets.clients,
             ready: self.ready.clone(),
             phase: self.phase.clone(),
         };
@@ -410,6 +413,8 @@
             channel: Rc::clone(&self.predecessor),
             orders: self.orders.orders.clone(),
             handed_over: sender,
+            client_permits: Rc::clone(&self.client_permits),
+            ready: self.ready.clone(),
             resident: Rc::clone(&self.runtime.resident),
             events: self.events.clone(),
         };
@@ -442,16 +447,9 @@
     }
 }
 
-/// Connections that the process before this one keeps until it hands them over or ends.
-#[derive(Clone, Copy, Default)]
-struct HeldConnections {
-    clients: usize,
-    servers: usize,
-}
-
-fn connections_held_by(predecessor: Option<&Predecessor>) -> HeldConnections {
-    predecessor.map_or(HeldConnections::default(), |predecessor| HeldConnections {
-        clients: predecessor.client_connections,
-        servers: predecessor.server_connections,
-    })
+fn client_permits(limit: usize, predecessor: Option<&Predecessor>) -> ClientPermits {
+    predecessor.map_or_else(
+        || ClientPermits::new(limit),
+        |predecessor| ClientPermits::inheriting(limit, predecessor.client_permits),
+    )
 }
--- a/crates/stairfront-balancer/src/lifecycle/id_log.rs
+++ b/crates/stairfront-balancer/src/lifecycle/id_log.rs
@@ -78,8 +78,10 @@
         }
         Some((|| {
             if is_new {
-                File::create(&own)?;
-                File::create(&other)?;
+                // An earlier upgrade that has not ended goes on with the files that it has open.
+                self.remove();
+                File::create_new(&own)?;
+                File::create_new(&other)?;
             }
             Ok(SharedIdLog {
                 own: OpenOptions::new().append(true).open(&own)?,
--- a/crates/stairfront-balancer/src/lifecycle/server.rs
+++ b/crates/stairfront-balancer/src/lifecycle/server.rs
@@ -179,7 +179,7 @@
 
     let pool = assembly.pool(network.clone(), predecessor.as_ref());
     let discovery = assembly.discovery_watch(network, agent, known.index);
-    let client_context = assembly.client_context(predecessor.as_ref());
+    let client_context = assembly.client_context();
     let mut tasks = BackgroundTasks::default();
     let group = assembly.join_group(&mut tasks, predecessor.is_none()).await;
     let handles = assembly.engine_handles(engine_ends.ready, group, state_directory);
@@ -202,9 +202,8 @@
     let engine = engine.run(known, inherited, engine_ends.events, engine_ends.orders);
 
     let mut engine = spawn_local(engine);
-    let max_clients = assembly.sockets.clients;
     let ended = tokio::select! {
-        () = accept::serve(listener, client_context, max_clients, handed_over) => Ok(()),
+        () = accept::serve(listener, client_context, handed_over) => Ok(()),
         ended = &mut engine => Err(io::Error::other(format!("the engine ended: {ended:?}"))),
     };
     assembly.leave_group().await;
--- a/crates/stairfront-balancer/src/messages.rs
+++ b/crates/stairfront-balancer/src/messages.rs
@@ -14,6 +14,7 @@
 
 use crate::clock::Instant;
 use crate::control::server_list::ServerList;
+use crate::lifecycle::handover::OtherProcess;
 use crate::lifecycle::handover_state::Snapshot;
 use crate::list_freshness::ListInTransit;
 use crate::memory::ledger::RequestMemory;
@@ -352,8 +353,8 @@
     ListCacheHosts(oneshot::Sender<Vec<ListedHost>>),
     /// New settings, which are taken over all at once.
     Retune(Box<SettingsUpdate>),
-    /// There is no other process of this balancer any more.
-    PeerEnded,
+    /// Another process of this balancer has ended.
+    PeerEnded(OtherProcess),
     /// The shutdown of this process has begun.
     ShuttingDown {
         /// When it was requested, at the earliest: the process may be killed after a time that counts from there.
--- a/crates/stairfront-balancer/src/stages/used_ids.rs
+++ b/crates/stairfront-balancer/src/stages/used_ids.rs
@@ -11,6 +11,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::clock::Instant;
+use crate::lifecycle::handover::OtherProcess;
 use crate::lifecycle::id_log::SharedIdLog;
 
 /// How long an id is remembered.
@@ -35,8 +36,10 @@
     used_at: FxHashMap<IdHash, Instant>,
     by_age: VecDeque<(Instant, IdHash)>,
     capacity: usize,
-    /// What the other process of this balancer has sent, while there is one.
-    shared: Option<SharedIdLog>,
+    /// What is shared with the process before this one, while there is one.
+    predecessor_log: Option<SharedIdLog>,
+    /// The same with the process that takes over from this one.
+    successor_log: Option<SharedIdLog>,
 }
 
 impl Default for UsedIds {
@@ -45,7 +48,8 @@
             used_at: FxHashMap::default(),
             by_age: VecDeque::new(),
             capacity: DEFAULT_CAPACITY,
-            shared: None,
+            predecessor_log: None,
+            successor_log: None,
         }
     }
 }
@@ -77,26 +81,29 @@
         self.by_age.iter().map(|(_, id)| *id)
     }
 
-    /// Shares what is sent with another process of this balancer; `None` once there is no other.
-    pub fn share(&mut self, log: Option<SharedIdLog>) {
+    /// Shares what is sent with another process of this balancer; `None` once that has ended.
+    pub fn share(&mut self, other: OtherProcess, log: Option<SharedIdLog>) {
         self.read_shared();
-        self.shared = log;
+        match other {
+            OtherProcess::Predecessor => self.predecessor_log = log,
+            OtherProcess::Successor => self.successor_log = log,
+        }
     }
 
-    /// Tells the other process that a request is about to be sent.
+    /// Tells the other processes that a request is about to be sent.
     pub fn announce(&mut self, id: IdHash) {
-        let Some(log) = &mut self.shared else {
-            return;
-        };
-        if let Err(error) = log.append(id) {
-            warn!(%error, "id of a request not shared with the other process");
-        }
+        append(&mut self.predecessor_log, id);
+        append(&mut self.successor_log, id);
     }
 
     fn read_shared(&mut self) {
-        let new = self.shared.as_mut().map(SharedIdLog::read_new);
-        for id in new.unwrap_or_default() {
+        for id in read(&mut self.predecessor_log) {
             self.insert(id);
+            append(&mut self.successor_log, id);
+        }
+        for id in read(&mut self.successor_log) {
+            self.insert(id);
+            append(&mut self.predecessor_log, id);
         }
     }
 
@@ -110,3 +117,14 @@
         }
     }
 }
+
+fn read(log: &mut Option<SharedIdLog>) -> Vec<IdHash> {
+    log.as_mut().map(SharedIdLog::read_new).unwrap_or_default()
+}
+
+fn append(log: &mut Option<SharedIdLog>, id: IdHash) {
+    let appended = log.as_mut().map(|log| log.append(id));
+    if let Some(Err(error)) = appended {
+        warn!(%error, "id of a request not shared with the other process");
+    }
+}
--- a/crates/stairfront-balancer/src/upstream/upstream_pool.rs
+++ b/crates/stairfront-balancer/src/upstream/upstream_pool.rs
@@ -13,6 +13,7 @@
 
 use crate::clock::Instant;
 use crate::counters::Counters;
+use crate::lifecycle::handover::OtherProcess;
 use crate::list_freshness::ListFreshness;
 use crate::memory::ledger::MemoryLedger;
 use crate::messages::{
@@ -88,6 +89,10 @@
     max_connections: usize,
     /// The same without another process of this balancer.
     max_connections_alone: usize,
+    /// Those that the process before this one keeps.
+    held_by_predecessor: usize,
+    /// Those that the process after this one has.
+    held_by_successor: usize,
     /// Number of closing connections that still hold their socket.
     closing: usize,
     waiting: VecDeque<Job>,
@@ -128,7 +133,8 @@
         counters: Rc<Counters>,
     ) -> Self {
         let max_connections_alone = settings.max_connections;
-        let max_connections = max_connections_alone.saturating_sub(settings.held_by_predecessor);
+        let held_by_predecessor = settings.held_by_predecessor.min(max_connections_alone);
+        let max_connections = max_connections_alone - held_by_predecessor;
         let context = ConnectionContext {
             network,
             events,
@@ -148,6 +154,8 @@
             connections: FxHashMap::default(),
             max_connections: max_connections.max(1),
             max_connections_alone,
+            held_by_predecessor,
+            held_by_successor: 0,
             closing: 0,
             waiting: VecDeque::new(),
             new_waits: Vec::new(),
@@ -239,26 +247,37 @@
         self.context.stall_timeout.set(stall_timeout);
     }
 
-    /// Leaves half of the connections to a successor, or fewer if more are in use here. Returns how many stay.
+    /// Leaves half of this process's connections to a successor, or fewer if more are in use here. Returns how many the
+    /// successor does not have.
     pub fn share_connections(&mut self) -> usize {
         let in_use = self
             .connections
             .values()
             .filter(|c| c.idle_since.is_none())
             .count();
-        self.max_connections = (self.max_connections_alone / 2)
-            .max(in_use)
-            .min(self.max_connections_alone - self.max_connections_alone / 4);
+        let own = self.max_connections_alone - self.held_by_predecessor;
+        let kept = (own / 2).max(in_use).min(own - own / 4);
+        self.held_by_successor = own - kept;
+        self.apply_shares();
         self.make_room();
-        self.max_connections
+        self.max_connections_alone - self.held_by_successor
     }
 
-    /// Uses all connections again, since there is no other process any more.
-    pub fn use_all_connections(&mut self, ends: &mut impl Extend<AttemptEnd>) {
-        self.max_connections = self.max_connections_alone;
+    /// Uses the connections of another process of this balancer, which has ended.
+    pub fn take_connections_of(&mut self, other: OtherProcess, ends: &mut impl Extend<AttemptEnd>) {
+        match other {
+            OtherProcess::Predecessor => self.held_by_predecessor = 0,
+            OtherProcess::Successor => self.held_by_successor = 0,
+        }
+        self.apply_shares();
         self.serve_waiting(ends);
     }
 
+    fn apply_shares(&mut self) {
+        let held = self.held_by_predecessor + self.held_by_successor;
+        self.max_connections = (self.max_connections_alone - held).max(1);
+    }
+
     /// Attempts that have begun to wait for a socket since the last call, and when `give_up_waiting` is due for each.
     pub fn new_waits(&mut self) -> std::vec::Drain<'_, (AttemptId, Instant)> {
         self.new_waits.drain(..)
--- a/crates/stairfront-balancer/tests/client_disconnects.rs
+++ b/crates/stairfront-balancer/tests/client_disconnects.rs
@@ -4,12 +4,11 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use std::sync::Arc;
 
 use bytes::Bytes;
 use common::{cache, commands, config, get, hit, line, ms, run, until, Client, Log};
 use stairfront_balancer::arrival::PollClock;
-use stairfront_balancer::client::{accept, admission::ConnectionPressure, context::ClientContext};
+use stairfront_balancer::client::{accept, context::ClientContext, permits::ClientPermits};
 use stairfront_balancer::clock::Clock;
 use stairfront_balancer::configuration::config::Config;
 use stairfront_balancer::configuration::memory::Memory;
@@ -30,7 +29,7 @@
 };
 use stairfront_policy::Policy;
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, oneshot, watch, Semaphore};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
@@ -68,9 +67,8 @@
         counters: Rc::default(),
         polls: Rc::new(PollClock::start()),
         phase: phase_receiver,
-        pressure: ConnectionPressure::default(),
-        permits: Arc::new(Semaphore::new(8)),
-        held_by_predecessor: Cell::new(0),
+        pressure: Rc::default(),
+        permits: Rc::new(ClientPermits::new(8)),
         successor: Rc::default(),
         paused: Rc::default(),
         scratch: Rc::default(),
@@ -89,7 +87,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let (_handing, handed) = mpsc::channel(1);
-        spawn_local(accept::serve(listener, Rc::clone(&context), 8, handed));
+        spawn_local(accept::serve(listener, Rc::clone(&context), handed));
         let mut client = Client::connect(address).await.unwrap();
         for id in ["1", "2", "3"] {
             client.send(&get("k", id, 1400)).await;
--- a/crates/stairfront-balancer/tests/discovery.rs
+++ b/crates/stairfront-balancer/tests/discovery.rs
@@ -11,6 +11,7 @@
 use stairfront_balancer::arrival::PollClock;
 use stairfront_balancer::control::discovery::{DiscoverySettings, DiscoveryWatch};
 use stairfront_balancer::control::server_list::{cache_id, RawList};
+use stairfront_balancer::lifecycle::handover::OtherProcess;
 use stairfront_balancer::messages::{EngineEvent, ReceivedList};
 use stairfront_balancer::transport::Tcp;
 use stairfront_policy::interface::{Cell, EndpointState, Kind, Zone};
@@ -266,7 +267,7 @@
         let (event_sender, mut events) = mpsc::channel(1);
         // The queue is full: the engine is behind.
         event_sender
-            .send(EngineEvent::PeerEnded)
+            .send(EngineEvent::PeerEnded(OtherProcess::Successor))
             .await
             .unwrap_or_else(|_| panic!("closed"));
         let poll_now = Rc::new(Notify::new());
@@ -291,7 +292,10 @@
             "{:?}",
             targets(&log)
         );
-        assert!(matches!(events.recv().await, Some(EngineEvent::PeerEnded)));
+        assert!(matches!(
+            events.recv().await,
+            Some(EngineEvent::PeerEnded(OtherProcess::Successor))
+        ));
         match events.recv().await {
             Some(EngineEvent::EndpointList(ReceivedList { list, .. })) => {
                 assert_eq!((list.index, list.entries.len()), (5, 1))
--- a/crates/stairfront-handover/src/lib.rs
+++ b/crates/stairfront-handover/src/lib.rs
@@ -6,5 +6,5 @@
 mod message;
 mod state_transfer;
 
-pub use message::{Message, PacketError, MAX_PACKET_BYTES, MAX_PART_BYTES};
+pub use message::{Message, PacketError, MAX_PACKET_BYTES, MAX_PART_BYTES, REVISION};
 pub use state_transfer::{split_state, StateAssembler, StateTooLarge, MAX_STATE_BYTES};
--- a/crates/stairfront-handover/src/message.rs
+++ b/crates/stairfront-handover/src/message.rs
@@ -6,6 +6,12 @@
 /// Version of the packets. It is raised when two versions would misunderstand each other; the new process then starts as
 /// if there were no old one.
 const VERSION: u32 = 1;
+/// Revision of this build within the version. Messages of a revision are sent only to a process that has it or a later one;
+/// builds before revisions were told count as 0.
+///
+/// 1: permits for client connections are given to the successor one by one, which accepts alone
+/// ([`Message::AcceptsClients`], [`Message::Permits`], [`Message::PermitWanted`]).
+pub const REVISION: u32 = 1;
 /// Largest part of a state, and most bytes that a connection may have read ahead, in one packet.
 pub const MAX_PART_BYTES: usize = 32 * 1024;
 /// Largest packet, well below what a local socket takes in one piece.
@@ -18,9 +24,13 @@
     Hello {
         /// Name of the balancer, the same at both.
         name: String,
+        /// Revision of the new process's build.
+        revision: u32,
     },
     /// The old process agrees; the listener for clients comes beside the packet. It tells what it keeps until its end.
     Welcome {
+        /// Revision of the old process's build.
+        revision: u32,
         /// Places of client connections that it keeps.
         clients: usize,
         /// Connections to servers that it keeps.
@@ -40,6 +50,15 @@
         /// Bytes that were read from it and not handled.
         unread: Vec<u8>,
     },
+    /// The new process can serve: it accepts clients from here on, and asks for the permits that are free.
+    AcceptsClients,
+    /// The old process gives permits for client connections away, and accepts none.
+    Permits {
+        /// How many; the first such message may give none.
+        count: usize,
+    },
+    /// The new process has a client and no permit for it: the old one closes an idle connection if it has one.
+    PermitWanted,
     /// An order of an operator to one process, which the other one carries out too.
     Order {
         /// Number of the order, for its result.
@@ -83,6 +102,9 @@
     pub(super) const LAST_STATE_PART: u8 = b'L';
     pub(super) const NEW_CONNECTION: u8 = b'N';
     pub(super) const USED_CONNECTION: u8 = b'U';
+    pub(super) const ACCEPTS_CLIENTS: u8 = b'A';
+    pub(super) const PERMITS: u8 = b'P';
+    pub(super) const PERMIT_WANTED: u8 = b'M';
     pub(super) const ORDER: u8 = b'O';
     pub(super) const ORDER_RESULT: u8 = b'D';
 }
@@ -90,12 +112,34 @@
 #[derive(Serialize, Deserialize)]
 struct HelloFields {
     name: String,
+    #[serde(default, skip_serializing_if = "is_first_revision")]
+    revision: u32,
 }
 
 #[derive(Serialize, Deserialize)]
 struct WelcomeFields {
     clients: usize,
     servers: usize,
+    #[serde(default, skip_serializing_if = "is_first_revision")]
+    revision: u32,
+}
+
+#[derive(Deserialize)]
+struct PermitsFields {
+    count: usize,
+}
+
+/// The fields of a message, with the version.
+#[derive(Serialize)]
+struct Versioned<T> {
+    #[serde(flatten)]
+    fields: T,
+    version: u32,
+}
+
+/// Builds before revisions were told do not name one.
+fn is_first_revision(revision: &u32) -> bool {
+    *revision == 0
 }
 
 /// The field that is read before any other, since another version's fields mean something else.
@@ -109,13 +153,23 @@
     #[must_use]
     pub fn encode(&self) -> Vec<u8> {
         match self {
-            Message::Hello { name } => {
-                json_packet(kind::HELLO, &json!({ "version": VERSION, "name": name }))
+            Message::Hello { name, revision } => {
+                let name = name.clone();
+                let revision = *revision;
+                versioned_packet(kind::HELLO, HelloFields { name, revision })
+            }
+            Message::Welcome {
+                revision,
+                clients,
+                servers,
+            } => {
+                let fields = WelcomeFields {
+                    clients: *clients,
+                    servers: *servers,
+                    revision: *revision,
+                };
+                versioned_packet(kind::WELCOME, fields)
             }
-            Message::Welcome { clients, servers } => json_packet(
-                kind::WELCOME,
-                &json!({ "version": VERSION, "clients": clients, "servers": servers }),
-            ),
             Message::StatePart { part, last: false } => packet(kind::STATE_PART, part),
             Message::StatePart { part, last: true } => packet(kind::LAST_STATE_PART, part),
             Message::Connection {
@@ -123,6 +177,9 @@
                 unread,
             } => packet(kind::NEW_CONNECTION, unread),
             Message::Connection { used: true, unread } => packet(kind::USED_CONNECTION, unread),
+            Message::AcceptsClients => packet(kind::ACCEPTS_CLIENTS, &[]),
+            Message::Permits { count } => json_packet(kind::PERMITS, &json!({ "count": count })),
+            Message::PermitWanted => packet(kind::PERMIT_WANTED, &[]),
             Message::Order {
                 number,
                 order,
@@ -143,12 +200,16 @@
         let (kind, body) = packet.split_first().ok_or(PacketError::Empty)?;
         Ok(match *kind {
             kind::HELLO => {
-                let HelloFields { name } = read_versioned(body)?;
-                Message::Hello { name }
+                let HelloFields { name, revision } = read_versioned(body)?;
+                Message::Hello { name, revision }
             }
             kind::WELCOME => {
-                let WelcomeFields { clients, servers } = read_versioned(body)?;
-                Message::Welcome { clients, servers }
+                let fields: WelcomeFields = read_versioned(body)?;
+                Message::Welcome {
+                    revision: fields.revision,
+                    clients: fields.clients,
+                    servers: fields.servers,
+                }
             }
             kind::STATE_PART => Message::StatePart {
                 part: body.to_vec(),
@@ -166,6 +227,12 @@
                 used: true,
                 unread: body.to_vec(),
             },
+            kind::ACCEPTS_CLIENTS => Message::AcceptsClients,
+            kind::PERMITS => {
+                let PermitsFields { count } = serde_json::from_slice(body)?;
+                Message::Permits { count }
+            }
+            kind::PERMIT_WANTED => Message::PermitWanted,
             kind::ORDER => {
                 let (number, order, source) = serde_json::from_slice(body)?;
                 Message::Order {
@@ -194,6 +261,11 @@
     packet(kind, fields.to_string().as_bytes())
 }
 
+fn versioned_packet<T: Serialize>(kind: u8, fields: T) -> Vec<u8> {
+    let version = VERSION;
+    json_packet(kind, &json!(Versioned { fields, version }))
+}
+
 fn read_versioned<T: serde::de::DeserializeOwned>(body: &[u8]) -> Result<T, PacketError> {
     let VersionField { version } = serde_json::from_slice(body)?;
     if version != VERSION {
--- a/crates/stairfront-handover/tests/exchanged_forms.rs
+++ b/crates/stairfront-handover/tests/exchanged_forms.rs
@@ -24,7 +24,7 @@
 
 /// Every variant of `Message`, and in them every variant of an order, its source and its outcome.
 fn messages() -> Vec<(&'static str, Message)> {
-    [state_messages(), order_messages()].concat()
+    [state_messages(), order_messages(), permit_messages()].concat()
 }
 
 fn state_messages() -> Vec<(&'static str, Message)> {
@@ -33,11 +33,13 @@
             "hello",
             Message::Hello {
                 name: "b-7 \"east\"".to_string(),
+                revision: 0,
             },
         ),
         (
             "welcome",
             Message::Welcome {
+                revision: 0,
                 clients: 301,
                 servers: 42,
             },
@@ -80,6 +82,30 @@
     ]
 }
 
+/// What was added with revision 1. The forms of revision 0 stay, since a running process may be of such a build.
+fn permit_messages() -> Vec<(&'static str, Message)> {
+    vec![
+        (
+            "hello-revision-1",
+            Message::Hello {
+                name: "b-7".to_string(),
+                revision: 1,
+            },
+        ),
+        (
+            "welcome-revision-1",
+            Message::Welcome {
+                revision: 1,
+                clients: 301,
+                servers: 42,
+            },
+        ),
+        ("accepts-clients", Message::AcceptsClients),
+        ("permits", Message::Permits { count: 17 }),
+        ("permit-wanted", Message::PermitWanted),
+    ]
+}
+
 /// Every order and every outcome of one.
 fn order_messages() -> Vec<(&'static str, Message)> {
     let host = |name: &str| name.to_string();
@@ -155,11 +181,18 @@
 /// Compiles no more once there is a variant that is not pinned above.
 fn is_pinned(message: &Message) {
     match message {
-        Message::Hello { name: _ }
+        Message::Hello {
+            name: _,
+            revision: _,
+        }
         | Message::Welcome {
+            revision: _,
             clients: _,
             servers: _,
         }
+        | Message::AcceptsClients
+        | Message::Permits { count: _ }
+        | Message::PermitWanted
         | Message::StatePart { part: _, last: _ }
         | Message::Connection { used: _, unread: _ } => {}
         Message::Order {
--- a/crates/stairfront-handover/tests/messages.rs
+++ b/crates/stairfront-handover/tests/messages.rs
@@ -10,8 +10,10 @@
     let messages = [
         Message::Hello {
             name: "n\n3".into(),
+            revision: 0,
         },
         Message::Welcome {
+            revision: 7,
             clients: 7,
             servers: 80,
         },
