A large answer with commands behind it is held until it can no longer break

Cause: the first byte of a large value was written as soon as it came. From then on RESP2 can tell a value that does not come whole only by the end of the connection.

With commands behind it, read or not, a large answer is held until it is complete, and is "-ERR failed" if it breaks meanwhile. Its memory is of large commands, else of large values; without any it stays with its server. A server's connection ends at once when nobody wants its large value any more.

The long function of the stand-ins' connections in tests/common is split.

--- a/crates/stairfront-balancer/src/client/connection.rs
+++ b/crates/stairfront-balancer/src/client/connection.rs
@@ -15,6 +15,7 @@
 use crate::client::codec::ClientCodec;
 use crate::client::context::ClientContext;
 use crate::client::ending::ConnectionEnd;
+use crate::client::held_answer::HeldAnswer;
 use crate::client::idle::SPARE_TIMEOUT;
 use crate::client::memory_wait::MemoryWait;
 use crate::client::pacing::CommandPacer;
@@ -38,6 +39,18 @@
 pub(super) enum PendingReply {
     Ready(Answer),
     InFlight(InFlightReply),
+    /// A large answer that has begun to come; nothing of it is written.
+    Held(HeldAnswer),
+}
+
+impl PendingReply {
+    /// Until when the answer of a request that is in flight is due.
+    pub(super) fn due_at(&self) -> Option<Instant> {
+        match self {
+            PendingReply::InFlight(in_flight) => Some(in_flight.due_at),
+            PendingReply::Ready(_) | PendingReply::Held(_) => None,
+        }
+    }
 }
 
 /// A request that is in flight for as long as this lives. The report that its client has left waits behind all earlier
@@ -45,6 +58,8 @@
 pub(super) struct InFlightReply {
     pub(super) id: RequestId,
     pub(super) answer: oneshot::Receiver<FinalAnswer>,
+    /// Until when its client waits for the first bytes of the answer.
+    pub(super) due_at: Instant,
     pub(super) liveness: Rc<RequestLiveness>,
 }
 
@@ -287,9 +302,11 @@
             biased;
             command = next_input(&mut self.framed, &self.context.scratch), if conditions.reading => self.handle_input(command).await?,
             answer = next_answer(&mut self.pending), if !conditions.idle => {
-                self.pending.pop_front();
-                let written = self.write_ready(Some(answer)).await;
-                written.map_err(|_| ConnectionEnd::Disconnected)?;
+                let due_at = self.pending.pop_front().and_then(|reply| reply.due_at());
+                if let Some(answer) = self.hold_large(answer, due_at) {
+                    let written = self.write_ready(Some(answer)).await;
+                    written.map_err(|_| ConnectionEnd::Disconnected)?;
+                }
             }
             // A connection that is read from reports its end by itself.
             () = sleep(DEPARTURE_CHECK_INTERVAL), if !conditions.idle && !conditions.reading => {
@@ -348,6 +365,7 @@
         Some(PendingReply::InFlight(in_flight)) => (&mut in_flight.answer)
             .await
             .unwrap_or(FinalAnswer::from(Answer::Failed)),
+        Some(PendingReply::Held(held)) => held.ready().await,
         // Answers that are ready have been written before.
         Some(PendingReply::Ready(_)) | None => std::future::pending().await,
     }
--- a/crates/stairfront-balancer/src/client/ending.rs
+++ b/crates/stairfront-balancer/src/client/ending.rs
@@ -184,7 +184,7 @@
     async fn abandon_requests(&mut self) {
         let request = |reply: PendingReply| match &reply {
             PendingReply::InFlight(in_flight) => Some(in_flight.id),
-            PendingReply::Ready(_) => None,
+            PendingReply::Ready(_) | PendingReply::Held(_) => None,
         };
         // All of them are marked as finished before the first report waits for the engine.
         let abandoned: Vec<RequestId> = self.pending.drain(..).filter_map(request).collect();
--- a/crates/stairfront-balancer/src/client/read.rs
+++ b/crates/stairfront-balancer/src/client/read.rs
@@ -225,6 +225,7 @@
         let in_flight = InFlightReply {
             id: request.id,
             answer,
+            due_at: self.context.parser.clock.instant_of(request.expires_at),
             liveness: Rc::clone(&liveness),
         };
         let arrival = Arrival {
--- a/crates/stairfront-balancer/src/client/write.rs
+++ b/crates/stairfront-balancer/src/client/write.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::{Buf, Bytes};
-use futures_util::{Sink, SinkExt};
+use futures_util::{FutureExt, Sink, SinkExt};
 use stairfront_codec::buffer::shrink;
 use stairfront_codec::resp::RespError;
 use tokio::io::AsyncWrite;
@@ -21,6 +21,7 @@
 use crate::transport::Stream;
 use crate::vectored::poll_write_slices;
 
+const VALUE_END: Bytes = Bytes::from_static(b"\r\n");
 /// Bytes of small answers that are written together.
 const MAX_WRITE_BUFFER: usize = 2048;
 const CLIENT_DOES_NOT_READ: RespError = RespError::Malformed("client does not read");
@@ -130,19 +131,24 @@
         // The memory of the chunks is held until the last one is written.
         let AnswerBody {
             mut chunks,
+            mut held,
             memory: _memory,
             ..
         } = body;
         self.context.counters.streams.add();
         // As long as the server may take for the next chunk.
         let limit = large_value_timeout(self.read_timeout());
+        while let Some(piece) = held.next_piece() {
+            self.write_chunk(piece).await?;
+        }
+        if held.is_complete {
+            return self.write_chunk(VALUE_END).await;
+        }
         loop {
             let chunk = self.while_connected(limit, |_, cx| chunks.poll_recv(cx));
             match chunk.await? {
                 Some(BodyChunk::Bytes(bytes)) => self.write_chunk(bytes).await?,
-                Some(BodyChunk::End) => {
-                    return self.write_chunk(Bytes::from_static(b"\r\n")).await;
-                }
+                Some(BodyChunk::End) => return self.write_chunk(VALUE_END).await,
                 None => return Err(VALUE_INCOMPLETE),
             }
         }
@@ -167,7 +173,7 @@
 
     /// The answer to the oldest unanswered command, if it is ready.
     fn next_ready(&mut self) -> Option<FinalAnswer> {
-        let in_flight = match self.pending.front_mut()? {
+        let answer = match self.pending.front_mut()? {
             PendingReply::Ready(_) => None,
             PendingReply::InFlight(in_flight) => match in_flight.answer.try_recv() {
                 Ok(answer) => Some(answer),
@@ -177,10 +183,13 @@
                     Some(FinalAnswer::from(Answer::Failed))
                 }
             },
+            PendingReply::Held(held) => Some(held.ready().now_or_never()?),
         };
-        match self.pending.pop_front()? {
+        let reply = self.pending.pop_front()?;
+        let due_at = reply.due_at();
+        match reply {
             PendingReply::Ready(answer) => Some(FinalAnswer::from(answer)),
-            PendingReply::InFlight(_) => in_flight,
+            PendingReply::InFlight(_) | PendingReply::Held(_) => self.hold_large(answer?, due_at),
         }
     }
 }
--- a/crates/stairfront-balancer/src/clock.rs
+++ b/crates/stairfront-balancer/src/clock.rs
@@ -38,6 +38,17 @@
         self.at(Instant::now())
     }
 
+    /// The instant of this time; no later than a day from now, and no earlier than the start.
+    pub fn instant_of(&self, time: Micros) -> Instant {
+        let now = Instant::now();
+        let left = time - self.at(now);
+        if left >= 0 {
+            return now + timer_duration(left);
+        }
+        now.checked_sub(timer_duration(-left))
+            .map_or(self.start, |instant| instant.max(self.start))
+    }
+
     /// The time at this instant; that of the start for one before it.
     pub fn at(&self, instant: Instant) -> Micros {
         self.unix_at_start + from_duration(instant.saturating_duration_since(self.start))
--- a/crates/stairfront-balancer/src/messages.rs
+++ b/crates/stairfront-balancer/src/messages.rs
@@ -1,5 +1,6 @@
 //! The messages between the parts of the balancer. Payloads are slices of the buffers they were read into.
 use std::cell::Cell;
+use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -214,12 +215,40 @@
 pub struct AnswerBody {
     /// Number of bytes in all.
     pub length: usize,
+    /// When its first bytes came.
+    pub begun_at: Instant,
+    /// Its first bytes, where they were held back.
+    pub held: HeldBytes,
     /// Ends without [`BodyChunk::End`] if the value cannot be completed.
     pub chunks: mpsc::Receiver<BodyChunk>,
     /// Memory reserved for its chunks, shared with the server's connection.
     pub memory: Option<Rc<Reservation>>,
 }
 
+/// What is held of a large value before it is written.
+#[derive(Debug, Default)]
+pub struct HeldBytes {
+    /// Its first bytes, in pieces.
+    pub pieces: VecDeque<Bytes>,
+    /// Whether these are all.
+    pub is_complete: bool,
+    /// Memory reserved for them.
+    pub memory: Option<Reservation>,
+}
+
+impl HeldBytes {
+    /// The next piece, for which no memory is reserved any more.
+    pub fn next_piece(&mut self) -> Option<Bytes> {
+        let piece = self.pieces.pop_front()?;
+        let left = self.pieces.iter().map(Bytes::len).sum();
+        if let Some(memory) = &mut self.memory {
+            // Fewer bytes are always to be had.
+            let _ = memory.try_resize(left);
+        }
+        Some(piece)
+    }
+}
+
 /// A part of a large value.
 #[derive(Debug)]
 pub enum BodyChunk {
--- a/crates/stairfront-balancer/src/upstream/connection.rs
+++ b/crates/stairfront-balancer/src/upstream/connection.rs
@@ -21,7 +21,8 @@
 use crate::list_freshness::ListFreshness;
 use crate::memory::ledger::MemoryLedger;
 use crate::messages::{
-    AnswerBody, AttemptEnd, AttemptOutcome, ConnectionId, EngineEvent, Job, Outgoing, PoolEvent,
+    AnswerBody, AttemptEnd, AttemptOutcome, ConnectionId, EngineEvent, HeldBytes, Job, Outgoing,
+    PoolEvent,
 };
 use crate::transport::{is_quiet, Network, Stream, Unread};
 use crate::upstream::exchange::{cancelled, exchange, ExchangeOutcome};
@@ -355,6 +356,8 @@
         let end = AttemptEnd {
             body: Some(AnswerBody {
                 length,
+                begun_at: Instant::now(),
+                held: HeldBytes::default(),
                 chunks,
                 memory: Some(body.memory.share()),
             }),
--- a/crates/stairfront-balancer/src/upstream/large_body.rs
+++ b/crates/stairfront-balancer/src/upstream/large_body.rs
@@ -81,7 +81,16 @@
     let chunk_bytes = body.memory.chunk_bytes;
     let mut remaining = body.length;
     let mut last = None;
-    while let Some(part) = read_body_part(framed, chunk_bytes, stall_timeout).await {
+    loop {
+        let part = tokio::select! {
+            biased;
+            part = read_body_part(framed, chunk_bytes, stall_timeout) => part,
+            // The client has left, or the answer was given up.
+            () = chunks.closed() => return false,
+        };
+        let Some(part) = part else {
+            break;
+        };
         match part {
             MessagePart::Chunk(bytes) => {
                 remaining = remaining.saturating_sub(bytes.len());
--- a/crates/stairfront-balancer/tests/common/mod.rs
+++ b/crates/stairfront-balancer/tests/common/mod.rs
@@ -100,6 +100,10 @@
     Cut(Vec<u8>),
     /// The same with a reset.
     Broken(Vec<u8>),
+    /// The same with a reset after a while.
+    BrokenAfter(Vec<u8>, Duration),
+    /// Sends something in so many pieces, with a pause before each.
+    Pieces(Vec<u8>, usize, Duration),
 }
 
 pub fn hit(value: &str) -> Step {
@@ -195,7 +199,6 @@
             let n = commands(&log, name).len();
             log.borrow_mut().push(Seen::Command(name, words.clone()));
             match script(n, &words) {
-                Step::Say(bytes) => socket.write_all(&bytes).await.unwrap_or_default(),
                 Step::After(wait, bytes) => {
                     let due = Instant::now() + wait;
                     // The end of the connection is noticed meanwhile, as by a server.
@@ -207,25 +210,11 @@
                     }
                     socket.write_all(&bytes).await.unwrap_or_default();
                 }
-                Step::Gated(mut gate, bytes) => {
-                    gate.wait_for(|open| *open).await.unwrap();
-                    socket.write_all(&bytes).await.unwrap_or_default();
-                }
-                Step::Twice(first, wait, second) => {
-                    socket.write_all(&first).await.unwrap_or_default();
-                    sleep(wait).await;
-                    socket.write_all(&second).await.unwrap_or_default();
-                }
                 Step::Silence => silent = true,
-                Step::End => break 'connection,
-                Step::Cut(bytes) => {
-                    socket.write_all(&bytes).await.unwrap_or_default();
-                    break 'connection;
-                }
-                Step::Broken(bytes) => {
-                    socket.write_all(&bytes).await.unwrap_or_default();
-                    socket.set_zero_linger().unwrap();
-                    break 'connection;
+                step => {
+                    if !goes_on_after(&mut socket, step).await {
+                        break 'connection;
+                    }
                 }
             }
         }
@@ -237,6 +226,44 @@
     log.borrow_mut().push(Seen::Ended(name));
 }
 
+/// Carries out a step during which nothing is read; whether the connection goes on.
+async fn goes_on_after(socket: &mut TcpStream, step: Step) -> bool {
+    let goes_on = !matches!(
+        step,
+        Step::End | Step::Cut(_) | Step::Broken(_) | Step::BrokenAfter(..)
+    );
+    let is_reset = matches!(step, Step::Broken(_) | Step::BrokenAfter(..));
+    match step {
+        Step::Say(bytes) | Step::After(_, bytes) | Step::Cut(bytes) | Step::Broken(bytes) => {
+            socket.write_all(&bytes).await.unwrap_or_default();
+        }
+        Step::Gated(mut gate, bytes) => {
+            gate.wait_for(|open| *open).await.unwrap();
+            socket.write_all(&bytes).await.unwrap_or_default();
+        }
+        Step::Twice(first, wait, second) => {
+            socket.write_all(&first).await.unwrap_or_default();
+            sleep(wait).await;
+            socket.write_all(&second).await.unwrap_or_default();
+        }
+        Step::BrokenAfter(bytes, wait) => {
+            socket.write_all(&bytes).await.unwrap_or_default();
+            sleep(wait).await;
+        }
+        Step::Pieces(bytes, count, pause) => {
+            for piece in bytes.chunks(bytes.len().div_ceil(count)) {
+                sleep(pause).await;
+                socket.write_all(piece).await.unwrap_or_default();
+            }
+        }
+        Step::Silence | Step::End => {}
+    }
+    if is_reset {
+        socket.set_zero_linger().unwrap();
+    }
+    goes_on
+}
+
 async fn stand_in(
     name: &'static str,
     cut: Cut,
