The id of an open request is claimed over both processes of an upgrade

Cause: an open id was looked for in the table of its own process. The files that both processes share have ids that were sent, of classes that must not run twice, and are asked for those alone.

A lock has one owner, also for two requests at one moment, and goes with a process that is killed; a list of the other's ids would be a copy. The claim comes before the look for used ids. A large answer keeps it to its last byte.

--- a/crates/stairfront-balancer/src/client/held_answer.rs
+++ b/crates/stairfront-balancer/src/client/held_answer.rs
@@ -158,6 +158,7 @@
             chunks: ended,
             memory: None,
             held: HeldBytes::default(),
+            claim: None,
             ..self.body
         };
         std::mem::replace(&mut self.body, left)
--- a/crates/stairfront-balancer/src/client/write.rs
+++ b/crates/stairfront-balancer/src/client/write.rs
@@ -133,6 +133,7 @@
             mut chunks,
             mut held,
             memory: _memory,
+            claim: _claim,
             ..
         } = body;
         self.context.counters.streams.add();
--- a/crates/stairfront-balancer/src/engine/mod.rs
+++ b/crates/stairfront-balancer/src/engine/mod.rs
@@ -192,10 +192,11 @@
             // Those of processes that were killed.
             self.id_log.remove();
         } else {
-            self.table.used_ids.share(
-                OtherProcess::Predecessor,
-                self.id_log.open(UpgradeSide::Successor),
-            );
+            let side = UpgradeSide::Successor;
+            self.table
+                .used_ids
+                .share(OtherProcess::Predecessor, self.id_log.open(side));
+            self.table.open_ids.share(self.id_log.open_locks(side));
         }
         loop {
             tokio::select! {
@@ -280,6 +281,7 @@
         self.table.used_ids.share(other, None);
         if !self.has_predecessor && !self.has_successor {
             self.memory.set_shared(false);
+            self.table.open_ids.share(None);
             self.id_log.remove();
         }
     }
@@ -348,10 +350,14 @@
     /// Shares the ids of requests with a successor, before that is welcomed: those that are remembered, and those that are
     /// open now.
     fn share_ids(&mut self) {
-        self.table.used_ids.share(
-            OtherProcess::Successor,
-            self.id_log.open(UpgradeSide::Predecessor),
-        );
+        let side = UpgradeSide::Predecessor;
+        self.table
+            .used_ids
+            .share(OtherProcess::Successor, self.id_log.open(side));
+        // One file serves all processes of upgrades behind each other.
+        if !self.table.open_ids.is_shared() {
+            self.table.open_ids.share(self.id_log.open_locks(side));
+        }
         let used: Vec<IdHash> = self.table.used_ids.iter().collect();
         let open = self.table.open.values();
         let open = open.filter(|open| !open.command.idempotent && open.attempts_sent > 0);
--- a/crates/stairfront-balancer/src/lifecycle/id_log.rs
+++ b/crates/stairfront-balancer/src/lifecycle/id_log.rs
@@ -1,5 +1,5 @@
 //! The ids of requests that the two processes of an upgrade have sent, in two files: each process appends to one before it
-//! sends, and reads the other before it admits.
+//! sends, and reads the other before it admits. Those that are open are claimed in a third (`id_locks.rs`).
 //!
 //! A message could be read after the client's next request; a file cannot. Each file is a row of hashes of eight bytes,
 //! little-endian. They are there for as long as both processes are.
@@ -11,12 +11,15 @@
 use tracing::warn;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::lifecycle::id_locks::IdLocks;
 use crate::stages::used_ids::IdHash;
 
 /// Bytes of one id.
 const ID_BYTES: usize = 8;
 /// Bytes of one file at most: files count as memory in service.
 const MAX_FILE_BYTES: u64 = 512 * 1024;
+/// Ending of the file in which ids of open requests are claimed.
+const LOCKS_FILE_PART: &str = "open";
 /// Bytes that are read at once.
 const READ_BYTES: usize = 4096;
 
@@ -79,7 +82,7 @@
         Some((|| {
             if is_new {
                 // An earlier upgrade that has not ended goes on with the files that it has open.
-                self.remove();
+                self.remove_logs();
                 File::create_new(&own)?;
                 File::create_new(&other)?;
             }
@@ -92,8 +95,36 @@
         })())
     }
 
+    /// Opens the file in which the processes claim the ids of open requests; `None` if there is no directory, or the
+    /// process that serves first is of a build without it.
+    pub fn open_locks(&self, side: UpgradeSide) -> Option<IdLocks> {
+        let path = self.locks_path()?;
+        let create = side == UpgradeSide::Predecessor;
+        match IdLocks::open(&path, create) {
+            Ok(locks) => Some(locks),
+            Err(error) if error.kind() == io::ErrorKind::NotFound => None,
+            Err(error) => {
+                warn!(%error, "ids of open requests are not shared with the other process");
+                None
+            }
+        }
+    }
+
+    fn locks_path(&self) -> Option<PathBuf> {
+        let base = self.0.as_ref()?;
+        Some(base.with_extension(LOCKS_FILE_PART))
+    }
+
     /// Removes the files, since there is one process again.
     pub fn remove(&self) {
+        self.remove_logs();
+        if let Some(path) = self.locks_path() {
+            // There may be none.
+            let _ = std::fs::remove_file(path);
+        }
+    }
+
+    fn remove_logs(&self) {
         for side in [UpgradeSide::Predecessor, UpgradeSide::Successor] {
             if let Some(path) = self.path(side) {
                 // There may be none.
--- a/crates/stairfront-balancer/src/lifecycle/mod.rs
+++ b/crates/stairfront-balancer/src/lifecycle/mod.rs
@@ -3,6 +3,7 @@
 pub mod handover;
 pub mod handover_socket;
 pub mod handover_state;
+pub mod id_locks;
 pub mod id_log;
 pub mod loop_monitor;
 pub mod server;
--- a/crates/stairfront-balancer/src/messages.rs
+++ b/crates/stairfront-balancer/src/messages.rs
@@ -20,6 +20,7 @@
 use crate::list_freshness::ListInTransit;
 use crate::memory::ledger::RequestMemory;
 use crate::stages::liveness::RequestLiveness;
+use crate::stages::open_ids::IdClaim;
 
 /// Longest value that is copied behind the head that is encoded for it; a longer one is written from where it is.
 pub const MAX_COPIED_BYTES: usize = 1024;
@@ -219,6 +220,8 @@
     pub begun_at: Instant,
     /// Its first bytes, where they were held back.
     pub held: HeldBytes,
+    /// The claim to the id of its request.
+    pub claim: Option<Rc<IdClaim>>,
     /// Ends without [`BodyChunk::End`] if the value cannot be completed.
     pub chunks: mpsc::Receiver<BodyChunk>,
     /// Memory reserved for its chunks, shared with the server's connection.
--- a/crates/stairfront-balancer/src/stages/admit.rs
+++ b/crates/stairfront-balancer/src/stages/admit.rs
@@ -1,8 +1,7 @@
 //! Second stage: a request gets its entry in the table of open requests.
 use std::rc::Rc;
 
-use bytes::Bytes;
-use rustc_hash::{FxHashMap, FxHashSet};
+use rustc_hash::FxHashMap;
 use stairfront_policy::interface::{CacheId, Request, RequestId};
 use tokio::sync::oneshot;
 
@@ -10,6 +9,7 @@
 use crate::memory::ledger::RequestMemory;
 use crate::messages::{Answer, Arrival, Command, FinalAnswer};
 use crate::stages::liveness::RequestLiveness;
+use crate::stages::open_ids::{IdClaim, OpenIds};
 use crate::stages::used_ids::{IdHash, UsedIds};
 
 /// An attempt whose end has not been handled.
@@ -45,6 +45,8 @@
 pub struct OpenRequest {
     /// The command that is sent to servers.
     pub command: Command,
+    /// The claim to its id, shared with a large answer that is on its way to the client.
+    pub claim: Rc<IdClaim>,
     /// Its memory.
     pub memory: Option<Rc<RequestMemory>>,
     /// Gets the final answer; `None` once it is answered, or once the engine knows that the client has left.
@@ -113,7 +115,7 @@
     /// By the number that this balancer gives them.
     pub open: FxHashMap<RequestId, OpenRequest>,
     /// The clients' own ids of the open requests.
-    pub ids: FxHashSet<Bytes>,
+    pub open_ids: OpenIds,
     /// Ids of requests that may have run and must not run twice.
     pub used_ids: UsedIds,
     max_open: usize,
@@ -124,7 +126,7 @@
     pub fn new(max_open: usize) -> Self {
         RequestTable {
             open: FxHashMap::default(),
-            ids: FxHashSet::default(),
+            open_ids: OpenIds::default(),
             used_ids: UsedIds::default(),
             max_open,
         }
@@ -141,12 +143,13 @@
     ///
     /// [`AdmissionError`] if it is not admitted; the client then has its answer.
     pub fn admit(&mut self, arrival: Arrival, max_attempts: u8) -> Result<Request, AdmissionError> {
-        if let Err(error) = self.check(&arrival.command) {
-            return Err(error.refuse(arrival));
-        }
-        self.ids.insert(arrival.command.id.clone());
+        let claim = match self.check(&arrival.command) {
+            Ok(claim) => claim,
+            Err(error) => return Err(error.refuse(arrival)),
+        };
         let open = OpenRequest {
             command: arrival.command,
+            claim: Rc::new(claim),
             memory: arrival.memory,
             answer: Some(arrival.answer),
             attempts_sent: 0,
@@ -162,16 +165,16 @@
 
     /// Servers know a request by its id alone: a second one with the same id would count as a retry of the first, and
     /// would be answered with the value of the first.
-    fn check(&mut self, command: &Command) -> Result<(), AdmissionError> {
-        if self.ids.contains(&command.id) {
-            return Err(AdmissionError::DuplicateId);
-        }
+    fn check(&mut self, command: &Command) -> Result<IdClaim, AdmissionError> {
+        // First of all: whoever had the id before has told by then what has become of it.
+        let claim = self.open_ids.claim(&command.id);
+        let claim = claim.ok_or(AdmissionError::DuplicateId)?;
         if !command.idempotent && self.used_ids.contains(IdHash::of(&command.id)) {
             return Err(AdmissionError::UsedId);
         }
         if self.open.len() >= self.max_open {
             return Err(AdmissionError::NoCapacity);
         }
-        Ok(())
+        Ok(claim)
     }
 }
--- a/crates/stairfront-balancer/src/stages/complete.rs
+++ b/crates/stairfront-balancer/src/stages/complete.rs
@@ -14,7 +14,6 @@
             return;
         }
         if let Some(open) = self.open.remove(&request) {
-            self.ids.remove(&open.command.id);
             if open.may_have_run && !open.command.idempotent {
                 self.used_ids.insert(IdHash::of(&open.command.id));
             }
--- a/crates/stairfront-balancer/src/stages/mod.rs
+++ b/crates/stairfront-balancer/src/stages/mod.rs
@@ -2,6 +2,7 @@
 pub mod admit;
 pub mod complete;
 pub mod liveness;
+pub mod open_ids;
 pub mod parse;
 pub mod relay;
 pub mod route;
--- a/crates/stairfront-balancer/src/stages/relay.rs
+++ b/crates/stairfront-balancer/src/stages/relay.rs
@@ -1,4 +1,6 @@
 //! Fifth stage: what an attempt has brought goes on, its value to the client and its outcome to the decision module.
+use std::rc::Rc;
+
 use stairfront_common::time::from_duration;
 use stairfront_policy::interface::{AttemptResult, Outcome, RequestId};
 
@@ -22,7 +24,11 @@
                 .retain(|outstanding| outstanding.number != end.attempt.number);
             open.may_have_run |= may_have_run(end.result.outcome, open.liveness.take_begun());
         }
-        if let Some(answer) = take_answer(end) {
+        if let Some(mut answer) = take_answer(end) {
+            // The id stays claimed until a large answer is out.
+            if let (Some(body), Some(open)) = (&mut answer.body, self.open.get(&id)) {
+                body.claim = Some(Rc::clone(&open.claim));
+            }
             // If no client waits for it any more, the server's connection notices that of a large value, and ends.
             self.answer(id, answer);
         }
--- a/crates/stairfront-balancer/src/upstream/connection.rs
+++ b/crates/stairfront-balancer/src/upstream/connection.rs
@@ -358,6 +358,7 @@
                 length,
                 begun_at: Instant::now(),
                 held: HeldBytes::default(),
+                claim: None,
                 chunks,
                 memory: Some(body.memory.share()),
             }),
--- a/crates/stairfront-balancer/tests/held_answers.rs
+++ b/crates/stairfront-balancer/tests/held_answers.rs
@@ -338,3 +338,27 @@
         BrokenAnswer { end, ..self }.step()
     }
 }
+
+/// The id of a request is open until the last byte of its large answer is out.
+#[test]
+fn the_id_of_a_large_answer_on_its_way_is_served_to_another_client() {
+    run_within(TEST_LIMIT, async {
+        let log = Log::default();
+        let host = cache("cache", &log, |_, words| match words[1].as_str() {
+            "large" => {
+                let bytes = reply(200_000);
+                Step::Twice(bytes[..BEGUN].to_vec(), ms(300), bytes[BEGUN..].to_vec())
+            }
+            key => hit(key),
+        })
+        .await;
+        let balancer = balancer(&log, host, 192).await;
+        let (mut client, mut other) = (balancer.client().await, balancer.client().await);
+        client.send(&get("large", "1", WAIT_MS)).await;
+        client.socket.peek(&mut [0]).await.unwrap();
+        other.send(&get("s", "1", WAIT_MS)).await;
+        assert_eq!(other.answer().await.unwrap(), "-ERR id is open already\r\n");
+        assert!(client.answer().await.unwrap() == bulk(&value(200_000)));
+        assert_eq!(other.get("s", "1", WAIT_MS).await, bulk("s"));
+    });
+}
--- a/crates/stairfront-balancer/tests/stages.rs
+++ b/crates/stairfront-balancer/tests/stages.rs
@@ -8,7 +8,7 @@
 use stairfront_balancer::clock::Clock;
 use stairfront_balancer::configuration::memory::Memory;
 use stairfront_balancer::configuration::request_catalog::RequestCatalog;
-use stairfront_balancer::lifecycle::loop_monitor;
+use stairfront_balancer::lifecycle::{id_locks::IdLocks, loop_monitor};
 use stairfront_balancer::memory::ledger::MemoryLedger;
 use stairfront_balancer::messages::{
     Answer, Arrival, AttemptEnd, AttemptId, AttemptOutcome, Command, FinalAnswer, Verb,
@@ -479,3 +479,48 @@
     );
     assert_never_sent(table.send(RequestId(1), order()));
 }
+
+/// What the processes of an upgrade agree on before anything is sent: also a request that waits has its id alone.
+#[test]
+fn an_id_that_waits_unsent_at_one_process_is_admitted_at_another() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("ids");
+    let mut tables = [
+        RequestTable::new(8),
+        RequestTable::new(8),
+        RequestTable::new(8),
+    ];
+    // Open before there is another process.
+    tables[0].admit(arrive(1, 0).0, MAX_ATTEMPTS).unwrap();
+    for table in &tables {
+        table
+            .open_ids
+            .share(Some(IdLocks::open(&path, true).unwrap()));
+    }
+    tables[1].admit(arrive(2, 0).0, MAX_ATTEMPTS).unwrap();
+    for (id, holder) in [(1, 0), (2, 1)] {
+        for table in &mut tables {
+            let refused = table.admit(arrive(id, 0).0, MAX_ATTEMPTS);
+            assert_eq!(refused.unwrap_err(), AdmissionError::DuplicateId, "{id}");
+        }
+        // Its answer is out: the next one to come has it.
+        tables[holder].answer(RequestId(id), Answer::Failed);
+        tables[holder].complete(RequestId(id));
+        tables[2].admit(arrive(id, 0).0, MAX_ATTEMPTS).unwrap();
+    }
+    // A process that ends leaves what it had.
+    let [_, mut left, ended] = tables;
+    drop(ended);
+    left.admit(arrive(1, 0).0, MAX_ATTEMPTS).unwrap();
+}
+
+/// A request that is not admitted for another reason leaves its id.
+#[test]
+fn the_id_of_a_request_that_is_refused_stays_claimed() {
+    let mut table = RequestTable::new(1);
+    table.admit(arrive(1, 0).0, MAX_ATTEMPTS).unwrap();
+    for _ in 0..2 {
+        let refused = table.admit(arrive(2, 0).0, MAX_ATTEMPTS);
+        assert_eq!(refused.unwrap_err(), AdmissionError::NoCapacity);
+    }
+}
--- a/crates/stairfront-balancer/tests/stored_forms.rs
+++ b/crates/stairfront-balancer/tests/stored_forms.rs
@@ -7,6 +7,8 @@
 use common::{
     cache, config, dead_address, hit, line, memory_folder, quiet_agent, run, Balancer, Log,
 };
+use nix::fcntl::{fcntl, FcntlArg};
+use nix::libc;
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 use serde_json::json;
@@ -477,3 +479,33 @@
     files.remove();
     assert!(!path.exists());
 }
+
+/// A claim is a lock on one byte, at a quarter of the hash of the id.
+#[test]
+fn claims_of_open_ids_have_the_pinned_form() {
+    let folder = memory_folder();
+    let files = IdLogFiles::within(Some(folder.path()), "b0");
+    assert!(
+        files.open_locks(UpgradeSide::Successor).is_none(),
+        "a build without this file leaves none"
+    );
+    let old = files.open_locks(UpgradeSide::Predecessor).unwrap();
+    assert!(old.claim(IdHash::of(b"9b1f03aa5c7e2d41")).unwrap());
+    let path = folder
+        .path()
+        .join("stairfront-ids-v1-aa2db7d6db9211ce.open");
+    let other = std::fs::File::open(&path).unwrap();
+    let hash = u64::from_le_bytes([94, 29, 33, 13, 75, 120, 174, 78]);
+    let mut found = libc::flock {
+        l_type: libc::F_RDLCK as libc::c_short,
+        l_whence: libc::SEEK_SET as libc::c_short,
+        l_start: 0,
+        l_len: 0,
+        l_pid: 0,
+    };
+    fcntl(&other, FcntlArg::F_OFD_GETLK(&mut found)).unwrap();
+    assert_eq!(i32::from(found.l_type), libc::F_WRLCK);
+    assert_eq!((found.l_start as u64, found.l_len), (hash / 4, 1));
+    files.remove();
+    assert!(!path.exists());
+}
