Balancers, clients and servers of tests on loopback move to test-support

Change: stairfront-test-support has a feature "loopback" with a module for running, one for stand-ins, one for clients and one for balancers, all of it documented; tests import it. No test or check is changed. The pool's test fixture has its settings in one place.

--- a/crates/stairfront-balancer/tests/admin_server.rs
+++ b/crates/stairfront-balancer/tests/admin_server.rs
@@ -1,14 +1,13 @@
 //! The admin API under load, and cordons that neither discovery nor a new process lifts.
-mod common;
 
 use std::time::Instant;
 
-use common::{
-    bulk, cache, commands, config, dead_address, hit, http, line, ms, origin, quiet_agent, run,
-    say, Balancer, Client, Log, Step,
-};
 use serde_json::json;
 use stairfront_balancer::configuration::config::Config;
+use stairfront_test_support::loopback::{
+    bulk, cache, commands, config, dead_address, hit, http, line, memory_folder, ms, origin,
+    quiet_agent, run, say, Balancer, Client, Log, Step,
+};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
@@ -169,7 +168,7 @@
         let one = cache("one", &log, |_, _| hit("v")).await;
         let two = cache("two", &log, |_, _| hit("v")).await;
         let agent = dead_address().await;
-        let folder = common::memory_folder();
+        let folder = memory_folder();
         let begin = || async {
             let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
             let lines = [line("s-1", one, "box"), line("s-2", two, "box")];
--- a/crates/stairfront-balancer/tests/arrival.rs
+++ b/crates/stairfront-balancer/tests/arrival.rs
@@ -1,11 +1,12 @@
 //! How old input counts that is read after a stall, or behind other work.
-mod common;
 
 use std::rc::Rc;
 use std::time::Duration;
 
-use common::{cache, commands, get, hit, line, ms, quiet_agent, run, Balancer, Log, Step};
 use stairfront_balancer::arrival::{ArrivalTime, InputWatch, PollClock, TICK_INTERVAL};
+use stairfront_test_support::loopback::{
+    cache, commands, get, hit, line, ms, quiet_agent, run, Balancer, Log, Step,
+};
 use tokio::time::{advance, Instant};
 
 /// A source that its task awaits, on an event loop that is in time.
--- a/crates/stairfront-balancer/tests/cache_modes.rs
+++ b/crates/stairfront-balancer/tests/cache_modes.rs
@@ -1,17 +1,16 @@
 //! One build in each deployment mode: the settings alone decide which side fetches and how tail latency counts, and idle
 //! connections that a middlebox drops silently are detected and not reused.
-mod common;
 
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Instant;
 
-use common::{
+use serde_json::{json, Value};
+use stairfront_balancer::configuration::config::Config;
+use stairfront_test_support::loopback::{
     bulk, cache, commands, config, count, get, hit, http, line, miss, ms, origin, quiet_agent, run,
     Balancer, Log, Seen, Step,
 };
-use serde_json::{json, Value};
-use stairfront_balancer::configuration::config::Config;
 use tokio::time::sleep;
 
 /// Through mode: caches fetch by themselves, in one zone, and the list is polled.
--- a/crates/stairfront-balancer/tests/client_disconnects.rs
+++ b/crates/stairfront-balancer/tests/client_disconnects.rs
@@ -1,12 +1,10 @@
 //! Clients that disconnect while the engine is behind: the event waits in the engine's queue, and still no attempt is begun
 //! for them.
-mod common;
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
 use bytes::Bytes;
-use common::{cache, commands, config, get, hit, line, ms, run, until, Client, Log};
 use stairfront_balancer::arrival::PollClock;
 use stairfront_balancer::client::{accept, context::ClientContext, permits::ClientPermits};
 use stairfront_balancer::clock::Clock;
@@ -28,6 +26,9 @@
     Action, ClassId, Event, Key, Micros, Request, RequestId, TenantId, SECOND,
 };
 use stairfront_policy::Policy;
+use stairfront_test_support::loopback::{
+    cache, commands, config, get, hit, line, ms, run, until, Client, Log,
+};
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::spawn_local;
--- a/crates/stairfront-balancer/tests/clients.rs
+++ b/crates/stairfront-balancer/tests/clients.rs
@@ -1,14 +1,13 @@
 //! The client side: order of answers, malformed input, clients that disconnect, and the limit on connections.
-mod common;
 
 use std::rc::Rc;
 use std::time::Instant;
 
-use common::{
+use stairfront_test_support::loopback::{
     bulk, cache, command, commands, config, count, get, hit, http, line, ms, origin, quiet_agent,
     run, Balancer, Client,
 };
-use common::{Log, Seen, Step};
+use stairfront_test_support::loopback::{Log, Seen, Step};
 use tokio::io::AsyncWriteExt;
 use tokio::time::sleep;
 
--- a/crates/stairfront-balancer/tests/commands_at_the_end.rs
+++ b/crates/stairfront-balancer/tests/commands_at_the_end.rs
@@ -1,12 +1,11 @@
 //! A connection ends only once every command that had come on it has its answer, whatever ends the connection.
-mod common;
 
 use std::time::Duration;
 
-use common::{
+use stairfront_balancer::lifecycle::shutdown::Phase;
+use stairfront_test_support::loopback::{
     cache, command, get, hit, line, ms, quiet_agent, run_within, Balancer, Client, Log, Step,
 };
-use stairfront_balancer::lifecycle::shutdown::Phase;
 use tokio::io::AsyncWriteExt;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
--- a/crates/stairfront-balancer/tests/config.rs
+++ b/crates/stairfront-balancer/tests/config.rs
@@ -1,9 +1,8 @@
 //! The configuration: the values that a valid one gives, and errors that name the key.
-mod common;
 
-use common::{config, line};
 use serde_json::{json, Value};
 use stairfront_balancer::configuration::{config::Config, error::ConfigError};
+use stairfront_test_support::loopback::{config, line};
 
 fn good() -> Value {
     let address = "127.0.0.1:6379".parse().unwrap();
--- a/crates/stairfront-balancer/tests/connection_races.rs
+++ b/crates/stairfront-balancer/tests/connection_races.rs
@@ -1,18 +1,17 @@
 //! Races on a client's connection: it disconnects, or is closed, while input is unread, an answer is unwritten or a request
 //! is in flight. Each race is forced by gates and by the order of bytes.
-mod common;
 
 use std::cell::Cell;
 use std::io::ErrorKind;
 use std::rc::Rc;
 use std::time::Instant;
 
-use common::{
+use serde_json::Value;
+use stairfront_balancer::lifecycle::shutdown::Phase;
+use stairfront_test_support::loopback::{
     bulk, cache, command, commands, gated_echo, get, line, miss, ms, origin, quiet_agent, run,
     run_within, until, Balancer, Log, Step,
 };
-use serde_json::Value;
-use stairfront_balancer::lifecycle::shutdown::Phase;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
--- a/crates/stairfront-balancer/tests/decision_stalls.rs
+++ b/crates/stairfront-balancer/tests/decision_stalls.rs
@@ -1,16 +1,15 @@
 //! A process that stands still between a decision and what follows from it. The times of a decision count from the decision.
-mod common;
 
 use std::time::Duration;
 
-use common::{
-    cache, command, commands, config, hit, line, ms, quiet_agent, run, Balancer, Log, Step,
-};
 use serde_json::json;
 use stairfront_balancer::configuration::config::Config;
 use stairfront_balancer::stages::route::Decide;
 use stairfront_policy::interface::{Action, Event, Micros, Settings};
 use stairfront_policy::Policy;
+use stairfront_test_support::loopback::{
+    cache, command, commands, config, hit, line, ms, quiet_agent, run, Balancer, Log, Step,
+};
 use tokio::net::TcpListener;
 
 const STALL: Duration = Duration::from_millis(300);
--- a/crates/stairfront-balancer/tests/discovery.rs
+++ b/crates/stairfront-balancer/tests/discovery.rs
@@ -1,12 +1,7 @@
 //! Discovery: the list at the start, the watch, malformed lists, and an agent that is silent or has ended.
-mod common;
 
 use std::rc::Rc;
 
-use common::{
-    bulk, cache, commands, count, hit, http, line, ms, origin, run, until, Balancer, Log, Seen,
-    Step,
-};
 use serde_json::{json, Value};
 use stairfront_balancer::arrival::PollClock;
 use stairfront_balancer::control::discovery::{DiscoverySettings, DiscoveryWatch};
@@ -16,6 +11,10 @@
 use stairfront_balancer::transport::Tcp;
 use stairfront_policy::interface::{Cell, EndpointState, Kind, Zone};
 use stairfront_settings::Names;
+use stairfront_test_support::loopback::{
+    bulk, cache, commands, count, dead_address, hit, http, line, ms, origin, run, until, Balancer,
+    Log, Seen, Step,
+};
 use tokio::sync::{mpsc, watch, Notify};
 use tokio::task::spawn_local;
 use tokio::time::sleep;
@@ -149,7 +148,7 @@
         let host = cache("cache", &log, |_, _| hit("v")).await;
         let ends = origin("agent", &log, |_, _| Step::End).await;
         let mut balancers = Vec::new();
-        for agent in [common::dead_address().await, ends] {
+        for agent in [dead_address().await, ends] {
             let balancer = Balancer::start(agent, &[line("c1", host, "box")]).await;
             assert_eq!(balancer.client().await.get("k", "1", 900).await, bulk("v"));
             balancers.push(balancer);
@@ -256,7 +255,7 @@
 fn a_list_dropped_before_it_reaches_the_engine_is_polled_again() {
     run(async {
         let log = Log::default();
-        let host = common::dead_address().await;
+        let host = dead_address().await;
         let agent = origin("agent", &log, move |_, words| {
             match words[0].contains("from=1&") {
                 true => list(5, false, &[line("c5", host, "box")]),
--- a/crates/stairfront-balancer/tests/held_answers.rs
+++ b/crates/stairfront-balancer/tests/held_answers.rs
@@ -1,10 +1,9 @@
 //! Large answers with commands behind them: one that breaks in its middle takes none of the answers behind it along, and a
 //! slow one still begins in time.
-mod common;
 
 use std::time::{Duration, Instant};
 
-use common::{
+use stairfront_test_support::loopback::{
     bulk, cache, commands, count, get, hit, line, ms, quiet_agent, run_within, until, Balancer,
     Client, Log, Seen, Step,
 };
--- a/crates/stairfront-balancer/tests/large_values.rs
+++ b/crates/stairfront-balancer/tests/large_values.rs
@@ -1,9 +1,8 @@
 //! Values too large to be held: forwarded as they come, truncated so that the client can tell, and never sent twice.
-mod common;
 
 use std::time::Instant;
 
-use common::{
+use stairfront_test_support::loopback::{
     bulk, cache, command, commands, count, get, hit, http, line, miss, ms, origin, quiet_agent,
     run, Balancer, Client, Log, Seen, Step,
 };
--- a/crates/stairfront-balancer/tests/list_freshness.rs
+++ b/crates/stairfront-balancer/tests/list_freshness.rs
@@ -1,12 +1,11 @@
 //! Whether the list in use counts as current while one is on its way, in the kernel, the engine's queue, or at the agent.
-mod common;
 
 use std::cell::Cell;
 use std::rc::{Rc, Weak};
 
-use common::{ms, run};
 use stairfront_balancer::list_freshness::ListFreshness;
 use stairfront_balancer::transport::{Peer, Unread};
+use stairfront_test_support::loopback::{ms, run};
 use tokio::time::advance;
 
 /// The agent's end of a connection, with or without something unread.
--- a/crates/stairfront-balancer/tests/reload.rs
+++ b/crates/stairfront-balancer/tests/reload.rs
@@ -1,14 +1,13 @@
 //! Reloading the configuration: another address of discovery, files with errors that change nothing, and new classes.
-mod common;
 
 use std::net::SocketAddr;
 
-use common::{
+use serde_json::{json, Value};
+use stairfront_balancer::configuration::config::Config;
+use stairfront_test_support::loopback::{
     bulk, cache, commands, config, hit, line, listing_agent as agent, memory_folder, ms,
     quiet_agent, run, Balancer, Client, Log, Step,
 };
-use serde_json::{json, Value};
-use stairfront_balancer::configuration::config::Config;
 use tokio::net::TcpListener;
 use tokio::time::sleep;
 
--- a/crates/stairfront-balancer/tests/shutdown.rs
+++ b/crates/stairfront-balancer/tests/shutdown.rs
@@ -1,10 +1,11 @@
 //! Graceful shutdown: accepted requests are answered, new connections are served for a while, then the process ends.
-mod common;
 
 use std::time::Instant;
 
-use common::{bulk, cache, get, hit, line, ms, quiet_agent, run, Balancer, Client, Log, Step};
 use stairfront_balancer::lifecycle::shutdown::Phase;
+use stairfront_test_support::loopback::{
+    bulk, cache, get, hit, line, ms, quiet_agent, run, Balancer, Client, Log, Step,
+};
 use tokio::io::AsyncWriteExt;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
--- a/crates/stairfront-balancer/tests/stored_forms.rs
+++ b/crates/stairfront-balancer/tests/stored_forms.rs
@@ -1,12 +1,8 @@
 //! Stored and exchanged forms of a balancer, as pinned by golden files: names in the program may change, these forms may
 //! not, since other builds, scripts and people read them.
-mod common;
 
 use std::path::Path;
 
-use common::{
-    cache, config, dead_address, hit, line, memory_folder, quiet_agent, run, Balancer, Log,
-};
 use nix::fcntl::{fcntl, FcntlArg};
 use nix::libc;
 use serde::de::DeserializeOwned;
@@ -30,6 +26,9 @@
 use stairfront_policy::interface::PolicySnapshot;
 use stairfront_raft_node::Status;
 use stairfront_test_support::golden::GoldenFiles;
+use stairfront_test_support::loopback::{
+    cache, config, dead_address, hit, line, memory_folder, quiet_agent, run, Balancer, Log,
+};
 use tokio::net::TcpListener;
 
 fn golden_files() -> GoldenFiles {
--- a/crates/stairfront-balancer/tests/upstream.rs
+++ b/crates/stairfront-balancer/tests/upstream.rs
@@ -1,12 +1,12 @@
 //! The upstream side: how attempts end, and when connections to servers are reused or closed.
-mod common;
 
 use std::net::SocketAddr;
 
-use common::{
-    bulk, cache, command, commands, count, dead_address, hit, http, line, miss, ms, origin,
+use stairfront_test_support::loopback::{
+    bulk, cache, command, commands, count, dead_address, get, hit, http, line, miss, ms, origin,
+    until, Client,
 };
-use common::{quiet_agent, run, Balancer, Log, Seen, Step};
+use stairfront_test_support::loopback::{quiet_agent, run, Balancer, Log, Seen, Step};
 use tokio::time::sleep;
 
 async fn balancer_with(log: &Log, lines: &[(&str, SocketAddr, &str)]) -> Balancer {
@@ -270,7 +270,7 @@
             assert_eq!(client.get(&id, &id, 900).await, bulk(&id));
             assert_eq!(count(&log, &Seen::Opened("origin")), i + 1);
         }
-        common::until(|| count(&log, &Seen::Ended("origin")) == 6).await;
+        until(|| count(&log, &Seen::Ended("origin")) == 6).await;
     });
 }
 
@@ -408,7 +408,7 @@
 }
 
 /// Starts twelve attempts at two silent caches with eight sockets.
-async fn exhaust_sockets(agent: SocketAddr, log: &Log) -> (Balancer, common::Client) {
+async fn exhaust_sockets(agent: SocketAddr, log: &Log) -> (Balancer, Client) {
     let (one, two) = (
         cache("one", log, |_, _| Step::Silence).await,
         cache("two", log, |_, _| Step::Silence).await,
@@ -419,7 +419,7 @@
     let mut client = balancer.client().await;
     for i in 0..12 {
         client
-            .send(&common::get(&format!("k{i}"), &i.to_string(), 1400))
+            .send(&get(&format!("k{i}"), &i.to_string(), 1400))
             .await;
     }
     sleep(ms(50)).await;
--- a/crates/stairfront-balancer/tests/upstream_pool/fixture.rs
+++ b/crates/stairfront-balancer/tests/upstream_pool/fixture.rs
@@ -17,7 +17,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::Instant;
 
-use super::common::ms;
+use stairfront_test_support::loopback::ms;
 
 pub const CACHE: CacheId = CacheId(1);
 
@@ -119,17 +119,11 @@
     counters: Rc<Counters>,
 ) -> (UpstreamPool<N>, mpsc::Receiver<EngineEvent>) {
     let (event_sender, events) = mpsc::channel(16);
-    let limits = PoolSettings {
-        max_connections: max,
-        held_by_predecessor: 0,
-        connect_timeout: ms(250),
+    let settings = PoolSettings {
         servers_idle_timeout,
-        stall_timeout: ms(10_000),
-        max_value_bytes: Memory::of(64).max_value_bytes,
-        memory: MemoryLedger::new(&Memory::of(64)),
-        lists: Rc::default(),
+        ..settings(max)
     };
-    let mut pool = UpstreamPool::new(network, limits, Vec::new(), event_sender, counters);
+    let mut pool = UpstreamPool::new(network, settings, Vec::new(), event_sender, counters);
     pool.set_target(
         CACHE,
         UpstreamTarget {
@@ -140,6 +134,19 @@
     (pool, events)
 }
 
+pub fn settings(max_connections: usize) -> PoolSettings {
+    PoolSettings {
+        max_connections,
+        held_by_predecessor: 0,
+        connect_timeout: ms(250),
+        servers_idle_timeout: ms(10_000),
+        stall_timeout: ms(10_000),
+        max_value_bytes: Memory::of(64).max_value_bytes,
+        memory: MemoryLedger::new(&Memory::of(64)),
+        lists: Rc::default(),
+    }
+}
+
 /// The kernel's TCP, on which no connection is made before the gate is open.
 #[derive(Clone)]
 pub struct Late(pub watch::Receiver<bool>);
--- a/crates/stairfront-balancer/tests/upstream_pool/main.rs
+++ b/crates/stairfront-balancer/tests/upstream_pool/main.rs
@@ -1,6 +1,4 @@
 //! The pool of connections to servers: attempts that must not be sent any more, and connections that must not be reused.
-#[path = "../common/mod.rs"]
-mod common;
 mod fixture;
 mod send_gate;
 mod unsent;
@@ -8,13 +6,13 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use common::{cache, commands, count, hit, ms, run, Log, Seen, Step};
 use fixture::{end, ends, job, pool, pool_on, pool_with, Late, CACHE};
 use stairfront_balancer::counters::Counters;
 use stairfront_balancer::messages::{AttemptEnd, BodyChunk, EngineEvent, PoolEvent, Verb};
 use stairfront_balancer::transport::Tcp;
 use stairfront_balancer::upstream::upstream_pool::UpstreamPool;
 use stairfront_policy::interface::Outcome;
+use stairfront_test_support::loopback::{cache, commands, count, hit, ms, run, Log, Seen, Step};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
--- a/crates/stairfront-balancer/tests/upstream_pool/send_gate.rs
+++ b/crates/stairfront-balancer/tests/upstream_pool/send_gate.rs
@@ -12,8 +12,8 @@
 use tokio::sync::{oneshot, watch};
 use tokio::time::{sleep, Instant};
 
-use super::common::{cache, commands, hit, ms, run, until, Log};
 use super::fixture::{end, job, pool, pool_on, Late};
+use stairfront_test_support::loopback::{cache, commands, hit, ms, run, until, Log};
 
 /// A client's connection, as the balancer and as the client hold it.
 async fn client_connection() -> (Rc<RefCell<TcpStream>>, TcpStream) {
--- a/crates/stairfront-balancer/tests/upstream_pool/unsent.rs
+++ b/crates/stairfront-balancer/tests/upstream_pool/unsent.rs
@@ -15,8 +15,10 @@
 use tokio::sync::oneshot;
 use tokio::time::{sleep, timeout, Instant};
 
-use super::common::{cache, commands, hit, ms, run, run_within, until, Log, Step};
 use super::fixture::{end, job, pool, pool_on, CACHE};
+use stairfront_test_support::loopback::{
+    cache, commands, hit, ms, run, run_within, until, Log, Step,
+};
 
 /// How long a server hangs beyond the moment at which the command has lapsed.
 const HANG_AFTER: Duration = Duration::from_millis(150);
--- a/crates/stairfront-balancer/tests/virtual_network.rs
+++ b/crates/stairfront-balancer/tests/virtual_network.rs
@@ -1,5 +1,4 @@
 //! The same network code on a simulated network of pipes and a paused clock, without sockets.
-mod common;
 
 use std::cell::RefCell;
 use std::future::{poll_fn, Future};
@@ -10,7 +9,6 @@
 use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 
-use common::{command, config, cut_resp, get, hit, line, Step};
 use rustc_hash::FxHashMap;
 use stairfront_balancer::arrival::PollClock;
 use stairfront_balancer::clock::{sleep, Clock, Instant};
@@ -19,6 +17,7 @@
 use stairfront_balancer::lifecycle::shutdown::Phase;
 use stairfront_balancer::transport::{Listener, Network, Stream, Unread};
 use stairfront_policy::Policy;
+use stairfront_test_support::loopback::{command, config, cut_resp, get, hit, line, Step};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf};
 use tokio::sync::{mpsc, watch};
 use tokio::task::{spawn_local, LocalSet};
--- a/crates/stairfront/tests/balancer_group/mod.rs
+++ b/crates/stairfront/tests/balancer_group/mod.rs
@@ -8,7 +8,7 @@
 use tokio::time::sleep;
 
 use super::balancer_process::{unused_address, BalancerProcess};
-use super::common::{
+use stairfront_test_support::loopback::{
     cache, commands, config, hit, line, memory_folder, ms, quiet_agent, say, Client, Log,
 };
 
--- a/crates/stairfront/tests/balancer_process/mod.rs
+++ b/crates/stairfront/tests/balancer_process/mod.rs
@@ -9,7 +9,7 @@
 use tokio::net::TcpStream;
 use tokio::time::sleep;
 
-use super::common::{config, line, ms, say, Client};
+use stairfront_test_support::loopback::{config, line, ms, say, Client};
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_stairfront");
 
--- a/crates/stairfront/tests/command_floods.rs
+++ b/crates/stairfront/tests/command_floods.rs
@@ -1,15 +1,15 @@
 //! A client that sends commands at full speed, sound or not, leaves the processor to others.
 mod balancer_process;
-#[path = "../../stairfront-balancer/tests/common/mod.rs"]
-mod common;
 #[path = "held_memory/measure.rs"]
 mod measure;
 
 use std::time::Duration;
 
 use balancer_process::BalancerProcess;
-use common::{cache, command, hit, ms, quiet_agent, run_within, Client, Log};
 use measure::processor_ms;
+use stairfront_test_support::loopback::{
+    cache, command, hit, ms, quiet_agent, run_within, Client, Log,
+};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
--- a/crates/stairfront/tests/group.rs
+++ b/crates/stairfront/tests/group.rs
@@ -2,8 +2,6 @@
 //! a member learns what it has missed before it serves.
 mod balancer_group;
 mod balancer_process;
-#[path = "../../stairfront-balancer/tests/common/mod.rs"]
-mod common;
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -11,8 +9,10 @@
 
 use balancer_group::{names, BalancerGroup};
 use balancer_process::{unused_address, BalancerProcess};
-use common::{cache, hit, line, listing_agent, memory_folder, ms, quiet_agent, run, Client, Log};
 use serde_json::{json, Value};
+use stairfront_test_support::loopback::{
+    cache, hit, line, listing_agent, memory_folder, ms, quiet_agent, run, Client, Log,
+};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::sleep;
--- a/crates/stairfront/tests/held_memory/main.rs
+++ b/crates/stairfront/tests/held_memory/main.rs
@@ -2,8 +2,6 @@
 //! waits for memory is answered in time.
 #[path = "../balancer_process/mod.rs"]
 mod balancer_process;
-#[path = "../../../stairfront-balancer/tests/common/mod.rs"]
-mod common;
 mod crowd;
 mod measure;
 mod peers;
@@ -13,13 +11,13 @@
 use std::time::Duration;
 
 use balancer_process::{unused_address, BalancerProcess};
-use common::{config, line, ms, quiet_agent, run_within, Log};
 use crowd::{CrowdMember, Habit, HABITS};
 use measure::{peak_kb, resident_kb};
 use peers::{
     read_of, start_cache, start_origin, write_of, Answer, PeerClient, ServerBehaviour, Witness,
 };
 use serde_json::{json, Value};
+use stairfront_test_support::loopback::{config, line, ms, quiet_agent, run_within, Log};
 use tokio::task::spawn_local;
 use tokio::time::{sleep, Instant};
 
--- a/crates/stairfront/tests/held_memory/peers.rs
+++ b/crates/stairfront/tests/held_memory/peers.rs
@@ -11,7 +11,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout, Instant};
 
-use super::common::{command, ms};
+use stairfront_test_support::loopback::{command, ms};
 
 /// Largest part of a value that a stand-in server writes at once.
 const SERVER_CHUNK_BYTES: usize = 64 * 1024;
--- a/crates/stairfront/tests/held_memory/soak.rs
+++ b/crates/stairfront/tests/held_memory/soak.rs
@@ -14,11 +14,11 @@
 use tokio::time::{sleep, sleep_until, Instant};
 
 use super::balancer_process::BalancerProcess;
-use super::common::{memory_folder, ms, run_within};
 use super::crowd::{CrowdMember, Habit, HABITS, WAIT_MS};
 use super::measure::{peak_kb, resident_kb};
 use super::peers::{read_as, write_of, Answer, PeerClient, ServerBehaviour, Witness};
 use super::{configuration, TEST_LIMIT};
+use stairfront_test_support::loopback::{command, memory_folder, ms, run_within};
 
 const SEEDS_IN_CI: RangeInclusive<u64> = 1..=4;
 /// The longest deadline of the settings and 0.7 s: when a planned end may be cut short at the earliest.
@@ -204,7 +204,7 @@
 
     /// Sends commands that ask for no request at full speed.
     async fn flood(self: Rc<Self>) {
-        let bytes = super::common::command(&["PING"]).repeat(500);
+        let bytes = command(&["PING"]).repeat(500);
         while !self.is_over() {
             let Ok(mut client) = PeerClient::connect(self.address).await else {
                 return;
--- a/crates/stairfront/tests/hung_hosts/clients.rs
+++ b/crates/stairfront/tests/hung_hosts/clients.rs
@@ -6,9 +6,9 @@
 use tokio::io::AsyncWriteExt;
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 
-use super::common::{command, ms, Client};
 use super::hosts::Witness;
 use super::script::{Pipeline, DEADLINE_MS, ONCE_CLASS, PUT_CLASS, READ_CLASS};
+use stairfront_test_support::loopback::{command, ms, Client};
 
 const VALUE_BYTES: [usize; 7] = [20, 900, 5_000, 60_000, 150_000, 400_000, 2_000_000];
 /// Later than this after its time an answer is lost.
--- a/crates/stairfront/tests/hung_hosts/hosts.rs
+++ b/crates/stairfront/tests/hung_hosts/hosts.rs
@@ -13,8 +13,8 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, Instant};
 
-use super::common::ms;
 use super::script::HostScript;
+use stairfront_test_support::loopback::ms;
 
 /// How long a host hangs through the rest of a run.
 const SILENCE: Duration = Duration::from_secs(4);
--- a/crates/stairfront/tests/hung_hosts/main.rs
+++ b/crates/stairfront/tests/hung_hosts/main.rs
@@ -5,8 +5,6 @@
 #[path = "../balancer_process/mod.rs"]
 mod balancer_process;
 mod clients;
-#[path = "../../../stairfront-balancer/tests/common/mod.rs"]
-mod common;
 mod hosts;
 mod script;
 
@@ -16,10 +14,12 @@
 
 use balancer_process::{unused_address, BalancerProcess};
 use clients::{run_pipeline, run_writer, ClientSettings};
-use common::{config, line, memory_folder, ms, quiet_agent, run_within, Log};
 use hosts::{start_host, Witness};
 use script::{Script, DEADLINE_MS, ONCE_CLASS, PUT_CLASS, READ_CLASS};
 use serde_json::{json, Value};
+use stairfront_test_support::loopback::{
+    config, line, memory_folder, ms, quiet_agent, run_within, Log,
+};
 use tokio::task::{spawn_local, JoinHandle};
 use tokio::time::{sleep, sleep_until, timeout_at, Instant};
 
--- a/crates/stairfront/tests/lab.rs
+++ b/crates/stairfront/tests/lab.rs
@@ -1,18 +1,16 @@
 //! The lab with real balancer processes: what it measures and which broken rules it finds; the stand-ins and `check`.
 mod balancer_process;
-#[path = "../../stairfront-balancer/tests/common/mod.rs"]
-mod common;
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 
 use balancer_process::unused_address;
-use common::{bulk, ms, run, Client};
 use stairfront_lab::compare;
 use stairfront_lab::experiment::Experiment;
 use stairfront_lab::process::Build;
 use stairfront_lab::run::{Outcome, Progress, RunEnvironment};
+use stairfront_test_support::loopback::{bulk, ms, run, Client};
 use tokio::time::sleep;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_stairfront");
--- a/crates/stairfront/tests/maintenance.rs
+++ b/crates/stairfront/tests/maintenance.rs
@@ -2,15 +2,13 @@
 //! by the requests that reach it, not by what a balancer reports.
 mod balancer_group;
 mod balancer_process;
-#[path = "../../stairfront-balancer/tests/common/mod.rs"]
-mod common;
 
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use balancer_group::{AdminAnswer, BalancerGroup};
-use common::{ms, run_within};
 use serde_json::{json, Value};
+use stairfront_test_support::loopback::{ms, run_within};
 use tokio::time::{sleep, Instant};
 
 /// Time limit of a test.
--- a/crates/stairfront/tests/memory.rs
+++ b/crates/stairfront/tests/memory.rs
@@ -1,12 +1,10 @@
 //! Large values in a real process, together far over the memory limit: the memory of the process stays far below it.
 mod balancer_process;
-#[path = "../../stairfront-balancer/tests/common/mod.rs"]
-mod common;
 
 use std::net::SocketAddr;
 
 use balancer_process::{unused_address, BalancerProcess};
-use common::{
+use stairfront_test_support::loopback::{
     bulk, cache, command, config, get, hit, http, line, miss, ms, origin, quiet_agent, run, Client,
     Log,
 };
--- a/crates/stairfront/tests/process.rs
+++ b/crates/stairfront/tests/process.rs
@@ -1,7 +1,5 @@
 //! The program as a process: signals, its log, its exit.
 mod balancer_process;
-#[path = "../../stairfront-balancer/tests/common/mod.rs"]
-mod common;
 
 use std::cell::Cell;
 use std::io::Read;
@@ -9,7 +7,7 @@
 use std::time::Instant;
 
 use balancer_process::{unused_address, BalancerProcess};
-use common::{
+use stairfront_test_support::loopback::{
     bulk, cache, command, commands, config, dead_address, get, hit, http, line,
     listing_agent as agent, ms, origin, quiet_agent, run, until, Client, Log, Step,
 };
--- a/crates/stairfront/tests/repeated_ids.rs
+++ b/crates/stairfront/tests/repeated_ids.rs
@@ -1,7 +1,5 @@
 //! A client that leaves and comes again with the ids that no server had begun then: none of them runs twice.
 mod balancer_process;
-#[path = "../../stairfront-balancer/tests/common/mod.rs"]
-mod common;
 #[path = "held_memory/peers.rs"]
 mod peers;
 
@@ -11,9 +9,11 @@
 use std::time::Duration;
 
 use balancer_process::{unused_address, BalancerProcess};
-use common::{config, line, memory_folder, ms, quiet_agent, run_within, Log};
 use peers::{read_as, start_cache, PeerClient, ServerBehaviour, Witness};
 use serde_json::{json, Value};
+use stairfront_test_support::loopback::{
+    config, line, memory_folder, ms, quiet_agent, run_within, Log,
+};
 use tokio::time::sleep;
 
 const TEST_LIMIT: Duration = Duration::from_secs(60);
--- a/crates/stairfront/tests/stalls/main.rs
+++ b/crates/stairfront/tests/stalls/main.rs
@@ -2,8 +2,6 @@
 //! have been true before the stall alone: clients have left meanwhile, requests have grown old, lists have come.
 #[path = "../balancer_process/mod.rs"]
 mod balancer_process;
-#[path = "../../../stairfront-balancer/tests/common/mod.rs"]
-mod common;
 mod soak;
 mod stand_ins;
 mod witness;
@@ -15,9 +13,9 @@
 use std::time::Duration;
 
 use balancer_process::{unused_address, BalancerProcess};
-use common::{config, line, ms, run_within, until, Client};
 use serde_json::{json, Value};
 use stairfront_common::random::SeededRng;
+use stairfront_test_support::loopback::{config, line, ms, run_within, until, Client};
 use stand_ins::{leave_behind, CacheBehaviour, ListAgent, RequestShape};
 use tokio::task::{spawn_local, JoinHandle};
 use tokio::time::{sleep, sleep_until, Instant};
--- a/crates/stairfront/tests/stalls/soak.rs
+++ b/crates/stairfront/tests/stalls/soak.rs
@@ -12,9 +12,9 @@
 use tokio::task::{spawn_local, JoinHandle};
 use tokio::time::{sleep, sleep_until, Instant};
 
-use super::common::{ms, run_within, Client};
 use super::stand_ins::{leave_behind, stay, RequestShape};
 use super::{stall_shim, World, WorldSettings, HOSTS, PATIENCE_MS};
+use stairfront_test_support::loopback::{ms, run_within, Client};
 
 const SEEDS_IN_CI: RangeInclusive<u64> = 1..=6;
 const LIMIT: Duration = Duration::from_secs(60);
--- a/crates/stairfront/tests/stalls/stand_ins.rs
+++ b/crates/stairfront/tests/stalls/stand_ins.rs
@@ -12,8 +12,8 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout_at, Instant};
 
-use super::common::{command, cut_http, cut_resp, ms, Client};
 use super::witness::{BegunAttempt, SentRequest, Witness};
+use stairfront_test_support::loopback::{command, cut_http, cut_resp, ms, Client};
 
 /// The value of one name in a list of names and values; 0 where it is not there.
 fn told_ms(list: &str) -> u64 {
--- a/crates/stairfront/tests/stalls/witness.rs
+++ b/crates/stairfront/tests/stalls/witness.rs
@@ -6,7 +6,7 @@
 
 use tokio::time::Instant;
 
-use super::common::ms;
+use stairfront_test_support::loopback::ms;
 
 /// An attempt may begin so long after its client has closed its connection.
 const MAX_AFTER_CLOSE: Duration = Duration::from_millis(100);
--- a/crates/stairfront/tests/stray_answers/main.rs
+++ b/crates/stairfront/tests/stray_answers/main.rs
@@ -2,8 +2,6 @@
 //! second one must neither reach another request's client nor prove anything about the request that is out.
 #[path = "../balancer_process/mod.rs"]
 mod balancer_process;
-#[path = "../../../stairfront-balancer/tests/common/mod.rs"]
-mod common;
 mod repeating_host;
 mod soak;
 
@@ -13,9 +11,11 @@
 use std::time::Duration;
 
 use balancer_process::{unused_address, BalancerProcess};
-use common::{bulk, command, config, line, quiet_agent, run_within, Client, Log};
 use repeating_host::{value_of, Faults, HostLog, Repeat, Role};
 use serde_json::{json, Value};
+use stairfront_test_support::loopback::{
+    bulk, command, config, line, quiet_agent, run_within, Client, Log,
+};
 use tokio::task::spawn_local;
 
 const HOSTS: u64 = 4;
--- a/crates/stairfront/tests/stray_answers/repeating_host.rs
+++ b/crates/stairfront/tests/stray_answers/repeating_host.rs
@@ -14,7 +14,7 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
-use super::common::{cut_http, cut_resp, ms};
+use stairfront_test_support::loopback::{cut_http, cut_resp, ms};
 
 const MISS: &[u8] = b"*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n";
 
--- a/crates/stairfront/tests/upgrade.rs
+++ b/crates/stairfront/tests/upgrade.rs
@@ -1,7 +1,5 @@
 //! Upgrades between real processes: no request and no connection is lost, and the two processes act as one balancer.
 mod balancer_process;
-#[path = "../../stairfront-balancer/tests/common/mod.rs"]
-mod common;
 
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -10,11 +8,11 @@
 use std::time::Instant;
 
 use balancer_process::{unused_address, BalancerProcess};
-use common::{
+use serde_json::Value;
+use stairfront_test_support::loopback::{
     bulk, cache, commands, config, get, hit, line, memory_folder, ms, quiet_agent, run, Client,
     Log, Step,
 };
-use serde_json::Value;
 use tokio::task::{spawn_local, JoinHandle};
 use tokio::time::sleep;
 
--- a/crates/stairfront/tests/upgrade_permits.rs
+++ b/crates/stairfront/tests/upgrade_permits.rs
@@ -1,7 +1,5 @@
 //! Upgrades under clients that together come close to the limit of the balancer: both processes share its permits.
 mod balancer_process;
-#[path = "../../stairfront-balancer/tests/common/mod.rs"]
-mod common;
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -11,13 +9,13 @@
 use std::time::Duration;
 
 use balancer_process::{unused_address, BalancerProcess};
-use common::{
-    bulk, cache, config, get, hit, line, memory_folder, ms, quiet_agent, run_within, Client, Log,
-    Step,
-};
 use serde_json::Value;
 use stairfront_balancer::lifecycle::handover_socket::{self, HandoverListener};
 use stairfront_handover::{split_state, Message};
+use stairfront_test_support::loopback::{
+    bulk, cache, config, get, hit, line, memory_folder, ms, quiet_agent, run_within, Client, Log,
+    Step,
+};
 use tokio::task::{spawn_local, JoinHandle};
 use tokio::time::{sleep, timeout};
 
