A successor leaves the descriptors that it takes for itself out of its connections

During an upgrade at 256 descriptors both processes together could hold 222 connections, and 39 to 40 descriptors of their own where one reserve of 34 is set aside: over the limit, which is for both together.

Cause: what is no connection was reserved once, and both processes have it (16 descriptors in one process alone, 19 and 20 during an upgrade, counted in /proc).

Change: the old process leaves the new one 22 server connections less, or half of them where there are few.

Not played with all descriptors in use.

--- a/crates/stairfront-balancer/src/configuration/limits.rs
+++ b/crates/stairfront-balancer/src/configuration/limits.rs
@@ -11,6 +11,9 @@
 /// Descriptors that are not connections with a permit: standard streams, event queue, signals, listeners, discovery,
 /// connections just accepted and some for the libraries (16 were seen), the spare connections, and the admin API's callers.
 const RESERVE: usize = 18 + MAX_SPARE_CONNECTIONS + MAX_CALLERS;
+/// What a second process of this balancer takes for itself during an upgrade: 20 were seen, with its end of the handover
+/// socket and the files of ids.
+pub const SECOND_PROCESS_DESCRIPTORS: usize = 22;
 /// The most sockets that the deployment ever grants; a larger limit is not used.
 pub const MAX_SOCKETS: usize = 1024;
 
--- a/crates/stairfront-balancer/src/upstream/upstream_pool.rs
+++ b/crates/stairfront-balancer/src/upstream/upstream_pool.rs
@@ -12,6 +12,7 @@
 use tokio::task::spawn_local;
 
 use crate::clock::Instant;
+use crate::configuration::limits::SECOND_PROCESS_DESCRIPTORS;
 use crate::counters::Counters;
 use crate::lifecycle::handover::OtherProcess;
 use crate::list_freshness::ListFreshness;
@@ -247,8 +248,8 @@
         self.context.stall_timeout.set(stall_timeout);
     }
 
-    /// Leaves half of this process's connections to a successor, or fewer if more are in use here. Returns how many the
-    /// successor does not have.
+    /// Leaves half of this process's connections to a successor, or fewer if more are in use here, less the descriptors that
+    /// the successor takes for itself. Returns how many the successor does not have.
     pub fn share_connections(&mut self) -> usize {
         let in_use = self
             .connections
@@ -257,7 +258,8 @@
             .count();
         let own = self.max_connections_alone - self.held_by_predecessor;
         let kept = (own / 2).max(in_use).min(own - own / 4);
-        self.held_by_successor = own - kept;
+        let left = own - kept;
+        self.held_by_successor = left - SECOND_PROCESS_DESCRIPTORS.min(left / 2);
         self.apply_shares();
         self.make_room();
         self.max_connections_alone - self.held_by_successor
