Processes, groups, peers and a policy driven by hand move to test-support

Cause: they stood among the tests and were included by their paths, some by tests of another folder.

Change: loopback::{BalancerProcess, BalancerGroup, peers} and policy_driver (feature "policy"), documented like all public items; tests import them. The program of a process is found beside the running test, as cargo builds it. No test or check is changed.

--- a/crates/stairfront-policy/tests/admission.rs
+++ b/crates/stairfront-policy/tests/admission.rs
@@ -1,10 +1,9 @@
 //! Admission: concurrency limits, priorities and likely misses.
-mod common;
 
 use std::collections::BTreeMap;
 
-use common::{class, read_through, ready_list, TestBalancer};
 use stairfront_policy::interface::{Class, Idempotency, Outcome};
+use stairfront_test_support::policy_driver::{class, read_through, ready_list, TestBalancer};
 
 #[test]
 fn a_key_whose_candidates_are_full_moves_to_an_idle_cache_and_stays() {
--- a/crates/stairfront-policy/tests/advisory_removals.rs
+++ b/crates/stairfront-policy/tests/advisory_removals.rs
@@ -1,11 +1,12 @@
 //! Advisory removals: where only draining is binding, a list that removes much of the fleet is doubted, and the outcomes of
 //! attempts decide.
-mod common;
 
-use common::{endpoint, read_through, ready_list, servers_sent_to, TestBalancer};
 use stairfront_policy::interface::{
     CacheId, Endpoint, EndpointListUpdate, EndpointState, Event, Outcome, MS,
 };
+use stairfront_test_support::policy_driver::{
+    endpoint, read_through, ready_list, servers_sent_to, TestBalancer,
+};
 
 fn balancer(removal_is_advisory: bool) -> TestBalancer {
     let mut settings = read_through();
--- a/crates/stairfront-policy/tests/cordons.rs
+++ b/crates/stairfront-policy/tests/cordons.rs
@@ -1,13 +1,12 @@
 //! Cordons: an order of the operators holds, whatever discovery reports of the cache meanwhile.
-mod common;
 
-use common::{
-    cache_aside, endpoint, read_through, ready_list, servers_sent_to, with_origin, TestBalancer,
-    ORIGIN,
-};
 use stairfront_policy::interface::{
     CacheId, Endpoint, EndpointListUpdate, EndpointState, Event, Outcome, RequestId, MS, SECOND,
 };
+use stairfront_test_support::policy_driver::{
+    cache_aside, endpoint, read_through, ready_list, servers_sent_to, with_origin, TestBalancer,
+    ORIGIN,
+};
 
 const OUT: CacheId = CacheId(1);
 
--- a/crates/stairfront-policy/tests/endpoint_list.rs
+++ b/crates/stairfront-policy/tests/endpoint_list.rs
@@ -1,10 +1,11 @@
 //! Endpoint list: removals, and when discovery is polled.
-mod common;
 
-use common::{endpoint, read_through, ready_list, servers_sent_to, TestBalancer};
 use stairfront_policy::interface::{
     Action, CacheId, DiscoveryMode, EndpointListUpdate, EndpointState, Event, Micros, Outcome,
 };
+use stairfront_test_support::policy_driver::{
+    endpoint, read_through, ready_list, servers_sent_to, TestBalancer,
+};
 
 #[test]
 fn a_draining_or_removed_cache_gets_nothing_from_the_same_event_on() {
--- a/crates/stairfront-policy/tests/hand_off.rs
+++ b/crates/stairfront-policy/tests/hand_off.rs
@@ -1,12 +1,11 @@
 //! Hand-off: what a process adopts from the one before it, and what it must not.
-mod common;
 
 use std::collections::BTreeMap;
 
-use common::{read_through, ready_list, TestBalancer};
 use stairfront_policy::interface::{
     CacheId, Endpoint, EndpointState, Event, Micros, Outcome, RequestId, MS, SECOND,
 };
+use stairfront_test_support::policy_driver::{read_through, ready_list, TestBalancer};
 
 /// Where each key is served, in a balancer that has run for a while.
 fn long_running() -> (TestBalancer, BTreeMap<u64, CacheId>) {
--- a/crates/stairfront-policy/tests/invariants.rs
+++ b/crates/stairfront-policy/tests/invariants.rs
@@ -1,10 +1,8 @@
 //! The four rules, as far as one balancer can see them, over random events that are legal in settings of every mode.
 //! The checker knows only events, actions and the settings; it shares no code with the policy.
-mod common;
 
 use std::collections::BTreeMap;
 
-use common::{attempt_result, cache_aside, class, read_through, ready_list, with_origin, ORIGIN};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use stairfront_policy::interface::{
@@ -13,6 +11,9 @@
     Outcome, Request, RequestId, Settings, Tenant, TenantId, MS, SECOND,
 };
 use stairfront_policy::Policy;
+use stairfront_test_support::policy_driver::{
+    attempt_result, cache_aside, class, read_through, ready_list, with_origin, ORIGIN,
+};
 
 const TICK: Micros = 5 * MS;
 
--- a/crates/stairfront-policy/tests/large_fleets.rs
+++ b/crates/stairfront-policy/tests/large_fleets.rs
@@ -1,15 +1,14 @@
 //! A balancer that is one of hundreds before a hundred caches cannot assume that it sees each cache often, that hits are
 //! reported, that idle connections stay up, that there are many tenants, or that every origin has the same capacity.
-mod common;
 
-use common::{
-    attempt_result, cache_aside, has_rejection, read_through, ready_list, with_origin,
-    TestBalancer, ORIGIN,
-};
 use stairfront_policy::interface::{
     Action, AttemptResult, CacheMode, CacheStatus, Event, Outcome, RequestId, Settings,
     TailLatency, Tenant, MS, SECOND,
 };
+use stairfront_test_support::policy_driver::{
+    attempt_result, cache_aside, has_rejection, read_through, ready_list, with_origin,
+    TestBalancer, ORIGIN,
+};
 
 /// Ends the first attempt of a request, long after its latency objective.
 fn end_late(balancer: &mut TestBalancer, id: RequestId, outcome: Outcome) -> Vec<Action> {
--- a/crates/stairfront-policy/tests/origin_fetch.rs
+++ b/crates/stairfront-policy/tests/origin_fetch.rs
@@ -1,13 +1,12 @@
 //! Cache-aside mode: shared fetches, and the concurrency limit of the origin.
-mod common;
 
-use common::{
-    attempt_result, cache_aside, read_through, ready_list, reporting_utilization, servers_sent_to,
-    utilization_report, with_origin, TestBalancer, ORIGIN,
-};
 use stairfront_policy::interface::{
     Action, AttemptResult, CacheStatus, Event, Outcome, RequestId, Settings, MS,
 };
+use stairfront_test_support::policy_driver::{
+    attempt_result, cache_aside, read_through, ready_list, reporting_utilization, servers_sent_to,
+    utilization_report, with_origin, TestBalancer, ORIGIN,
+};
 
 #[test]
 fn readers_of_one_key_share_a_fetch_and_read_what_it_stored() {
--- a/crates/stairfront-policy/tests/outlier_detection.rs
+++ b/crates/stairfront-policy/tests/outlier_detection.rs
@@ -1,13 +1,12 @@
 //! Outlier detection: which outcomes eject a server, and which are chance.
-mod common;
 
-use common::{
-    attempt_result, cache_aside, read_through, ready_list, reporting_utilization, servers_sent_to,
-    utilization_report, with_origin, TestBalancer, ORIGIN,
-};
 use stairfront_policy::interface::{
     Action, AttemptResult, CacheId, Event, Micros, Outcome, RequestId, MS, SECOND,
 };
+use stairfront_test_support::policy_driver::{
+    attempt_result, cache_aside, read_through, ready_list, reporting_utilization, servers_sent_to,
+    utilization_report, with_origin, TestBalancer, ORIGIN,
+};
 
 #[test]
 fn a_cache_that_refuses_connections_is_avoided_and_used_again_later() {
--- a/crates/stairfront-policy/tests/placement.rs
+++ b/crates/stairfront-policy/tests/placement.rs
@@ -1,15 +1,14 @@
 //! Placement by two-choice consistent hashing: two points, fewer keys, shorter arc; and what makes a single request spill.
-mod common;
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use common::{
-    attempt_result, endpoint, read_through, ready_list, utilization_report, TestBalancer,
-};
 use stairfront_policy::interface::{
     AttemptResult, CacheId, Endpoint, EndpointListUpdate, EndpointState, Event, LoadReport,
     Outcome, ReportField, Settings, SECOND,
 };
+use stairfront_test_support::policy_driver::{
+    attempt_result, endpoint, read_through, ready_list, utilization_report, TestBalancer,
+};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// A second, plain implementation of the design: the order of the owners and the arcs that they own.
--- a/crates/stairfront-policy/tests/retries.rs
+++ b/crates/stairfront-policy/tests/retries.rs
@@ -1,13 +1,12 @@
 //! No effect twice, and exactly one answer: when a request may be retried or rejected, by the outcome of its attempt.
-mod common;
 
-use common::{
-    class, has_failure, has_rejection, read_through, ready_list, servers_sent_to, TestBalancer,
-};
 use stairfront_policy::interface::{
     Action, CacheId, ClassId, DeduplicationScope, Endpoint, Event, Idempotency, Key, Micros,
     Outcome, Request, RequestId, TenantId, MS, SECOND,
 };
+use stairfront_test_support::policy_driver::{
+    class, has_failure, has_rejection, read_through, ready_list, servers_sent_to, TestBalancer,
+};
 
 const FAILURES: [(Outcome, bool); 7] = [
     (Outcome::Errored, false),
--- a/crates/stairfront-policy/tests/scale.rs
+++ b/crates/stairfront-policy/tests/scale.rs
@@ -1,11 +1,12 @@
 //! Limits that many balancers keep together: cold caches, discovery, ejected caches, fairness.
-mod common;
 
-use common::{attempt_result, endpoint, read_through, ready_list, TestBalancer};
 use stairfront_policy::interface::{
     Action, AttemptResult, CacheId, CacheStatus, DiscoveryMode, Endpoint, EndpointListUpdate,
     EndpointState, Event, Micros, Outcome, Settings, Tenant, MS, SECOND,
 };
+use stairfront_test_support::policy_driver::{
+    attempt_result, endpoint, read_through, ready_list, TestBalancer,
+};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 const CACHES: u64 = 10;
--- a/crates/stairfront-policy/tests/settings_changes.rs
+++ b/crates/stairfront-policy/tests/settings_changes.rs
@@ -1,12 +1,11 @@
 //! New settings while requests are open: an open request keeps those that it was admitted with.
-mod common;
 
-use common::{
-    class, has_failure, has_rejection, read_through, ready_list, servers_sent_to, TestBalancer,
-};
 use stairfront_policy::interface::{
     Action, CacheId, Class, DeduplicationScope, Event, Idempotency, Outcome, Settings, MS, SECOND,
 };
+use stairfront_test_support::policy_driver::{
+    class, has_failure, has_rejection, read_through, ready_list, servers_sent_to, TestBalancer,
+};
 
 fn with(idempotency: Idempotency, attempts: u8) -> Settings {
     let mut settings = read_through();
--- a/crates/stairfront-policy/tests/shutdown.rs
+++ b/crates/stairfront-policy/tests/shutdown.rs
@@ -1,11 +1,10 @@
 //! Shutdown: every request is answered before the process ends.
-mod common;
 
-use common::{class, read_through, ready_list, TestBalancer};
 use stairfront_policy::interface::{
     Action, Class, ClassId, DeduplicationScope, Event, Idempotency, Key, Micros, Outcome, Request,
     RequestId, TenantId, MS, SECOND,
 };
+use stairfront_test_support::policy_driver::{class, read_through, ready_list, TestBalancer};
 
 /// A request whose client waits beyond the end of the process would end with it, unanswered.
 #[test]
--- a/crates/stairfront-policy/tests/slow_start.rs
+++ b/crates/stairfront-policy/tests/slow_start.rs
@@ -1,12 +1,11 @@
 //! Slow start: how much a cold cache gets from one balancer.
-mod common;
 
 use std::collections::BTreeMap;
 
-use common::{endpoint, read_through, ready_list, TestBalancer};
 use stairfront_policy::interface::{
     CacheId, Endpoint, EndpointListUpdate, EndpointState, Event, Kind, Outcome, MS,
 };
+use stairfront_test_support::policy_driver::{endpoint, read_through, ready_list, TestBalancer};
 
 /// Attempts sent to the one cold cache in each of `seconds`, with a steady load on all caches, and the rate of a warm one.
 fn cold_sends(seconds: i64) -> (Vec<usize>, f64) {
--- a/crates/stairfront-policy/tests/stored_forms.rs
+++ b/crates/stairfront-policy/tests/stored_forms.rs
@@ -1,14 +1,15 @@
 //! The stored form of a snapshot. The process that writes it and the one that reads it may be of different versions: names
 //! in the program may change, this text may not.
-mod common;
 
-use common::{attempt_result, read_through, ready_list, utilization_report, TestBalancer};
 use serde_json::Value;
 use stairfront_policy::interface::{
     AttemptResult, CacheId, Endpoint, Event, Micros, Outcome, PolicySnapshot, ReportField,
     RequestId, Settings, Tenant, MS, SECOND,
 };
 use stairfront_test_support::golden::GoldenFiles;
+use stairfront_test_support::policy_driver::{
+    attempt_result, read_through, ready_list, utilization_report, TestBalancer,
+};
 
 fn golden_files() -> GoldenFiles {
     GoldenFiles::of_crate(env!("CARGO_MANIFEST_DIR"))
--- a/crates/stairfront-test-support/src/lib.rs
+++ b/crates/stairfront-test-support/src/lib.rs
@@ -3,3 +3,5 @@
 pub mod golden;
 #[cfg(feature = "loopback")]
 pub mod loopback;
+#[cfg(feature = "policy")]
+pub mod policy_driver;
--- a/crates/stairfront/tests/balancer_group/mod.rs
+++ b/crates/stairfront-test-support/src/loopback/group.rs
@@ -1,5 +1,4 @@
 //! A group of balancer processes, and the calls of operators to them.
-#![allow(dead_code)] // Each test program uses a part of these helpers.
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
@@ -7,9 +6,9 @@
 use tempfile::TempDir;
 use tokio::time::sleep;
 
-use super::balancer_process::{unused_address, BalancerProcess};
-use stairfront_test_support::loopback::{
-    cache, commands, config, hit, line, memory_folder, ms, quiet_agent, say, Client, Log,
+use super::{
+    cache, commands, config, hit, line, memory_folder, ms, quiet_agent, say, unused_address,
+    BalancerProcess, Client, Log,
 };
 
 /// Number of members that the others are configured to contact first.
@@ -17,10 +16,13 @@
 
 /// A group of processes, each with a directory for its files that outlives the process.
 pub struct BalancerGroup {
+    /// Name of the group.
     pub name: String,
     /// What the two cache hosts have received.
     pub log: Log,
+    /// The configuration of each member.
     pub configurations: Vec<Value>,
+    /// The directory of each member.
     pub directories: Vec<TempDir>,
     /// None for a member that is not running.
     pub processes: Vec<Option<BalancerProcess>>,
@@ -37,12 +39,18 @@
 
 /// A response of the admin API.
 pub struct AdminAnswer {
+    /// Its status.
     pub status: u16,
     /// Head and body.
     pub text: String,
 }
 
 impl AdminAnswer {
+    /// The body.
+    ///
+    /// # Panics
+    ///
+    /// If it is no JSON.
     pub fn json(&self) -> Value {
         let (_, body) = self.text.split_once("\r\n\r\n").unwrap();
         serde_json::from_str(body).unwrap()
@@ -100,6 +108,11 @@
         self.processes[member] = Some(process);
     }
 
+    /// The process of a member.
+    ///
+    /// # Panics
+    ///
+    /// If it is not running.
     pub fn process(&self, member: usize) -> &BalancerProcess {
         self.processes[member].as_ref().unwrap()
     }
--- a/crates/stairfront-test-support/src/loopback/mod.rs
+++ b/crates/stairfront-test-support/src/loopback/mod.rs
@@ -1,6 +1,9 @@
 //! Balancers in the process of a test, and in-process stand-ins on loopback for cache hosts, the origin, discovery and clients.
 mod balancer;
 mod client;
+mod group;
+pub mod peers;
+mod process;
 mod stand_in;
 
 use std::future::Future;
@@ -11,6 +14,8 @@
 
 pub use balancer::{config, line, settings, Balancer};
 pub use client::{bulk, command, get, say, Client};
+pub use group::{names, AdminAnswer, BalancerGroup, HostRequests};
+pub use process::{unused_address, BalancerProcess};
 pub use stand_in::{
     cache, commands, count, cut_http, cut_resp, dead_address, gated_echo, hit, http, listing_agent,
     miss, origin, quiet_agent, Log, Script, Seen, Step,
--- a/crates/stairfront/tests/held_memory/peers.rs
+++ b/crates/stairfront-test-support/src/loopback/peers.rs
@@ -1,5 +1,4 @@
 //! Cache hosts, an origin and clients that move many bytes, slowly or at once, and record what they see.
-#![allow(dead_code)] // Each test program uses a part of these helpers.
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -11,7 +10,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout, Instant};
 
-use stairfront_test_support::loopback::{command, ms};
+use super::{command, ms};
 
 /// Largest part of a value that a stand-in server writes at once.
 const SERVER_CHUNK_BYTES: usize = 64 * 1024;
@@ -21,11 +20,15 @@
 pub struct Witness {
     /// How often each id was begun at a server.
     pub begun: RefCell<HashMap<String, u32>>,
+    /// Requests answered with a value.
     pub served: Cell<u64>,
+    /// Requests that were refused.
     pub refused: Cell<u64>,
+    /// Requests that have failed.
     pub failed: Cell<u64>,
     /// Requests whose final answers came too late, by how much; and the number of requests that got none.
     pub late: RefCell<Vec<(String, Duration)>>,
+    /// Requests without an answer.
     pub unanswered: Cell<u64>,
 }
 
@@ -34,6 +37,7 @@
         *self.begun.borrow_mut().entry(id.to_string()).or_default() += 1;
     }
 
+    /// How often servers have begun a request.
     pub fn times_begun(&self, id: &str) -> u32 {
         self.begun.borrow().get(id).copied().unwrap_or_default()
     }
@@ -242,8 +246,11 @@
 /// A final answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Answer {
+    /// A value.
     Value,
+    /// A refusal.
     Busy,
+    /// An error.
     Error,
 }
 
@@ -251,12 +258,22 @@
 pub struct PeerClient(pub BufReader<TcpStream>);
 
 impl PeerClient {
+    /// Connects.
+    ///
+    /// # Errors
+    ///
+    /// If nobody accepts.
     pub async fn connect(address: SocketAddr) -> std::io::Result<Self> {
         let socket = TcpStream::connect(address).await?;
         socket.set_nodelay(true)?;
         Ok(PeerClient(BufReader::with_capacity(4096, socket)))
     }
 
+    /// Sends bytes.
+    ///
+    /// # Errors
+    ///
+    /// If the connection has ended.
     pub async fn send(&mut self, bytes: &[u8]) -> std::io::Result<()> {
         self.0.write_all(bytes).await
     }
--- a/crates/stairfront/tests/balancer_process/mod.rs
+++ b/crates/stairfront-test-support/src/loopback/process.rs
@@ -1,7 +1,6 @@
 //! The program as a process of its own.
-#![allow(dead_code)] // Each test program uses a part of these helpers.
 use std::net::{SocketAddr, TcpListener};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU8, Ordering};
 
@@ -9,17 +8,27 @@
 use tokio::net::TcpStream;
 use tokio::time::sleep;
 
-use stairfront_test_support::loopback::{config, line, ms, say, Client};
+use super::{config, line, ms, say, Client};
 
-const PROGRAM: &str = env!("CARGO_BIN_EXE_stairfront");
+/// The program that belongs to the running test: cargo builds it into the folder above that of the tests.
+fn path_of_program() -> PathBuf {
+    target_folder().join("stairfront")
+}
+
+fn target_folder() -> PathBuf {
+    let test = std::env::current_exe().unwrap();
+    test.ancestors().nth(2).unwrap().to_path_buf()
+}
 
 /// A running balancer, with its log on a pipe.
 pub struct BalancerProcess {
+    /// The process.
     pub child: Child,
     /// Address for clients.
     pub address: SocketAddr,
     /// Address of the admin API.
     pub admin_address: SocketAddr,
+    /// Path of its configuration file.
     pub config_path: String,
 }
 
@@ -37,12 +46,12 @@
 /// The program, or a shell that runs it with a limit on the size of each file that it writes, in blocks of 512 bytes.
 fn program(max_file_blocks: Option<u32>) -> Command {
     let Some(blocks) = max_file_blocks else {
-        return Command::new(PROGRAM);
+        return Command::new(path_of_program());
     };
     let mut command = Command::new("sh");
     // The signal for files that are too large is ignored, since a full disk sends none.
     let script = format!("trap '' XFSZ; ulimit -f {blocks}; exec \"$0\"");
-    command.args(["-c", &script, PROGRAM]);
+    command.args(["-c", &script]).arg(path_of_program());
     command
 }
 
@@ -113,7 +122,7 @@
         configuration["ops"] = admin_address.to_string().into();
         let config_path = format!(
             "{}/{test}-{}.json",
-            env!("CARGO_TARGET_TMPDIR"),
+            target_folder().with_file_name("tmp").display(),
             std::process::id()
         );
         std::fs::write(&config_path, configuration.to_string()).unwrap();
--- a/crates/stairfront-policy/tests/common/mod.rs
+++ b/crates/stairfront-test-support/src/policy_driver.rs
@@ -1,6 +1,4 @@
 //! A policy that a test drives by hand: events in, actions out, and a record of the attempts. No clock.
-// Each test file uses some of these helpers only.
-#![allow(dead_code)]
 use std::collections::BTreeMap;
 
 use stairfront_policy::interface::{
@@ -11,8 +9,10 @@
 };
 use stairfront_policy::Policy;
 
+/// The origin of lists that have one.
 pub const ORIGIN: CacheId = CacheId(9_000);
 
+/// A class with a deadline of a second.
 pub fn class(idempotency: Idempotency) -> Class {
     Class {
         idempotency,
@@ -24,6 +24,7 @@
     }
 }
 
+/// Settings with one idempotent class.
 pub fn settings(mode: CacheMode) -> Settings {
     Settings {
         instance: 0,
@@ -60,14 +61,17 @@
     }
 }
 
+/// Settings for caches that fetch by themselves.
 pub fn read_through() -> Settings {
     settings(CacheMode::Through)
 }
 
+/// Settings for caches that only store, beside an origin.
 pub fn cache_aside() -> Settings {
     settings(CacheMode::Aside { origin: Kind(1) })
 }
 
+/// A cache, in one of two zones by its number.
 pub fn endpoint(id: u64, state: EndpointState) -> Endpoint {
     let zone = Zone((id % 2) as u8);
     Endpoint {
@@ -81,12 +85,14 @@
     }
 }
 
+/// A list of caches that are ready.
 pub fn ready_list(ids: impl IntoIterator<Item = u64>) -> Vec<Endpoint> {
     ids.into_iter()
         .map(|id| endpoint(id, EndpointState::Ready))
         .collect()
 }
 
+/// The list with an origin.
 pub fn with_origin(mut list: Vec<Endpoint>) -> Vec<Endpoint> {
     list.push(Endpoint {
         kind: Kind(1),
@@ -95,9 +101,13 @@
     list
 }
 
+/// A policy with a time and a record of what it decided.
 pub struct TestBalancer {
+    /// The policy.
     pub policy: Policy,
+    /// The time of the next event.
     pub now: Micros,
+    /// All actions so far.
     pub out: Vec<Action>,
     /// The server of each attempt, by request.
     pub sent: BTreeMap<u32, Vec<CacheId>>,
@@ -105,10 +115,12 @@
 }
 
 impl TestBalancer {
+    /// One with a fixed seed.
     pub fn new(settings: Settings, list: &[Endpoint]) -> TestBalancer {
         TestBalancer::seeded(settings, list, 7)
     }
 
+    /// The same with another seed.
     pub fn seeded(settings: Settings, list: &[Endpoint], seed: u64) -> TestBalancer {
         let policy = Policy::new(settings, seed);
         let mut balancer = TestBalancer {
@@ -135,14 +147,17 @@
         actions
     }
 
+    /// Requests a key.
     pub fn request(&mut self, key: u64) -> RequestId {
         self.request_of_class(0, key, false)
     }
 
+    /// The same for a class, to read or to write.
     pub fn request_of_class(&mut self, class: u8, key: u64, write: bool) -> RequestId {
         self.request_from(0, class, key, write)
     }
 
+    /// The same for a tenant.
     pub fn request_from(&mut self, tenant: u32, class: u8, key: u64, write: bool) -> RequestId {
         self.next += 1;
         let id = RequestId(self.next);
@@ -160,6 +175,10 @@
     }
 
     /// Ends the last attempt of a request.
+    ///
+    /// # Panics
+    ///
+    /// If it has none.
     pub fn finish_attempt(&mut self, id: RequestId, outcome: Outcome) -> Vec<Action> {
         let sent = &self.sent[&id.0];
         let result = attempt_result(id, sent.len() as u8 - 1, sent[sent.len() - 1], outcome);
@@ -167,16 +186,22 @@
     }
 
     /// Requests a key and has it served; returns the cache that served it.
+    ///
+    /// # Panics
+    ///
+    /// If it is not sent.
     pub fn serve(&mut self, key: u64) -> CacheId {
         let id = self.request(key);
         self.finish_attempt(id, Outcome::Served);
         self.last_cache(id).expect("an idle cache takes a request")
     }
 
+    /// The server of the last attempt of a request.
     pub fn last_cache(&self, id: RequestId) -> Option<CacheId> {
         self.sent.get(&id.0).and_then(|s| s.last().copied())
     }
 
+    /// How many final answers a request has.
     pub fn final_answers(&self, id: RequestId) -> usize {
         let is_final = |a: &&Action| matches!(a, Action::Reject { id: i, .. } | Action::Fail { id: i } if *i == id);
         self.out.iter().filter(is_final).count()
@@ -218,14 +243,17 @@
     }
 }
 
+/// Whether a request was rejected.
 pub fn has_rejection(actions: &[Action]) -> bool {
     actions.iter().any(|a| matches!(a, Action::Reject { .. }))
 }
 
+/// Whether a request has failed.
 pub fn has_failure(actions: &[Action]) -> bool {
     actions.iter().any(|a| matches!(a, Action::Fail { .. }))
 }
 
+/// The servers to which requests were sent, in their order.
 pub fn servers_sent_to(actions: &[Action]) -> Vec<CacheId> {
     actions
         .iter()
--- a/crates/stairfront/tests/command_floods.rs
+++ b/crates/stairfront/tests/command_floods.rs
@@ -1,12 +1,11 @@
 //! A client that sends commands at full speed, sound or not, leaves the processor to others.
-mod balancer_process;
 #[path = "held_memory/measure.rs"]
 mod measure;
 
 use std::time::Duration;
 
-use balancer_process::BalancerProcess;
 use measure::processor_ms;
+use stairfront_test_support::loopback::BalancerProcess;
 use stairfront_test_support::loopback::{
     cache, command, hit, ms, quiet_agent, run_within, Client, Log,
 };
--- a/crates/stairfront/tests/group.rs
+++ b/crates/stairfront/tests/group.rs
@@ -1,18 +1,16 @@
 //! Balancer processes as members of one group, without the lab: an operator's call to one member holds at all of them, and
 //! a member learns what it has missed before it serves.
-mod balancer_group;
-mod balancer_process;
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::process::{Command, Output};
 
-use balancer_group::{names, BalancerGroup};
-use balancer_process::{unused_address, BalancerProcess};
 use serde_json::{json, Value};
 use stairfront_test_support::loopback::{
     cache, hit, line, listing_agent, memory_folder, ms, quiet_agent, run, Client, Log,
 };
+use stairfront_test_support::loopback::{names, BalancerGroup};
+use stairfront_test_support::loopback::{unused_address, BalancerProcess};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::sleep;
--- a/crates/stairfront/tests/held_memory/crowd.rs
+++ b/crates/stairfront/tests/held_memory/crowd.rs
@@ -7,7 +7,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::time::{sleep, timeout_at, Instant};
 
-use super::peers::{read_of, write_of, PeerClient, Witness};
+use stairfront_test_support::loopback::peers::{read_of, write_of, PeerClient, Witness};
 use stairfront_test_support::loopback::{command, ms};
 
 /// How long clients say that they wait.
--- a/crates/stairfront/tests/held_memory/main.rs
+++ b/crates/stairfront/tests/held_memory/main.rs
@@ -1,23 +1,20 @@
 //! What clients and servers can have a real process hold: its resident memory stays below the limit of its settings, and who
 //! waits for memory is answered in time.
-#[path = "../balancer_process/mod.rs"]
-mod balancer_process;
 mod crowd;
 mod measure;
-mod peers;
 mod soak;
 
 use std::rc::Rc;
 use std::time::Duration;
 
-use balancer_process::{unused_address, BalancerProcess};
 use crowd::{CrowdMember, Habit, HABITS};
 use measure::{peak_kb, resident_kb};
-use peers::{
+use serde_json::{json, Value};
+use stairfront_test_support::loopback::peers::{
     read_of, start_cache, start_origin, write_of, Answer, PeerClient, ServerBehaviour, Witness,
 };
-use serde_json::{json, Value};
 use stairfront_test_support::loopback::{config, line, ms, quiet_agent, run_within, Log};
+use stairfront_test_support::loopback::{unused_address, BalancerProcess};
 use tokio::task::spawn_local;
 use tokio::time::{sleep, Instant};
 
--- a/crates/stairfront/tests/held_memory/measure.rs
+++ b/crates/stairfront/tests/held_memory/measure.rs
@@ -1,6 +1,6 @@
 //! The memory and the processor time of a process, as the kernel counts them.
 #![allow(dead_code)] // Each test program uses a part of these helpers.
-use super::balancer_process::BalancerProcess;
+use stairfront_test_support::loopback::BalancerProcess;
 
 /// One line of `/proc/PID/status`, in kilobytes; `None` for a process that has just ended.
 fn status_kb(process: &BalancerProcess, name: &str) -> Option<usize> {
--- a/crates/stairfront/tests/held_memory/soak.rs
+++ b/crates/stairfront/tests/held_memory/soak.rs
@@ -13,11 +13,13 @@
 use tokio::task::{spawn_local, JoinHandle};
 use tokio::time::{sleep, sleep_until, Instant};
 
-use super::balancer_process::BalancerProcess;
 use super::crowd::{CrowdMember, Habit, HABITS, WAIT_MS};
 use super::measure::{peak_kb, resident_kb};
-use super::peers::{read_as, write_of, Answer, PeerClient, ServerBehaviour, Witness};
 use super::{configuration, TEST_LIMIT};
+use stairfront_test_support::loopback::peers::{
+    read_as, write_of, Answer, PeerClient, ServerBehaviour, Witness,
+};
+use stairfront_test_support::loopback::BalancerProcess;
 use stairfront_test_support::loopback::{command, memory_folder, ms, run_within};
 
 const SEEDS_IN_CI: RangeInclusive<u64> = 1..=4;
--- a/crates/stairfront/tests/hung_hosts/main.rs
+++ b/crates/stairfront/tests/hung_hosts/main.rs
@@ -2,8 +2,6 @@
 //! client, its time, the end of its process. Real processes, drawn from a seed; hosts and clients record what they see.
 //!
 //! `HUNG_HOST_SEEDS=1..200 cargo test -p stairfront --test hung_hosts -- --nocapture` plays more seeds than CI.
-#[path = "../balancer_process/mod.rs"]
-mod balancer_process;
 mod clients;
 mod hosts;
 mod script;
@@ -12,7 +10,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use balancer_process::{unused_address, BalancerProcess};
 use clients::{run_pipeline, run_writer, ClientSettings};
 use hosts::{start_host, Witness};
 use script::{Script, DEADLINE_MS, ONCE_CLASS, PUT_CLASS, READ_CLASS};
@@ -20,6 +17,7 @@
 use stairfront_test_support::loopback::{
     config, line, memory_folder, ms, quiet_agent, run_within, Log,
 };
+use stairfront_test_support::loopback::{unused_address, BalancerProcess};
 use tokio::task::{spawn_local, JoinHandle};
 use tokio::time::{sleep, sleep_until, timeout_at, Instant};
 
--- a/crates/stairfront/tests/lab.rs
+++ b/crates/stairfront/tests/lab.rs
@@ -1,15 +1,14 @@
 //! The lab with real balancer processes: what it measures and which broken rules it finds; the stand-ins and `check`.
-mod balancer_process;
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 
-use balancer_process::unused_address;
 use stairfront_lab::compare;
 use stairfront_lab::experiment::Experiment;
 use stairfront_lab::process::Build;
 use stairfront_lab::run::{Outcome, Progress, RunEnvironment};
+use stairfront_test_support::loopback::unused_address;
 use stairfront_test_support::loopback::{bulk, ms, run, Client};
 use tokio::time::sleep;
 
--- a/crates/stairfront/tests/maintenance.rs
+++ b/crates/stairfront/tests/maintenance.rs
@@ -1,14 +1,12 @@
 //! Balancer processes that commit maintenance plans, with faults between them. Whether a host is out of service is judged
 //! by the requests that reach it, not by what a balancer reports.
-mod balancer_group;
-mod balancer_process;
 
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use balancer_group::{AdminAnswer, BalancerGroup};
 use serde_json::{json, Value};
 use stairfront_test_support::loopback::{ms, run_within};
+use stairfront_test_support::loopback::{AdminAnswer, BalancerGroup};
 use tokio::time::{sleep, Instant};
 
 /// Time limit of a test.
--- a/crates/stairfront/tests/memory.rs
+++ b/crates/stairfront/tests/memory.rs
@@ -1,13 +1,12 @@
 //! Large values in a real process, together far over the memory limit: the memory of the process stays far below it.
-mod balancer_process;
 
 use std::net::SocketAddr;
 
-use balancer_process::{unused_address, BalancerProcess};
 use stairfront_test_support::loopback::{
     bulk, cache, command, config, get, hit, http, line, miss, ms, origin, quiet_agent, run, Client,
     Log,
 };
+use stairfront_test_support::loopback::{unused_address, BalancerProcess};
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
--- a/crates/stairfront/tests/process.rs
+++ b/crates/stairfront/tests/process.rs
@@ -1,16 +1,15 @@
 //! The program as a process: signals, its log, its exit.
-mod balancer_process;
 
 use std::cell::Cell;
 use std::io::Read;
 use std::rc::Rc;
 use std::time::Instant;
 
-use balancer_process::{unused_address, BalancerProcess};
 use stairfront_test_support::loopback::{
     bulk, cache, command, commands, config, dead_address, get, hit, http, line,
     listing_agent as agent, ms, origin, quiet_agent, run, until, Client, Log, Step,
 };
+use stairfront_test_support::loopback::{unused_address, BalancerProcess};
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
--- a/crates/stairfront/tests/repeated_ids.rs
+++ b/crates/stairfront/tests/repeated_ids.rs
@@ -1,19 +1,18 @@
 //! A client that leaves and comes again with the ids that no server had begun then: none of them runs twice.
-mod balancer_process;
-#[path = "held_memory/peers.rs"]
-mod peers;
 
 use std::net::SocketAddr;
 use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
 
-use balancer_process::{unused_address, BalancerProcess};
-use peers::{read_as, start_cache, PeerClient, ServerBehaviour, Witness};
 use serde_json::{json, Value};
+use stairfront_test_support::loopback::peers::{
+    read_as, start_cache, PeerClient, ServerBehaviour, Witness,
+};
 use stairfront_test_support::loopback::{
     config, line, memory_folder, ms, quiet_agent, run_within, Log,
 };
+use stairfront_test_support::loopback::{unused_address, BalancerProcess};
 use tokio::time::sleep;
 
 const TEST_LIMIT: Duration = Duration::from_secs(60);
--- a/crates/stairfront/tests/stalls/main.rs
+++ b/crates/stairfront/tests/stalls/main.rs
@@ -1,7 +1,5 @@
 //! The program as a process that stands still for a while, as under a stopped or starved machine. What it decides from may
 //! have been true before the stall alone: clients have left meanwhile, requests have grown old, lists have come.
-#[path = "../balancer_process/mod.rs"]
-mod balancer_process;
 mod soak;
 mod stand_ins;
 mod witness;
@@ -12,10 +10,10 @@
 use std::sync::OnceLock;
 use std::time::Duration;
 
-use balancer_process::{unused_address, BalancerProcess};
 use serde_json::{json, Value};
 use stairfront_common::random::SeededRng;
 use stairfront_test_support::loopback::{config, line, ms, run_within, until, Client};
+use stairfront_test_support::loopback::{unused_address, BalancerProcess};
 use stand_ins::{leave_behind, CacheBehaviour, ListAgent, RequestShape};
 use tokio::task::{spawn_local, JoinHandle};
 use tokio::time::{sleep, sleep_until, Instant};
--- a/crates/stairfront/tests/stray_answers/main.rs
+++ b/crates/stairfront/tests/stray_answers/main.rs
@@ -1,7 +1,5 @@
 //! The program as a process, beside cache hosts that answer some requests a second time. An answer names no request, so a
 //! second one must neither reach another request's client nor prove anything about the request that is out.
-#[path = "../balancer_process/mod.rs"]
-mod balancer_process;
 mod repeating_host;
 mod soak;
 
@@ -10,12 +8,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use balancer_process::{unused_address, BalancerProcess};
 use repeating_host::{value_of, Faults, HostLog, Repeat, Role};
 use serde_json::{json, Value};
 use stairfront_test_support::loopback::{
     bulk, command, config, line, quiet_agent, run_within, Client, Log,
 };
+use stairfront_test_support::loopback::{unused_address, BalancerProcess};
 use tokio::task::spawn_local;
 
 const HOSTS: u64 = 4;
--- a/crates/stairfront/tests/stray_answers/soak.rs
+++ b/crates/stairfront/tests/stray_answers/soak.rs
@@ -10,9 +10,9 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, Instant};
 
-use super::balancer_process::BalancerProcess;
 use super::repeating_host::{value_of, Faults, HostLog, Repeat};
 use super::{configuration_with, start_hosts, unrepeatable_begun_twice, LIMIT};
+use stairfront_test_support::loopback::BalancerProcess;
 use stairfront_test_support::loopback::{bulk, command, ms, quiet_agent, run_within, Client, Log};
 
 const SEEDS_IN_CI: std::ops::RangeInclusive<u64> = 1..=4;
--- a/crates/stairfront/tests/upgrade.rs
+++ b/crates/stairfront/tests/upgrade.rs
@@ -1,5 +1,4 @@
 //! Upgrades between real processes: no request and no connection is lost, and the two processes act as one balancer.
-mod balancer_process;
 
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -7,12 +6,12 @@
 use std::rc::Rc;
 use std::time::Instant;
 
-use balancer_process::{unused_address, BalancerProcess};
 use serde_json::Value;
 use stairfront_test_support::loopback::{
     bulk, cache, commands, config, get, hit, line, memory_folder, ms, quiet_agent, run, Client,
     Log, Step,
 };
+use stairfront_test_support::loopback::{unused_address, BalancerProcess};
 use tokio::task::{spawn_local, JoinHandle};
 use tokio::time::sleep;
 
--- a/crates/stairfront/tests/upgrade_open_ids.rs
+++ b/crates/stairfront/tests/upgrade_open_ids.rs
@@ -1,16 +1,15 @@
 //! Upgrades beside a client that names the id of another client's open request: it is open at one process and named at the
 //! other, and is neither sent on nor served.
-mod balancer_process;
 
 use std::collections::HashMap;
 use std::time::Duration;
 
-use balancer_process::{unused_address, BalancerProcess};
 use serde_json::{json, Value};
 use stairfront_test_support::loopback::{
     bulk, cache, command, commands, config, hit, http, line, memory_folder, miss, ms, origin,
     quiet_agent, run_within, until, Client, Log, Step,
 };
+use stairfront_test_support::loopback::{unused_address, BalancerProcess};
 use tempfile::TempDir;
 use tokio::time::sleep;
 
--- a/crates/stairfront/tests/upgrade_permits.rs
+++ b/crates/stairfront/tests/upgrade_permits.rs
@@ -1,5 +1,4 @@
 //! Upgrades under clients that together come close to the limit of the balancer: both processes share its permits.
-mod balancer_process;
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -8,7 +7,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use balancer_process::{unused_address, BalancerProcess};
 use serde_json::Value;
 use stairfront_balancer::lifecycle::handover_socket::{self, HandoverListener};
 use stairfront_handover::{split_state, Message};
@@ -16,6 +14,7 @@
     bulk, cache, config, get, hit, line, memory_folder, ms, quiet_agent, run_within, Client, Log,
     Step,
 };
+use stairfront_test_support::loopback::{unused_address, BalancerProcess};
 use tokio::task::{spawn_local, JoinHandle};
 use tokio::time::{sleep, timeout};
 
--- a/crates/stairfront/tests/upgrade_soak.rs
+++ b/crates/stairfront/tests/upgrade_soak.rs
@@ -2,7 +2,6 @@
 //! commands one by one or many at once, large answers that break, and a client that names the ids of open requests.
 //!
 //! `UPGRADE_SEEDS=1..50 cargo test -p stairfront --test upgrade_soak -- --nocapture` plays more seeds than CI.
-mod balancer_process;
 
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
@@ -11,13 +10,13 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use balancer_process::{unused_address, BalancerProcess};
 use serde_json::{json, Value};
 use stairfront_common::random::SeededRng;
 use stairfront_test_support::loopback::{
     bulk, cache, command, config, hit, http, line, memory_folder, ms, origin, quiet_agent,
     run_within, Client, Log, Step,
 };
+use stairfront_test_support::loopback::{unused_address, BalancerProcess};
 use tokio::task::{spawn_local, JoinHandle};
 use tokio::time::{sleep, timeout};
 
