Soak: a large answer is out for as long as any other, and the time between two begins is told

The test takes an id for open for 50 ms after it has begun, as servers take 60 ms for an answer; but a large one took 20 ms, so that its answer could be out, and its id free, when another client named it.

Change: servers take 60 ms for a large answer too; the check is as it was, and holds for every id now. A failure tells the times.

--- a/crates/stairfront/tests/upgrade_soak.rs
+++ b/crates/stairfront/tests/upgrade_soak.rs
@@ -78,7 +78,8 @@
         let is_open = |at: &Instant| now - *at < LATENCY - ms(10);
         let ran_twice = at_origin && !times.is_empty();
         if ran_twice || times.iter().any(is_open) {
-            self.note_broken(format!("{id} has begun twice"));
+            let before: Vec<Duration> = times.iter().map(|at| now - *at).collect();
+            self.note_broken(format!("{id} has begun again, {before:?} after it had"));
         }
         times.push(now);
     }
@@ -138,7 +139,7 @@
 fn react(words: &[String], random: &RefCell<SeededRng>) -> Step {
     let key = words[1].as_str();
     match hit(&large_value()) {
-        Step::Say(bytes) if key.starts_with("large") => Step::After(ms(20), bytes),
+        Step::Say(bytes) if key.starts_with("large") => Step::After(LATENCY, bytes),
         Step::Say(bytes) if key.starts_with("broken") => {
             let begun = 1000 + random.borrow_mut().below(bytes.len() - 1000);
             let after = ms(random.borrow_mut().below(400_u64));
