A request for room ends with the connection that was asked, unless a new one waits

Cause: tokio's Notify passes a notification on when the waiter that got it goes away before it has run, or stores it. A connection goes away so as its client leaves or sends its next command while the accept loop takes several connections in a row; the stored notification then closed whichever connection next became idle.

Change: a connection that was asked and goes on, or has ended, does not pass the question on unless a new connection waits for room at that time.

--- a/crates/stairfront-balancer/src/client/admission.rs
+++ b/crates/stairfront-balancer/src/client/admission.rs
@@ -1,10 +1,14 @@
 //! Which connections get a permit, and which idle ones make room for new ones.
 use std::cell::Cell;
+use std::future::Future;
+use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::sync::Arc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use futures_util::FutureExt;
+use tokio::sync::futures::Notified;
 use tokio::sync::{AcquireError, Notify, Semaphore};
 
 use crate::client::permits::{ClientPermit, ClientPermits};
@@ -24,13 +28,34 @@
 /// woken in the order in which they began to wait.
 #[derive(Default)]
 pub struct ConnectionPressure {
-    pub(super) silent: Notify,
-    pub(super) idle: Notify,
+    silent: Notify,
+    idle: Notify,
     /// Number of connections that wait for `silent`.
     silent_count: Rc<Cell<usize>>,
+    /// Whether a new connection waits for room. Only then another connection makes room in place of one that was asked and
+    /// does not.
+    is_awaited: Cell<bool>,
 }
 
 impl ConnectionPressure {
+    /// Waits until this connection, which is idle, is asked to make room.
+    pub(super) async fn until_idle_asked(&self) {
+        self.until_asked(&self.idle).await;
+    }
+
+    /// Waits until this connection, which has sent no command, is asked to make room.
+    pub(super) async fn until_silent_asked(&self) {
+        self.until_asked(&self.silent).await;
+    }
+
+    async fn until_asked(&self, notify: &Notify) {
+        let wait = RoomWait {
+            asked: pin!(notify.notified()),
+            is_awaited: &self.is_awaited,
+        };
+        wait.await;
+    }
+
     /// Asks one connection to make room.
     fn apply(&self) {
         let notify = if self.silent_count.get() > 0 {
@@ -47,6 +72,16 @@
         self.withdraw();
     }
 
+    /// Asks one connection to make room, and another one if it does not, until this new connection has waited.
+    async fn while_asking<F: Future>(&self, waiting: F) -> F::Output {
+        self.is_awaited.set(true);
+        self.apply();
+        let waited = waiting.await;
+        self.withdraw();
+        self.is_awaited.set(false);
+        waited
+    }
+
     /// Takes back what no connection has been woken by: it would close the next one to become idle.
     fn withdraw(&self) {
         for notify in [&self.silent, &self.idle] {
@@ -55,6 +90,31 @@
     }
 }
 
+/// The wait of one connection to be asked for room. [`Notify`] wakes the next waiter in place of one that was woken and goes
+/// away, here since its client has sent something or has left; with nobody waiting for room that would close a connection
+/// without need, maybe much later.
+struct RoomWait<'pressure, 'wait> {
+    asked: Pin<&'wait mut Notified<'pressure>>,
+    is_awaited: &'pressure Cell<bool>,
+}
+
+impl Future for RoomWait<'_, '_> {
+    type Output = ();
+
+    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()> {
+        self.asked.as_mut().poll(cx)
+    }
+}
+
+impl Drop for RoomWait<'_, '_> {
+    fn drop(&mut self) {
+        if !self.is_awaited.get() {
+            // What has been received by now is not passed on.
+            self.asked.as_mut().enable();
+        }
+    }
+}
+
 /// Counts a connection that has sent no command for a while, for as long as this lives.
 pub(super) struct SilentGuard(Rc<Cell<usize>>);
 
@@ -115,11 +175,9 @@
         if let Some(permit) = self.permits.try_acquire() {
             return Ok(ClientPermit::usual(permit));
         }
-        pressure.apply();
         self.permits.want();
-        let waited = timeout(self.wait, self.permits.acquire()).await;
-        pressure.withdraw();
-        if let Ok(permit) = waited {
+        let waiting = timeout(self.wait, self.permits.acquire());
+        if let Ok(permit) = pressure.while_asking(waiting).await {
             return permit.map(ClientPermit::usual);
         }
         tokio::select! {
--- a/crates/stairfront-balancer/src/client/connection.rs
+++ b/crates/stairfront-balancer/src/client/connection.rs
@@ -330,11 +330,11 @@
                 }
             }
             // A spare connection has no permit to give.
-            () = context.pressure.idle.notified(), if conditions.staying && conditions.used && !conditions.spare => {
+            () = context.pressure.until_idle_asked(), if conditions.staying && conditions.used && !conditions.spare => {
                 self.closing = Some(CloseReason::AfterPartialCommand);
             }
             // A connection that has begun a command is about to be used.
-            () = context.pressure.silent.notified(),
+            () = context.pressure.until_silent_asked(),
                 if conditions.staying && !conditions.spare && conditions.no_partial_command && conditions.silent =>
             {
                 self.closing = Some(CloseReason::Immediately);
--- a/crates/stairfront-balancer/src/client/ending.rs
+++ b/crates/stairfront-balancer/src/client/ending.rs
@@ -81,7 +81,7 @@
         // Who sends what cannot be read must not keep others out.
         ConnectionEnd::AfterAnswer => tokio::select! {
             () = connection.linger(LINGER_TIMEOUT) => {}
-            () = context.pressure.idle.notified() => {}
+            () = context.pressure.until_idle_asked() => {}
         },
         ConnectionEnd::Disconnected => connection.abandon_requests().await,
     }
--- a/crates/stairfront-balancer/tests/clients.rs
+++ b/crates/stairfront-balancer/tests/clients.rs
@@ -9,6 +9,7 @@
 };
 use stairfront_test_support::loopback::{Log, Seen, Step};
 use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 use tokio::time::sleep;
 
 /// A cache whose value is the key, slow for keys that begin with `slow`.
@@ -432,3 +433,39 @@
         }
     });
 }
+
+/// Guards against clients that lose their connection though a permit is free: the connection that is asked to make room is
+/// ended by its client at that moment, and the request stayed for whoever became idle next.
+#[test]
+fn a_request_for_room_outlives_the_connection_that_ends_by_itself() {
+    run(async {
+        let log = Log::default();
+        let (agent, host) = (quiet_agent(&log).await, cache("cache", &log, echo).await);
+        // Eight permits, so that the last of these connections leaves less than a quarter free.
+        let few = |text: &mut serde_json::Value| text["limits"]["sockets"] = 50.into();
+        let balancer = Balancer::start_with(agent, &[line("c", host, "box")], few).await;
+        let mut leaving = balancer.client().await;
+        assert_eq!(leaving.ask(&["PING"]).await, "+PONG\r\n");
+        // The balancer runs again once all have come and the first has left, and sees the new ones first.
+        let mut sockets = Vec::new();
+        for _ in 0..7 {
+            let socket = std::net::TcpStream::connect(balancer.address).unwrap();
+            socket.set_nonblocking(true).unwrap();
+            sockets.push(socket);
+        }
+        drop(leaving);
+        let adopt = |socket| Client::from(TcpStream::from_std(socket).unwrap());
+        let mut clients: Vec<Client> = sockets.into_iter().map(adopt).collect();
+        for round in 0..2 {
+            for (index, client) in clients.iter_mut().enumerate() {
+                client.send(&command(&["PING"])).await;
+                let answer = client.answer().await;
+                assert_eq!(
+                    answer.as_deref(),
+                    Some("+PONG\r\n"),
+                    "{index} in round {round}"
+                );
+            }
+        }
+    });
+}
--- a/crates/stairfront-test-support/src/loopback/client.rs
+++ b/crates/stairfront-test-support/src/loopback/client.rs
@@ -43,6 +43,15 @@
     buffer: Vec<u8>,
 }
 
+impl From<TcpStream> for Client {
+    fn from(socket: TcpStream) -> Self {
+        Client {
+            socket,
+            buffer: Vec::new(),
+        }
+    }
+}
+
 impl Client {
     /// Connects.
     ///
@@ -50,10 +59,7 @@
     ///
     /// If nobody accepts.
     pub async fn connect(address: SocketAddr) -> std::io::Result<Self> {
-        Ok(Client {
-            socket: TcpStream::connect(address).await?,
-            buffer: Vec::new(),
-        })
+        TcpStream::connect(address).await.map(Client::from)
     }
 
     /// Sends bytes.
