An old process leaves server connections to its successor as it needs them no more

In all 12 plays 9 to 12 requests of 84 clients were refused.

Cause: at 256 descriptors the third of three processes had 13 of 142 server connections while the first two kept theirs to their end, the first of them for one slow request; INFO of the third showed 47 attempts waiting and none failed, that is, windows full of attempts that wait for a connection.

A successor that ends gives everything back, as before.

--- a/crates/stairfront-balancer/src/engine/mod.rs
+++ b/crates/stairfront-balancer/src/engine/mod.rs
@@ -253,6 +253,15 @@
                 self.notify_policy(Event::ShuttingDown { by });
             }
             EngineEvent::PeerEnded(other) => self.end_sharing(other),
+            EngineEvent::ReleaseConnections(reply) => {
+                let released = self.pool.release_connections(self.table.open.len());
+                // If the successor has ended meanwhile, all of them come back with the report of that.
+                let _ = reply.send(released);
+            }
+            EngineEvent::ConnectionsReleased(count) => {
+                self.pool.take_released(count, &mut self.ended_attempts);
+                self.time_socket_waits();
+            }
             EngineEvent::Pool(event) => {
                 self.pool.handle(event, &mut self.ended_attempts);
                 self.time_socket_waits();
--- a/crates/stairfront-balancer/src/lifecycle/handover/channel.rs
+++ b/crates/stairfront-balancer/src/lifecycle/handover/channel.rs
@@ -17,6 +17,7 @@
 use crate::clock::timeout;
 use crate::control::pending_order::PendingOrder;
 use crate::lifecycle::handover_socket::HandoverSocket;
+use crate::messages::EngineEvent;
 
 /// The other process's part of the second in which an order is answered. It is short because a successor that hangs would
 /// also keep this process from ending, with connections that wait to be handed over.
@@ -27,12 +28,14 @@
 #[error("the other process did not answer")]
 pub struct RelayError;
 
-/// Who gets client connections and permits by this channel.
-pub(super) enum ClientTransfer<'a> {
+/// Who gets connections and permits by this channel.
+pub(super) enum ConnectionTransfer<'a> {
     /// This process gets them from the process before it.
     FromPredecessor {
         handed_over: &'a mpsc::Sender<HandedOverConnection>,
         permits: &'a ClientPermits,
+        /// Leads to the engine.
+        events: &'a mpsc::Sender<EngineEvent>,
     },
     /// The successor gets them from this process.
     ToSuccessor {
@@ -41,12 +44,12 @@
     },
 }
 
-impl ClientTransfer<'_> {
-    /// Handles a message about client connections; `None` if this process ends.
+impl ConnectionTransfer<'_> {
+    /// Handles a message about connections or permits; `None` if this process ends.
     async fn handle(&self, message: Message, descriptor: Option<OwnedFd>) -> Option<()> {
         match (self, message, descriptor) {
             (
-                ClientTransfer::FromPredecessor { handed_over, .. },
+                ConnectionTransfer::FromPredecessor { handed_over, .. },
                 Message::Connection { used, unread },
                 Some(socket),
             ) => {
@@ -57,15 +60,27 @@
                 };
                 handed_over.send(connection).await.ok()?;
             }
-            (ClientTransfer::FromPredecessor { permits, .. }, Message::Permits { count }, _) => {
+            (
+                ConnectionTransfer::FromPredecessor { permits, .. },
+                Message::Permits { count },
+                _,
+            ) => {
                 permits.receive(count);
                 permits.accept();
             }
-            (ClientTransfer::ToSuccessor { permits, .. }, Message::AcceptsClients, _) => {
+            (
+                ConnectionTransfer::FromPredecessor { events, .. },
+                Message::ServerConnections { count },
+                _,
+            ) => {
+                let released = EngineEvent::ConnectionsReleased(count);
+                events.send(released).await.ok()?;
+            }
+            (ConnectionTransfer::ToSuccessor { permits, .. }, Message::AcceptsClients, _) => {
                 debug!("successor accepts clients");
                 permits.stop_accepting();
             }
-            (ClientTransfer::ToSuccessor { permits, pressure }, Message::PermitWanted, _) => {
+            (ConnectionTransfer::ToSuccessor { permits, pressure }, Message::PermitWanted, _) => {
                 pressure.relieve();
                 permits.want();
             }
@@ -151,7 +166,7 @@
         &self,
         socket: Rc<HandoverSocket>,
         orders: &mpsc::Sender<PendingOrder>,
-        clients: ClientTransfer<'_>,
+        connections: ConnectionTransfer<'_>,
     ) {
         self.socket.replace(Some(Rc::clone(&socket)));
         loop {
@@ -173,7 +188,7 @@
                     self.report_outcome(number, outcome);
                     Some(())
                 }
-                message => clients.handle(message, descriptor).await,
+                message => connections.handle(message, descriptor).await,
             };
             if handled.is_none() {
                 break;
--- a/crates/stairfront-balancer/src/lifecycle/handover/predecessor.rs
+++ b/crates/stairfront-balancer/src/lifecycle/handover/predecessor.rs
@@ -9,7 +9,7 @@
 use tokio::sync::{mpsc, watch};
 use tracing::{info, warn};
 
-use super::channel::{ClientTransfer, HandoverChannel};
+use super::channel::{ConnectionTransfer, HandoverChannel};
 use super::{HandedOverConnection, OtherProcess, PERMITS_REVISION, TAKEOVER_TIMEOUT};
 use crate::client::permits::{ClientPermits, InheritedPermits};
 use crate::clock::timeout;
@@ -167,13 +167,14 @@
     pub async fn run(self) {
         let socket = Rc::new(self.predecessor.socket);
         self.resident.set_other(socket.other_process());
-        let clients = ClientTransfer::FromPredecessor {
+        let connections = ConnectionTransfer::FromPredecessor {
             handed_over: &self.handed_over,
             permits: &self.client_permits,
+            events: &self.events,
         };
         let serving = self
             .channel
-            .serve(Rc::clone(&socket), &self.orders, clients);
+            .serve(Rc::clone(&socket), &self.orders, connections);
         let accepting = async {
             if self.predecessor.client_permits == InheritedPermits::All {
                 accept_in_its_place(&socket, &self.client_permits, self.ready.clone()).await;
--- a/crates/stairfront-balancer/src/lifecycle/handover/successor.rs
+++ b/crates/stairfront-balancer/src/lifecycle/handover/successor.rs
@@ -9,7 +9,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tracing::{info, warn};
 
-use super::channel::{ClientTransfer, HandoverChannel};
+use super::channel::{ConnectionTransfer, HandoverChannel};
 use super::{OtherProcess, PERMITS_REVISION, TAKEOVER_TIMEOUT};
 use crate::arrival::PollClock;
 use crate::client::admission::ConnectionPressure;
@@ -24,6 +24,8 @@
 
 /// Pause after a handover listener that could not be opened or read.
 const LISTEN_RETRY_INTERVAL: Duration = Duration::from_millis(500);
+/// Time between two questions for connections to servers that can be left to the successor.
+const RELEASE_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Why a successor is not welcomed.
 #[derive(Debug, thiserror::Error)]
@@ -107,16 +109,17 @@
         self.resident.set_other(socket.other_process());
         info!("successor has started and has the listener");
         let socket = Rc::new(socket);
-        let clients = ClientTransfer::ToSuccessor {
+        let connections = ConnectionTransfer::ToSuccessor {
             permits: &self.client_permits,
             pressure: &self.pressure,
         };
         let serving = self
             .channel
-            .serve(Rc::clone(&socket), &self.orders, clients);
+            .serve(Rc::clone(&socket), &self.orders, connections);
         tokio::select! {
             () = serving => {}
             () = give_permits(&socket, &self.client_permits) => {}
+            () = self.give_server_connections(&socket), if gives_permits => {}
         }
         self.resident.set_other(None);
         warn!("successor has ended, using all descriptors again");
@@ -124,6 +127,41 @@
         Ok(())
     }
 
+    /// Leaves connections to servers to the successor from when this process is told to end, as it needs them no more: the
+    /// successor then has all clients. Runs until it is dropped.
+    async fn give_server_connections(&self, socket: &HandoverSocket) {
+        let mut phase = self.phase.clone();
+        // It can be read to the end of this process.
+        let _ = phase.wait_for(|phase| phase.hands_over()).await;
+        while let Ok(count) = self.release_connections().await {
+            let message = Message::ServerConnections { count };
+            if count > 0 && socket.send(&message, None).await.is_err() {
+                break;
+            }
+            sleep(RELEASE_INTERVAL).await;
+        }
+        // The end of the successor is handled by whoever reads from it.
+        std::future::pending().await
+    }
+
+    async fn release_connections(&self) -> Result<usize, WelcomeError> {
+        let (reply, released) = oneshot::channel();
+        self.ask_engine(EngineEvent::ReleaseConnections(reply), released)
+            .await
+    }
+
+    async fn ask_engine<T>(
+        &self,
+        question: EngineEvent,
+        answer: oneshot::Receiver<T>,
+    ) -> Result<T, WelcomeError> {
+        self.events
+            .send(question)
+            .await
+            .map_err(|_| WelcomeError::EngineEnded)?;
+        answer.await.map_err(|_| WelcomeError::EngineEnded)
+    }
+
     /// Takes back what the successor had.
     async fn successor_ended(&self) {
         self.client_permits
@@ -165,11 +203,8 @@
 
     async fn snapshot(&self) -> Result<Snapshot, WelcomeError> {
         let (reply, snapshot) = oneshot::channel();
-        self.events
-            .send(EngineEvent::Snapshot(reply))
+        self.ask_engine(EngineEvent::Snapshot(reply), snapshot)
             .await
-            .map_err(|_| WelcomeError::EngineEnded)?;
-        snapshot.await.map_err(|_| WelcomeError::EngineEnded)
     }
 }
 
--- a/crates/stairfront-balancer/src/messages.rs
+++ b/crates/stairfront-balancer/src/messages.rs
@@ -387,6 +387,10 @@
     Retune(Box<SettingsUpdate>),
     /// Another process of this balancer has ended.
     PeerEnded(OtherProcess),
+    /// This process hands over and asks how many connections to servers it can leave to its successor now.
+    ReleaseConnections(oneshot::Sender<usize>),
+    /// The process before this one leaves so many connections to servers to this one.
+    ConnectionsReleased(usize),
     /// The shutdown of this process has begun.
     ShuttingDown {
         /// When it was requested, at the earliest: the process may be killed after a time that counts from there.
--- a/crates/stairfront-balancer/src/upstream/upstream_pool.rs
+++ b/crates/stairfront-balancer/src/upstream/upstream_pool.rs
@@ -28,6 +28,8 @@
 /// Part of the servers' own idle timeout after which a connection is closed here. A request written to a connection that
 /// the server is just closing ends as a reset, and may have run.
 const IDLE_TIMEOUT_RATIO: f64 = 0.8;
+/// Connections that a process keeps to its end, for commands of which a part had come as it was told to end.
+const MIN_CONNECTIONS_AT_END: usize = 4;
 /// How long a connection rests between two attempts where surplus answers were seen. This is for service alone: a second
 /// answer that comes while the next request is out on its connection leaves that one without a proof (`proof.rs`), and it
 /// fails or is sent again.
@@ -94,6 +96,8 @@
     held_by_predecessor: usize,
     /// Those that the process after this one has.
     held_by_successor: usize,
+    /// Those that nobody has, since that process takes as many descriptors for itself.
+    reserved_for_successor: usize,
     /// Number of closing connections that still hold their socket.
     closing: usize,
     waiting: VecDeque<Job>,
@@ -157,6 +161,7 @@
             max_connections_alone,
             held_by_predecessor,
             held_by_successor: 0,
+            reserved_for_successor: 0,
             closing: 0,
             waiting: VecDeque::new(),
             new_waits: Vec::new(),
@@ -251,35 +256,61 @@
     /// Leaves half of this process's connections to a successor, or fewer if more are in use here, less the descriptors that
     /// the successor takes for itself. Returns how many the successor does not have.
     pub fn share_connections(&mut self) -> usize {
-        let in_use = self
-            .connections
-            .values()
-            .filter(|c| c.idle_since.is_none())
-            .count();
+        let in_use = self.count_in_use();
         let own = self.max_connections_alone - self.held_by_predecessor;
         let kept = (own / 2).max(in_use).min(own - own / 4);
         let left = own - kept;
-        self.held_by_successor = left - SECOND_PROCESS_DESCRIPTORS.min(left / 2);
+        self.reserved_for_successor = SECOND_PROCESS_DESCRIPTORS.min(left / 2);
+        self.held_by_successor = left - self.reserved_for_successor;
         self.apply_shares();
-        self.make_room();
+        self.make_room(self.max_connections);
         self.max_connections_alone - self.held_by_successor
     }
 
+    /// Leaves connections that this process needs no more to its successor; how many. With so many open requests, which are
+    /// the last ones, each may need one. Idle connections beyond that close, and are left once they are closed.
+    pub fn release_connections(&mut self, open_requests: usize) -> usize {
+        let in_use = self.count_in_use() + self.waiting.len();
+        let needed = in_use.max(open_requests).max(MIN_CONNECTIONS_AT_END);
+        self.make_room(needed);
+        let kept = needed.max(self.connections.len());
+        let released = self.max_connections.saturating_sub(kept);
+        self.held_by_successor += released;
+        self.apply_shares();
+        released
+    }
+
+    /// Uses connections that the process before this one has released.
+    pub fn take_released(&mut self, count: usize, ends: &mut impl Extend<AttemptEnd>) {
+        self.held_by_predecessor = self.held_by_predecessor.saturating_sub(count);
+        self.apply_shares();
+        self.serve_waiting(ends);
+    }
+
     /// Uses the connections of another process of this balancer, which has ended.
     pub fn take_connections_of(&mut self, other: OtherProcess, ends: &mut impl Extend<AttemptEnd>) {
         match other {
             OtherProcess::Predecessor => self.held_by_predecessor = 0,
-            OtherProcess::Successor => self.held_by_successor = 0,
+            OtherProcess::Successor => {
+                self.held_by_successor = 0;
+                self.reserved_for_successor = 0;
+            }
         }
         self.apply_shares();
         self.serve_waiting(ends);
     }
 
     fn apply_shares(&mut self) {
-        let held = self.held_by_predecessor + self.held_by_successor;
+        let other = self.held_by_predecessor + self.held_by_successor;
+        let held = other + self.reserved_for_successor;
         self.max_connections = (self.max_connections_alone - held).max(1);
     }
 
+    fn count_in_use(&self) -> usize {
+        let in_use = |connection: &&Connection| connection.idle_since.is_none();
+        self.connections.values().filter(in_use).count()
+    }
+
     /// Attempts that have begun to wait for a socket since the last call, and when `give_up_waiting` is due for each.
     pub fn new_waits(&mut self) -> std::vec::Drain<'_, (AttemptId, Instant)> {
         self.new_waits.drain(..)
@@ -334,7 +365,7 @@
         let deadline = job.connect_deadline(self.context.connect_timeout.get());
         self.new_waits.push((job.attempt, deadline));
         self.waiting.push_back(job);
-        self.make_room();
+        self.make_room(self.max_connections);
         None
     }
 
@@ -417,7 +448,7 @@
             };
             ends.extend(self.place(job));
         }
-        self.make_room();
+        self.make_room(self.max_connections);
     }
 
     fn open(&mut self, job: Job) {
@@ -482,10 +513,8 @@
 
     /// Closes the connections idle longest, one for each attempt that waits for a socket and for each connection beyond
     /// the limit. It goes through all connections, but only while the limit is reached.
-    fn make_room(&mut self) {
-        while self.closing
-            < self.waiting.len() + self.connections.len().saturating_sub(self.max_connections)
-        {
+    fn make_room(&mut self, limit: usize) {
+        while self.closing < self.waiting.len() + self.connections.len().saturating_sub(limit) {
             let idle = self
                 .connections
                 .iter()
--- a/crates/stairfront-handover/src/message.rs
+++ b/crates/stairfront-handover/src/message.rs
@@ -10,7 +10,8 @@
 /// builds before revisions were told count as 0.
 ///
 /// 1: permits for client connections are given to the successor one by one, which accepts alone
-/// ([`Message::AcceptsClients`], [`Message::Permits`], [`Message::PermitWanted`]).
+/// ([`Message::AcceptsClients`], [`Message::Permits`], [`Message::PermitWanted`]), and connections to servers as the old
+/// process needs them no more ([`Message::ServerConnections`]).
 pub const REVISION: u32 = 1;
 /// Largest part of a state, and most bytes that a connection may have read ahead, in one packet.
 pub const MAX_PART_BYTES: usize = 32 * 1024;
@@ -59,6 +60,11 @@
     },
     /// The new process has a client and no permit for it: the old one closes an idle connection if it has one.
     PermitWanted,
+    /// The old process, which is told to end, leaves connections to servers to the new one.
+    ServerConnections {
+        /// How many more the new one may have.
+        count: usize,
+    },
     /// An order of an operator to one process, which the other one carries out too.
     Order {
         /// Number of the order, for its result.
@@ -105,6 +111,7 @@
     pub(super) const ACCEPTS_CLIENTS: u8 = b'A';
     pub(super) const PERMITS: u8 = b'P';
     pub(super) const PERMIT_WANTED: u8 = b'M';
+    pub(super) const SERVER_CONNECTIONS: u8 = b'S';
     pub(super) const ORDER: u8 = b'O';
     pub(super) const ORDER_RESULT: u8 = b'D';
 }
@@ -125,7 +132,7 @@
 }
 
 #[derive(Deserialize)]
-struct PermitsFields {
+struct CountFields {
     count: usize,
 }
 
@@ -180,6 +187,9 @@
             Message::AcceptsClients => packet(kind::ACCEPTS_CLIENTS, &[]),
             Message::Permits { count } => json_packet(kind::PERMITS, &json!({ "count": count })),
             Message::PermitWanted => packet(kind::PERMIT_WANTED, &[]),
+            Message::ServerConnections { count } => {
+                json_packet(kind::SERVER_CONNECTIONS, &json!({ "count": count }))
+            }
             Message::Order {
                 number,
                 order,
@@ -229,10 +239,14 @@
             },
             kind::ACCEPTS_CLIENTS => Message::AcceptsClients,
             kind::PERMITS => {
-                let PermitsFields { count } = serde_json::from_slice(body)?;
+                let CountFields { count } = serde_json::from_slice(body)?;
                 Message::Permits { count }
             }
             kind::PERMIT_WANTED => Message::PermitWanted,
+            kind::SERVER_CONNECTIONS => {
+                let CountFields { count } = serde_json::from_slice(body)?;
+                Message::ServerConnections { count }
+            }
             kind::ORDER => {
                 let (number, order, source) = serde_json::from_slice(body)?;
                 Message::Order {
--- a/crates/stairfront-handover/tests/exchanged_forms.rs
+++ b/crates/stairfront-handover/tests/exchanged_forms.rs
@@ -103,6 +103,10 @@
         ("accepts-clients", Message::AcceptsClients),
         ("permits", Message::Permits { count: 17 }),
         ("permit-wanted", Message::PermitWanted),
+        (
+            "server-connections",
+            Message::ServerConnections { count: 23 },
+        ),
     ]
 }
 
@@ -193,6 +197,7 @@
         | Message::AcceptsClients
         | Message::Permits { count: _ }
         | Message::PermitWanted
+        | Message::ServerConnections { count: _ }
         | Message::StatePart { part: _, last: _ }
         | Message::Connection { used: _, unread: _ } => {}
         Message::Order {
