--- a/crates/stairfront/tests/upgrade_permits.rs
+++ b/crates/stairfront/tests/upgrade_permits.rs
@@ -284,7 +284,10 @@
         let seen = crowd.stop().await;
         assert!(seen.lost.borrow().is_empty(), "{:?}", seen.lost.borrow());
         let refused = seen.refused.get();
-        assert_eq!(refused, 0, "refused though connections to servers are unused");
+        assert_eq!(
+            refused, 0,
+            "refused though connections to servers are unused"
+        );
         assert_eq!(refused_with_all_permits_in_use(&third, sockets).await, 0);
     });
 }
