Half a command has its time also on a used connection, and the accept loop a limit

Cause: what a connection waits for is decided once for each wait, and the first part of a command came within a wait and changed nothing of it. So a connection with half a command was asked to make room, was then marked as closing once that is complete, and had no deadline any more; spare ones went the same way, and the accept loop waited for one of them without a limit.

Change: the first part of a command ends the wait (ReadEvent::CommandBegun) and begins the time of a command. A connection with half a command is not asked for room; a spare one is, if it was refused or stops within a command. A connection that gets no place, after 0.25 s of waiting for a spare one, is closed.

--- a/crates/stairfront-balancer/src/client/accept.rs
+++ b/crates/stairfront-balancer/src/client/accept.rs
@@ -8,7 +8,7 @@
 use tokio::sync::mpsc;
 use tokio::task::{spawn_local, JoinHandle};
 use tokio_util::task::TaskTracker;
-use tracing::warn;
+use tracing::{debug, warn};
 
 use crate::arrival::{InputWatch, PollClock};
 use crate::client::admission::PermitSource;
@@ -85,11 +85,15 @@
             Ok(accepted) => {
                 context.counters.client_connections_accepted.add();
                 permits.relieve(&context.pressure);
-                let Ok(permit) = permits.next(&context.pressure).await else {
-                    break;
-                };
-                let serving = serve_connection(accepted, Rc::clone(&context), permit);
-                spawn_local(tasks.track_future(serving));
+                match permits.next(&context.pressure).await {
+                    Ok(Some(permit)) => {
+                        let serving = serve_connection(accepted, Rc::clone(&context), permit);
+                        spawn_local(tasks.track_future(serving));
+                    }
+                    // Its client learns from the close that nothing was read.
+                    Ok(None) => debug!("client connection closed, since no permit came free"),
+                    Err(_) => break,
+                }
             }
             Err(error) => {
                 warn!(%error, "client connection not accepted");
--- a/crates/stairfront-balancer/src/client/admission.rs
+++ b/crates/stairfront-balancer/src/client/admission.rs
@@ -11,6 +11,7 @@
 use tokio::sync::futures::Notified;
 use tokio::sync::{AcquireError, Notify, Semaphore};
 
+use crate::client::idle::SPARE_TIMEOUT;
 use crate::client::permits::{ClientPermit, ClientPermits};
 use crate::clock::timeout;
 use crate::configuration::limits::MAX_SPARE_CONNECTIONS;
@@ -20,6 +21,8 @@
 /// wait past its time while no permit comes free.
 const MAX_PERMIT_WAIT: Duration = Duration::from_millis(32);
 const MIN_PERMIT_WAIT: Duration = Duration::from_millis(2);
+/// How long a new connection waits for one beyond the permits at most; by then a spare connection that is silent has closed.
+const MAX_SPARE_WAIT: Duration = SPARE_TIMEOUT;
 /// With less than this part of the permits free, a new connection has an idle one close in advance, since some clients
 /// ask once and keep their connection for good.
 const LOW_CAPACITY_DIVISOR: usize = 4;
@@ -30,6 +33,7 @@
 pub struct ConnectionPressure {
     silent: Notify,
     idle: Notify,
+    spare: Notify,
     /// Number of connections that wait for `silent`.
     silent_count: Rc<Cell<usize>>,
     /// Whether a new connection waits for room. Only then another connection makes room in place of one that was asked and
@@ -48,6 +52,11 @@
         self.until_asked(&self.silent).await;
     }
 
+    /// Waits until this connection, which is beyond the permits, is asked to make room.
+    pub(super) async fn until_spare_asked(&self) {
+        self.until_asked(&self.spare).await;
+    }
+
     async fn until_asked(&self, notify: &Notify) {
         let wait = RoomWait {
             asked: pin!(notify.notified()),
@@ -74,8 +83,18 @@
 
     /// Asks one connection to make room, and another one if it does not, until this new connection has waited.
     async fn while_asking<F: Future>(&self, waiting: F) -> F::Output {
-        self.is_awaited.set(true);
         self.apply();
+        self.while_awaited(waiting).await
+    }
+
+    /// The same for the connections beyond the permits.
+    async fn while_asking_spare<F: Future>(&self, waiting: F) -> F::Output {
+        self.spare.notify_one();
+        self.while_awaited(waiting).await
+    }
+
+    async fn while_awaited<F: Future>(&self, waiting: F) -> F::Output {
+        self.is_awaited.set(true);
         let waited = waiting.await;
         self.withdraw();
         self.is_awaited.set(false);
@@ -84,7 +103,7 @@
 
     /// Takes back what no connection has been woken by: it would close the next one to become idle.
     fn withdraw(&self) {
-        for notify in [&self.silent, &self.idle] {
+        for notify in [&self.silent, &self.idle, &self.spare] {
             let _ = notify.notified().now_or_never();
         }
     }
@@ -157,33 +176,47 @@
 
     /// The permit of a new connection. With none free an idle connection makes room, since the new client would otherwise
     /// wait for ever behind connections that are not used. With all in use it gets a spare permit, and its request is
-    /// refused: unread it would wait past its time and be lost.
+    /// refused: unread it would wait past its time and be lost. `None` if there is no spare one either in time.
     pub(super) async fn next(
         &mut self,
         pressure: &ConnectionPressure,
-    ) -> Result<ClientPermit, AcquireError> {
-        let permit = self.acquire(pressure).await?;
-        self.wait = if permit.spare {
-            (self.wait / 2).max(MIN_PERMIT_WAIT)
-        } else {
-            MAX_PERMIT_WAIT
-        };
-        Ok(permit)
+    ) -> Result<Option<ClientPermit>, AcquireError> {
+        if let Some(permit) = self.usual(pressure).await {
+            self.wait = MAX_PERMIT_WAIT;
+            return permit.map(Some);
+        }
+        self.wait = (self.wait / 2).max(MIN_PERMIT_WAIT);
+        self.usual_or_spare(pressure).await.transpose()
     }
 
-    async fn acquire(&self, pressure: &ConnectionPressure) -> Result<ClientPermit, AcquireError> {
+    async fn usual(
+        &self,
+        pressure: &ConnectionPressure,
+    ) -> Option<Result<ClientPermit, AcquireError>> {
         if let Some(permit) = self.permits.try_acquire() {
-            return Ok(ClientPermit::usual(permit));
+            return Some(Ok(ClientPermit::usual(permit)));
         }
         self.permits.want();
         let waiting = timeout(self.wait, self.permits.acquire());
-        if let Ok(permit) = pressure.while_asking(waiting).await {
-            return permit.map(ClientPermit::usual);
-        }
-        tokio::select! {
-            biased;
-            permit = self.permits.acquire() => permit.map(ClientPermit::usual),
-            permit = Arc::clone(&self.spare_permits).acquire_owned() => permit.map(ClientPermit::spare),
+        let permit = pressure.while_asking(waiting).await.ok()?;
+        Some(permit.map(ClientPermit::usual))
+    }
+
+    async fn usual_or_spare(
+        &self,
+        pressure: &ConnectionPressure,
+    ) -> Option<Result<ClientPermit, AcquireError>> {
+        if let Ok(permit) = Arc::clone(&self.spare_permits).try_acquire_owned() {
+            return Some(Ok(ClientPermit::spare(permit)));
         }
+        let either = async {
+            tokio::select! {
+                biased;
+                permit = self.permits.acquire() => permit.map(ClientPermit::usual),
+                permit = Arc::clone(&self.spare_permits).acquire_owned() => permit.map(ClientPermit::spare),
+            }
+        };
+        let waiting = timeout(MAX_SPARE_WAIT, either);
+        pressure.while_asking_spare(waiting).await.ok()
     }
 }
--- a/crates/stairfront-balancer/src/client/connection.rs
+++ b/crates/stairfront-balancer/src/client/connection.rs
@@ -20,7 +20,7 @@
 use crate::client::memory_wait::MemoryWait;
 use crate::client::pacing::CommandPacer;
 use crate::client::permits::ClientPermit;
-use crate::client::read::next_input;
+use crate::client::read::next_read_event;
 use crate::clock::{sleep, sleep_until, Instant};
 use crate::lifecycle::shutdown::Phase;
 use crate::messages::{Answer, FinalAnswer};
@@ -130,23 +130,24 @@
     /// No request is open.
     idle: bool,
     used: bool,
-    /// It has sent no command for a while.
-    silent: bool,
-    spare: bool,
+    /// It is between two commands and makes room for a new connection if it is asked to.
+    makes_room: bool,
+    /// The same for one that has sent no command for a while.
+    makes_room_unused: bool,
+    /// The same for one beyond the permits, on which a command may have begun to come.
+    makes_room_spare: bool,
     /// The process that takes over gets this connection between two requests.
     handing_over: bool,
     reading: bool,
     waiting_for_memory: bool,
     /// Until when nothing more is read, since it sends commands at full speed.
     paused_until: Option<Instant>,
-    /// No part of a command was read.
-    no_partial_command: bool,
     /// It ends unless a command has come.
     closing: bool,
-    /// It stays open only until a command that has begun to come is complete.
-    finishing_command: bool,
     /// It is idle and is not to close.
     staying: bool,
+    /// It is idle, and stays or has begun a command: its deadline ends that.
+    timed: bool,
 }
 
 /// The phases that a connection waits for.
@@ -265,25 +266,32 @@
             && paused_until.is_none();
         // A command that has begun to come is not cut off until the end of its time.
         let no_partial_command = self.is_between_commands();
+        self.time_partial_command(reading && !no_partial_command);
         let closing = paused_until.is_none()
             && match self.closing {
                 Some(CloseReason::Immediately) => idle,
                 Some(CloseReason::AfterPartialCommand) => idle && no_partial_command,
                 None => false,
             };
+        let used = matches!(self.state, ConnectionState::Used);
+        let silent = matches!(self.state, ConnectionState::Silent { .. });
+        let spare = self.spare_until.is_some();
+        let staying = idle && self.closing.is_none();
+        // One that has begun a command is about to be used. A spare one has no permit to give.
+        let has_permit_to_give = staying && no_partial_command && !spare;
         Ok(WaitConditions {
             idle,
-            used: matches!(self.state, ConnectionState::Used),
-            silent: matches!(self.state, ConnectionState::Silent { .. }),
-            spare: self.spare_until.is_some(),
+            used,
+            makes_room: has_permit_to_give && used,
+            makes_room_unused: has_permit_to_give && silent,
+            makes_room_spare: idle && spare && (used || !no_partial_command),
             handing_over,
             reading,
             waiting_for_memory,
             paused_until,
-            no_partial_command,
             closing,
-            finishing_command: idle && self.must_stay && !no_partial_command && !closing,
-            staying: idle && self.closing.is_none(),
+            staying,
+            timed: idle && !closing && (staying || !no_partial_command),
         })
     }
 
@@ -300,7 +308,7 @@
         self.framed.get_ref().resume_reading();
         tokio::select! {
             biased;
-            command = next_input(&mut self.framed, &self.context.scratch), if conditions.reading => self.handle_input(command).await?,
+            event = next_read_event(&mut self.framed, &self.context.scratch), if conditions.reading => self.handle_read(event).await?,
             answer = next_answer(&mut self.pending), if !conditions.idle => {
                 let due_at = self.pending.pop_front().and_then(|reply| reply.due_at());
                 if let Some(answer) = self.hold_large(answer, due_at) {
@@ -329,17 +337,17 @@
                     return Err(self.close());
                 }
             }
-            // A spare connection has no permit to give.
-            () = context.pressure.until_idle_asked(), if conditions.staying && conditions.used && !conditions.spare => {
+            () = context.pressure.until_idle_asked(), if conditions.makes_room => {
                 self.closing = Some(CloseReason::AfterPartialCommand);
             }
-            // A connection that has begun a command is about to be used.
-            () = context.pressure.until_silent_asked(),
-                if conditions.staying && !conditions.spare && conditions.no_partial_command && conditions.silent =>
-            {
+            () = context.pressure.until_silent_asked(), if conditions.makes_room_unused => {
+                self.closing = Some(CloseReason::Immediately);
+            }
+            // Its next request would be refused.
+            () = context.pressure.until_spare_asked(), if conditions.makes_room_spare => {
                 self.closing = Some(CloseReason::Immediately);
             }
-            () = sleep_until(idle_deadline), if conditions.staying || conditions.finishing_command => {
+            () = sleep_until(idle_deadline), if conditions.timed => {
                 self.handle_idle_timeout();
             }
             _ = phases.handing_over.wait_for(|phase| phase.hands_over()),
--- a/crates/stairfront-balancer/src/client/idle.rs
+++ b/crates/stairfront-balancer/src/client/idle.rs
@@ -7,14 +7,14 @@
 use crate::clock::Instant;
 use crate::transport::Stream;
 
-/// A client may take 2 s for the head of a command, and one that has sent no whole command must be closed or answered
-/// within 3 s.
+/// A client may take 2 s for the head of a command, and one that has sent none, or stops within one, must be closed or
+/// answered within 3 s.
 const SILENT_TIMEOUT: Duration = Duration::from_millis(2700);
 /// The same for a connection that has carried commands: its client likely has more, and a new connection costs both sides.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 /// A new connection does not have to make room for this long, since its first command is on its way.
 const NEW_PERIOD: Duration = Duration::from_millis(200);
-/// How long a spare connection may be without a command.
+/// How long a spare connection may be without a command, or a part of one.
 pub(super) const SPARE_TIMEOUT: Duration = Duration::from_millis(250);
 /// Bytes of a large value that have to come in the time of a head. Less would let a client hold the memory of others for ever by
 /// sending a few bytes now and then.
@@ -48,25 +48,49 @@
         }
         let has_partial_command = !self.is_between_commands();
         match (&self.state, self.partial_since) {
-            _ if self.spare_until.is_some() => {
-                self.closing = Some(CloseReason::AfterPartialCommand);
-            }
+            _ if self.spare_until.is_some() => self.end_spare(has_partial_command),
             (ConnectionState::New, _) => {
                 self.state = ConnectionState::Silent {
                     _guard: SilentGuard::new(&self.context.pressure),
                 };
             }
-            // The command may have begun just now, and has its time from here.
+            // Nothing is read from it at present, and its client may have sent the rest.
             (ConnectionState::Used, None) if has_partial_command => {
-                self.partial_since = Some(Instant::now());
-            }
-            _ => {
-                self.context.counters.client_connections_idled.add();
-                self.closing = Some(CloseReason::Immediately);
+                self.idle_since = Instant::now();
             }
+            _ => self.end_idle(),
         }
     }
 
+    fn end_idle(&mut self) {
+        self.context.counters.client_connections_idled.add();
+        self.closing = Some(CloseReason::Immediately);
+    }
+
+    /// Ends a spare connection, unless a command has begun to come on it and has time left.
+    fn end_spare(&mut self, has_partial_command: bool) {
+        if !has_partial_command {
+            self.closing = Some(CloseReason::AfterPartialCommand);
+            return;
+        }
+        let now = Instant::now();
+        let command_until = self.partial_since.unwrap_or(now) + SILENT_TIMEOUT;
+        if now < command_until {
+            self.spare_until = Some(command_until);
+        } else {
+            self.end_idle();
+        }
+    }
+
+    /// Measures from when a command has been read in part, while more of it would be read.
+    pub(super) fn time_partial_command(&mut self, waits_for_rest: bool) {
+        self.partial_since = if waits_for_rest {
+            self.partial_since.or_else(|| Some(Instant::now()))
+        } else {
+            None
+        };
+    }
+
     /// Whether it has only a spare permit. It takes a usual one as soon as one is free.
     pub(super) fn is_spare(&mut self) -> bool {
         if self.permit.spare {
--- a/crates/stairfront-balancer/src/client/memory_wait.rs
+++ b/crates/stairfront-balancer/src/client/memory_wait.rs
@@ -8,6 +8,7 @@
 use crate::arrival::ArrivalTime;
 use crate::client::connection::{Connection, ConnectionState, PendingReply};
 use crate::client::ending::ConnectionEnd;
+use crate::client::read::is_between_commands;
 use crate::clock::Instant;
 use crate::messages::Answer;
 use crate::transport::Stream;
@@ -120,6 +121,6 @@
 
     /// Whether nothing of a further command has been read.
     pub(super) fn is_between_commands(&self) -> bool {
-        self.framed.read_buffer().is_empty() && self.framed.codec().bytes_to_skip() == 0
+        is_between_commands(&self.framed)
     }
 }
--- a/crates/stairfront-balancer/src/client/read.rs
+++ b/crates/stairfront-balancer/src/client/read.rs
@@ -3,6 +3,7 @@
 use std::future::poll_fn;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::task::Poll;
 
 use bytes::Bytes;
 use futures_util::{FutureExt, StreamExt};
@@ -69,7 +70,46 @@
     }
 }
 
+/// What has been read of a connection.
+pub(super) enum ReadEvent {
+    /// A whole command, an error, or `None` at the end of the connection.
+    Input(Option<Result<ClientInput, RespError>>),
+    /// The first part of a command.
+    CommandBegun,
+}
+
+/// The next event. Cancel safe.
+pub(super) async fn next_read_event<T: Stream>(
+    framed: &mut Framed<SharedStream<T>, ClientCodec>,
+    scratch: &ScratchBuffer,
+) -> ReadEvent {
+    if !is_between_commands(framed) {
+        return ReadEvent::Input(next_input(framed, scratch).await);
+    }
+    poll_fn(|cx| match framed.poll_next_unpin(cx) {
+        Poll::Ready(input) => Poll::Ready(ReadEvent::Input(input)),
+        Poll::Pending if is_between_commands(framed) => Poll::Pending,
+        Poll::Pending => Poll::Ready(ReadEvent::CommandBegun),
+    })
+    .await
+}
+
+/// Whether nothing of a further command has been read.
+pub(super) fn is_between_commands<T: Stream>(
+    framed: &Framed<SharedStream<T>, ClientCodec>,
+) -> bool {
+    framed.read_buffer().is_empty() && framed.codec().bytes_to_skip() == 0
+}
+
 impl<T: Stream> Connection<T> {
+    /// Handles what was read. With the first part of a command the connection has another deadline.
+    pub(super) async fn handle_read(&mut self, event: ReadEvent) -> Result<(), ConnectionEnd> {
+        match event {
+            ReadEvent::Input(input) => self.handle_input(input).await,
+            ReadEvent::CommandBegun => Ok(()),
+        }
+    }
+
     /// Handles what was read: a command, an error or the end of the connection.
     pub(super) async fn handle_input(
         &mut self,
