Slow discovery is learned from: a call has time by what the last answer took

Cause: the first call of each connection is not held and was given up after 1 s, and so was each one after it.

Change: an answer that was due at once sets the timeout of the next calls to twice its time (1 to 20 s). After a call without an answer the next has 5 s, and every third in a row 12 s. What a watch is held for and its timeout stay 51 s together (control/answer_timeout.rs).

Evidence: tests/slow_discovery.rs, answers after 0.1 to 4 s, changing, lost and hanging ones: learned within 6 s; after 8 s: learned.

--- a/crates/stairfront-balancer/src/control/discovery.rs
+++ b/crates/stairfront-balancer/src/control/discovery.rs
@@ -18,6 +18,7 @@
 
 use crate::arrival::PollClock;
 use crate::clock::{sleep, timeout, Instant};
+use crate::control::answer_timeout::AnswerTimeout;
 use crate::control::server_list::{ListError, RawList, ServerList};
 use crate::counters::Counters;
 use crate::list_freshness::{ListFreshness, ListInTransit};
@@ -25,11 +26,12 @@
 use crate::shared_stream::SharedStream;
 use crate::transport::{Network, Unread};
 
-/// How long the agent may hold a poll until there is a change; the agent allows 60 s. While discovery is down its changes
-/// count as notified 2 s after the hold is over, so a short hold would have this balancer send to caches that drain.
-const HOLD: Duration = Duration::from_secs(50);
-/// Time that an answer may take beyond the hold before the agent counts as failed; it is on this machine.
-const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long a poll that the agent may hold until there is a change is out at most; the agent allows 60 s. While discovery is
+/// down its changes count as notified 2 s after the hold is over, so a short hold would have this balancer send to caches that
+/// drain.
+const WATCH_TIMEOUT: Duration = Duration::from_secs(51);
+/// Time that a connection to the agent may take, which is on this machine.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Largest list that is read; room for some thousand servers.
 const MAX_LIST_BYTES: usize = 2 * 1024 * 1024;
 /// Buffers of a list that comes in chunks: its content, the next chunk, and a greater buffer that takes the place of one.
@@ -110,9 +112,10 @@
     polls: Rc<PollClock>,
     /// The version in hand; `None` asks for the whole list.
     index: Option<u64>,
-    /// How long the next poll may be held: not at all until one was answered, so that a start or a return of the agent
-    /// does not wait for the next change.
-    hold: Duration,
+    /// Whether the agent may hold the next poll: not until one was answered, so that a start or a return of the agent does
+    /// not wait for the next change.
+    may_hold: bool,
+    answer_timeout: AnswerTimeout,
     poll_now: Rc<Notify>,
     /// State of this balancer's own random numbers.
     random_state: u64,
@@ -136,7 +139,8 @@
             lists: settings.lists,
             polls: settings.polls,
             index: Some(settings.known_index),
-            hold: Duration::ZERO,
+            may_hold: false,
+            answer_timeout: AnswerTimeout::default(),
             poll_now: settings.poll_now,
             random_state: settings.seed,
             counters,
@@ -157,6 +161,7 @@
                     }
                     self.drop_connection();
                     self.index = None;
+                    self.answer_timeout = AnswerTimeout::default();
                 }
                 // The poll that is held is dropped: the next one brings what it would have brought.
                 () = poll_now.notified() => self.drop_connection(),
@@ -167,7 +172,7 @@
 
     fn drop_connection(&mut self) {
         self.connection = None;
-        self.hold = Duration::ZERO;
+        self.may_hold = false;
     }
 
     async fn keep_polling(&mut self) {
@@ -187,7 +192,7 @@
                     let Ok(permit) = self.events.reserve().await else {
                         return;
                     };
-                    self.hold = HOLD;
+                    self.may_hold = true;
                     self.index = Some(list.index);
                     let in_transit = Some(in_transit);
                     permit.send(EngineEvent::EndpointList(ReceivedList { list, in_transit }));
@@ -220,7 +225,11 @@
                 self.index = None;
                 REFUSED_BACKOFF
             }
-            PollError::Http(_) | PollError::Late | PollError::Ended => UNREACHABLE_BACKOFF,
+            PollError::Late => {
+                self.answer_timeout.note_late();
+                UNREACHABLE_BACKOFF
+            }
+            PollError::Http(_) | PollError::Ended => UNREACHABLE_BACKOFF,
         }
     }
 
@@ -273,13 +282,11 @@
     }
 
     async fn exchange(&mut self, address: SocketAddr) -> Result<Response, PollError> {
-        let (target, limit) = match self.index {
-            Some(index) => {
-                let hold_ms = self.hold.as_millis();
-                let target = format!("/api/targets?from={index}&hold_ms={hold_ms}");
-                (target, self.hold + ANSWER_TIMEOUT)
-            }
-            None => ("/api/targets".to_string(), ANSWER_TIMEOUT),
+        let answer_timeout = self.answer_timeout.get();
+        let hold = self.hold();
+        let target = match self.index {
+            Some(index) => format!("/api/targets?from={index}&hold_ms={}", hold.as_millis()),
+            None => "/api/targets".to_string(),
         };
         let request = Request {
             method: "GET",
@@ -294,7 +301,7 @@
                 connection
             }
             none => {
-                let connected = timeout(ANSWER_TIMEOUT, self.network.connect(address));
+                let connected = timeout(CONNECT_TIMEOUT, self.network.connect(address));
                 let socket = connected.await.map_err(|_| PollError::Late)??;
                 let socket = SharedStream::new(socket, &self.polls, Instant::now());
                 self.lists.set_agent(socket.peer());
@@ -303,10 +310,24 @@
             }
         };
         connection.get_ref().resume_reading();
+        let sent_at = Instant::now();
         connection.send(request).await?;
-        let answer = timeout(limit, connection.next())
+        let answer = timeout(hold + answer_timeout, connection.next())
             .await
             .map_err(|_| PollError::Late)?;
-        Ok(answer.ok_or(PollError::Ended)??)
+        let response = answer.ok_or(PollError::Ended)??;
+        if hold.is_zero() {
+            self.answer_timeout.note_answer(sent_at.elapsed());
+        }
+        Ok(response)
+    }
+
+    /// How long the agent may hold the next poll.
+    fn hold(&self) -> Duration {
+        if self.may_hold && self.index.is_some() {
+            WATCH_TIMEOUT - self.answer_timeout.get()
+        } else {
+            Duration::ZERO
+        }
     }
 }
