An upgrade hands the endpoint list in use over

Cause: the state that is handed over had no list; the new process began with that of its file, and asked discovery from the version of that one.

Change: the engine keeps the list in use as it was written, with its version (engine/list_in_use.rs), as a part of the state that builds before ignore. The new process starts with it if its version is higher than its file's, and there is discovery.

--- a/crates/stairfront-balancer/src/control/server_list.rs
+++ b/crates/stairfront-balancer/src/control/server_list.rs
@@ -2,14 +2,14 @@
 //! them.
 use std::net::SocketAddr;
 
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use stairfront_common::time::{Micros, MS};
 use stairfront_policy::interface::{CacheId, Cell, Endpoint, EndpointState, Kind, Zone};
 use stairfront_settings::Names;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// A list as discovery writes it, in JSON.
-#[derive(Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct RawList {
     #[serde(default)]
     index: u64,
@@ -19,8 +19,9 @@
     endpoints: Vec<RawEndpoint>,
 }
 
-#[derive(Debug, Deserialize)]
-struct RawEndpoint {
+/// One server, as it is written.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RawEndpoint {
     name: String,
     address: String,
     #[serde(default)]
@@ -78,6 +79,8 @@
     pub endpoint: Endpoint,
     /// Where it accepts connections.
     pub address: SocketAddr,
+    /// The server as it was written.
+    pub raw: RawEndpoint,
 }
 
 /// A list that has been read.
@@ -101,6 +104,15 @@
 }
 
 impl RawList {
+    /// A complete list of this version.
+    pub fn complete(index: u64, endpoints: Vec<RawEndpoint>) -> Self {
+        RawList {
+            index,
+            snapshot: true,
+            endpoints,
+        }
+    }
+
     /// Reads the list; zones and kinds are numbered by their position in `names`, unknown ones by a number that no known
     /// one has.
     ///
@@ -123,6 +135,7 @@
 
 impl RawEndpoint {
     fn read(self, names: &Names) -> Result<ServerEntry, ListError> {
+        let raw = self.clone();
         let RawEndpoint {
             name,
             address,
@@ -158,6 +171,7 @@
             name,
             endpoint,
             address,
+            raw,
         })
     }
 }
--- a/crates/stairfront-balancer/src/engine/endpoint_list.rs
+++ b/crates/stairfront-balancer/src/engine/endpoint_list.rs
@@ -21,6 +21,7 @@
 impl<D: Decide, N: Network> Engine<D, N> {
     /// Applies a list; `cached` if it is the one that the configuration brings.
     pub(super) fn apply_list(&mut self, list: ServerList, cached: bool) {
+        self.list_in_use.apply(&list);
         let mut endpoints: Vec<Endpoint> =
             list.entries.iter().map(|entry| entry.endpoint).collect();
         if list.full {
--- a/crates/stairfront-balancer/src/engine/mod.rs
+++ b/crates/stairfront-balancer/src/engine/mod.rs
@@ -6,6 +6,7 @@
 mod cordons;
 mod effects;
 mod endpoint_list;
+mod list_in_use;
 
 use std::cell::RefCell;
 use std::collections::VecDeque;
@@ -32,6 +33,7 @@
 use crate::control::pending_order::PendingOrder;
 use crate::control::server_list::{cache_id, ServerList};
 use crate::counters::{Counters, OriginUsage};
+use crate::engine::list_in_use::ListInUse;
 use crate::lifecycle::handover::OtherProcess;
 use crate::lifecycle::handover_state::{HandoverState, Snapshot};
 use crate::lifecycle::id_log::{IdLogFiles, UpgradeSide};
@@ -103,6 +105,7 @@
     min_remaining_lifetime: Micros,
     /// The servers of the list in use, as last listed.
     servers: FxHashMap<CacheId, Endpoint>,
+    list_in_use: ListInUse,
     /// Names of the cache hosts in the list, where there is a group to notify.
     names: FxHashMap<CacheId, String>,
     /// Every cache host ever listed, and which of them are cordoned.
@@ -164,6 +167,7 @@
             removed_hosts: VecDeque::new(),
             min_remaining_lifetime: min_remaining_lifetime(&settings),
             servers: FxHashMap::default(),
+            list_in_use: ListInUse::default(),
             names: FxHashMap::default(),
             registry,
             drain_hints: FxHashSet::default(),
@@ -227,7 +231,10 @@
         let index = known.index;
         self.apply_list(known, true);
         self.announce_list(index, Vec::new());
-        if let Some(HandoverState { knowledge, listed }) = inherited {
+        if let Some(HandoverState {
+            knowledge, listed, ..
+        }) = inherited
+        {
             info!("state of the predecessor taken over");
             self.notify_policy(Event::Inherited(&knowledge));
             let servers = &self.servers;
@@ -346,6 +353,7 @@
         let state = HandoverState {
             knowledge: self.policy.snapshot(self.clock.now()),
             listed: self.registry.known().map(|id| id.0).collect(),
+            list: Some(self.list_in_use.to_raw()),
         };
         // Serializing fails only for maps with keys that are no strings. A successor without the state learns by itself.
         let state = serde_json::to_vec(&state).unwrap_or_default();
--- a/crates/stairfront-balancer/src/lifecycle/server.rs
+++ b/crates/stairfront-balancer/src/lifecycle/server.rs
@@ -16,6 +16,7 @@
 use crate::clock::Clock;
 use crate::configuration::config::Config;
 use crate::control::reload;
+use crate::control::server_list::ServerList;
 use crate::lifecycle::assembly::{Assembly, BackgroundTasks};
 use crate::lifecycle::handover::{self, HandoverChannel, Predecessor};
 use crate::lifecycle::shutdown::{Phase, ShutdownTime, SignalWatch};
@@ -153,6 +154,15 @@
     pub hangups: mpsc::Receiver<()>,
 }
 
+/// The list to start with. Without discovery that of the configuration is the newest.
+fn newest_list(config: &mut Config, predecessor: Option<&Predecessor>) -> ServerList {
+    let known = std::mem::take(&mut config.known);
+    match predecessor.and_then(|predecessor| predecessor.state.as_ref()) {
+        Some(state) if config.discovery.is_some() => state.newest_list(known, &config.start.names),
+        _ => known,
+    }
+}
+
 /// Serves until the phase says to close and all accepted requests are answered.
 ///
 /// # Errors
@@ -174,7 +184,7 @@
         ..
     } = dependencies;
     let state_directory = state_directory.as_deref();
-    let known = std::mem::take(&mut config.known);
+    let known = newest_list(&mut config, predecessor.as_ref());
     let (agent_sender, agent) = watch::channel(config.discovery);
 
     let pool = assembly.pool(network.clone(), predecessor.as_ref());
--- a/crates/stairfront-balancer/tests/stored_forms.rs
+++ b/crates/stairfront-balancer/tests/stored_forms.rs
@@ -12,6 +12,7 @@
 use stairfront_balancer::control::cordon_record::CordonRecord;
 use stairfront_balancer::control::maintenance::admin::{CommittedCommand, DryRun, PublishedView};
 use stairfront_balancer::control::maintenance::side_event::SideEvent;
+use stairfront_balancer::control::server_list::RawList;
 use stairfront_balancer::counters::Counters;
 use stairfront_balancer::lifecycle::handover_socket;
 use stairfront_balancer::lifecycle::handover_state::HandoverState;
@@ -23,8 +24,8 @@
     Maintenance, Plan, PlanView, Stage, View,
 };
 use stairfront_membership_agent::{MemberState, QuorumStatus, Report};
-use stairfront_policy::interface::PolicySnapshot;
 use stairfront_raft_node::Status;
+use stairfront_settings::Names;
 use stairfront_test_support::golden::GoldenFiles;
 use stairfront_test_support::loopback::{
     cache, config, dead_address, hit, line, memory_folder, quiet_agent, run, Balancer, Log,
@@ -46,21 +47,61 @@
 }
 
 /// The knowledge in it is pinned by the decision module's own test.
-#[test]
-fn handover_state_has_the_pinned_form() {
+fn assert_handover_state_is_pinned(name: &str, list: Option<RawList>) {
     let knowledge = include_str!("../../stairfront-policy/tests/golden/knowledge_even.json");
-    let knowledge: PolicySnapshot = serde_json::from_str(knowledge).unwrap();
     let state = HandoverState {
-        knowledge,
+        knowledge: serde_json::from_str(knowledge).unwrap(),
         listed: vec![7, 1, u64::MAX],
+        list,
     };
-    let read = through("handover_state.json", &state);
+    let read = through(name, &state);
     assert_eq!(
-        (read.knowledge, read.listed),
-        (state.knowledge, state.listed)
+        (read.knowledge, read.listed, read.list),
+        (state.knowledge, state.listed, state.list)
     );
 }
 
+/// Builds before hand no list over.
+#[test]
+fn handover_state_has_the_pinned_form() {
+    assert_handover_state_is_pinned("handover_state.json", None);
+}
+
+#[test]
+fn handover_state_with_a_list_has_the_pinned_form() {
+    let list = r#"{"index":7,"snapshot":true,"endpoints":[{"name":"s-1","address":"10.1.0.18:6379","zone":"b",
+        "type":"m2","group":3,"status":"DRAINING","weight":1.5,"since_ms":1733443200123.5}]}"#;
+    let list = serde_json::from_str(list).unwrap();
+    assert_handover_state_is_pinned("handover_state_with_list.json", Some(list));
+}
+
+/// The list of the process before is used if it is newer than that of the file and can be read.
+#[test]
+fn an_older_or_unreadable_list_of_the_predecessor_replaces_that_of_the_file() {
+    let list = |index: u64, status: &str| -> RawList {
+        let server = json!({"name": "s-1", "address": "10.1.0.18:6379", "status": status});
+        serde_json::from_value(json!({"index": index, "snapshot": true, "endpoints": [server]}))
+            .unwrap()
+    };
+    let names = Names::default();
+    for (inherited, used) in [
+        (Some(list(8, "DRAINING")), 8),
+        (Some(list(7, "DRAINING")), 7),
+        (Some(list(3, "DRAINING")), 7),
+        (Some(list(8, "ODD")), 7),
+        (None, 7),
+    ] {
+        let state = HandoverState {
+            list: inherited,
+            ..HandoverState::default()
+        };
+        let known = list(7, "SERVING").read(&names).unwrap();
+        let newest = state.newest_list(known.clone(), &names);
+        assert_eq!(newest.index, used);
+        assert_eq!(newest == known, used == 7, "{newest:?}");
+    }
+}
+
 /// The old and the new process of a balancer meet at this path.
 #[test]
 fn the_handover_socket_has_the_pinned_name() {
