Clients that go on through upgrades, and the start of a successor, move to test-support

Change: loopback::crowd, loopback::LoadClients and BalancerProcess::start_successor, moved as they were. No check is changed or dropped.

--- a/crates/stairfront-test-support/src/loopback/mod.rs
+++ b/crates/stairfront-test-support/src/loopback/mod.rs
@@ -1,7 +1,9 @@
 //! Balancers in the process of a test, and in-process stand-ins on loopback for cache hosts, the origin, discovery and clients.
 mod balancer;
 mod client;
+pub mod crowd;
 mod group;
+mod load_clients;
 pub mod peers;
 mod process;
 mod stand_in;
@@ -15,6 +17,7 @@
 pub use balancer::{config, line, settings, Balancer};
 pub use client::{bulk, command, get, say, Client};
 pub use group::{names, AdminAnswer, BalancerGroup, HostRequests};
+pub use load_clients::LoadClients;
 pub use process::{unused_address, BalancerProcess};
 pub use stand_in::{
     cache, commands, count, cut_http, cut_resp, dead_address, gated_echo, hit, http, listing_agent,
--- a/crates/stairfront-test-support/src/loopback/process.rs
+++ b/crates/stairfront-test-support/src/loopback/process.rs
@@ -83,6 +83,13 @@
         process
     }
 
+    /// Starts one beside a running process of the same balancer, in its directory, and waits until it can serve.
+    pub async fn start_successor(test: &str, configuration: &Value, directory: &Path) -> Self {
+        let process = Self::spawn(test, configuration.clone(), Some(directory));
+        process.wait_until_healthy().await;
+        process
+    }
+
     async fn wait_until_serving(&self) {
         let mut client = loop {
             match Client::connect(self.address).await {
--- a/crates/stairfront/tests/repeated_ids.rs
+++ b/crates/stairfront/tests/repeated_ids.rs
@@ -1,7 +1,6 @@
 //! A client that leaves and comes again with the ids that no server had begun then: none of them runs twice.
 
 use std::net::SocketAddr;
-use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -96,12 +95,6 @@
     });
 }
 
-async fn start_successor(text: &Value, directory: &Path) -> BalancerProcess {
-    let process = BalancerProcess::spawn("again-new", text.clone(), Some(directory));
-    process.wait_until_healthy().await;
-    process
-}
-
 #[test]
 fn an_id_that_comes_again_at_the_other_process_of_an_upgrade_runs_twice() {
     run_within(TEST_LIMIT, async {
@@ -115,7 +108,7 @@
         // Some are open as the new process starts, and some come to the old one after that.
         send(&mut before, &early[..16]).await;
         sleep(ms(QUEUE_MS / 4)).await;
-        let new = start_successor(&text, directory.path()).await;
+        let new = BalancerProcess::start_successor("again-new", &text, directory.path()).await;
         send(&mut client, &late).await;
         old.signal("-TERM");
         sleep(ms(QUEUE_MS / 2)).await;
--- a/crates/stairfront/tests/upgrade.rs
+++ b/crates/stairfront/tests/upgrade.rs
@@ -1,9 +1,7 @@
 //! Upgrades between real processes: no request and no connection is lost, and the two processes act as one balancer.
 
-use std::cell::Cell;
 use std::net::SocketAddr;
 use std::path::Path;
-use std::rc::Rc;
 use std::time::Instant;
 
 use serde_json::Value;
@@ -11,14 +9,9 @@
     bulk, cache, commands, config, get, hit, line, memory_folder, ms, quiet_agent, run, Client,
     Log, Step,
 };
-use stairfront_test_support::loopback::{unused_address, BalancerProcess};
-use tokio::task::{spawn_local, JoinHandle};
+use stairfront_test_support::loopback::{unused_address, BalancerProcess, LoadClients};
 use tokio::time::sleep;
 
-const CLIENTS: usize = 8;
-/// Every third client sends each command in two parts.
-const SPLIT_EVERY: usize = 3;
-
 fn slow_hit(words: &[String]) -> Step {
     match hit(&words[1]) {
         Step::Say(bytes) => Step::After(ms(20), bytes),
@@ -26,87 +19,6 @@
     }
 }
 
-/// Clients that send one request after another, each on one connection.
-struct LoadClients {
-    answered: Rc<Cell<usize>>,
-    stopped: Rc<Cell<bool>>,
-    tasks: Vec<JoinHandle<()>>,
-}
-
-impl LoadClients {
-    async fn start(address: SocketAddr) -> Self {
-        let (answered, stopped) = (Rc::new(Cell::new(0)), Rc::new(Cell::new(false)));
-        let mut tasks = Vec::new();
-        for index in 0..CLIENTS {
-            let client = LoadClient {
-                index,
-                connection: Client::connect(address).await.unwrap(),
-                answered: Rc::clone(&answered),
-                stopped: Rc::clone(&stopped),
-            };
-            tasks.push(spawn_local(client.run()));
-        }
-        LoadClients {
-            answered,
-            stopped,
-            tasks,
-        }
-    }
-
-    /// Waits until so many more requests are answered.
-    async fn wait_for_answers(&self, count: usize) {
-        let wanted = self.answered.get() + count;
-        while self.answered.get() < wanted {
-            assert!(
-                !self.tasks.iter().any(JoinHandle::is_finished),
-                "a client has stopped"
-            );
-            sleep(ms(5)).await;
-        }
-    }
-
-    async fn stop(self) {
-        self.stopped.set(true);
-        for task in self.tasks {
-            task.await.unwrap();
-        }
-    }
-}
-
-struct LoadClient {
-    index: usize,
-    connection: Client,
-    answered: Rc<Cell<usize>>,
-    stopped: Rc<Cell<bool>>,
-}
-
-impl LoadClient {
-    async fn run(mut self) {
-        let index = self.index;
-        let key = format!("k{index}");
-        for n in 0.. {
-            if self.stopped.get() {
-                return;
-            }
-            self.send(&get(&key, &format!("{index}-{n}"), 1400)).await;
-            let answer = self.connection.answer().await;
-            let answer = answer.expect("the connection ended");
-            assert_eq!(answer, bulk(&key), "client {index}, request {n}");
-            self.answered.set(self.answered.get() + 1);
-        }
-    }
-
-    async fn send(&mut self, command: &[u8]) {
-        if !self.index.is_multiple_of(SPLIT_EVERY) {
-            return self.connection.send(command).await;
-        }
-        let (first, rest) = command.split_at(command.len() / 2);
-        self.connection.send(first).await;
-        sleep(ms(15)).await;
-        self.connection.send(rest).await;
-    }
-}
-
 /// A configuration with one cache host.
 async fn single_host_configuration(log: &Log, host: SocketAddr) -> Value {
     let agent = quiet_agent(log).await;
@@ -120,8 +32,7 @@
     configuration: &Value,
     directory: &Path,
 ) -> BalancerProcess {
-    let new = BalancerProcess::spawn(test, configuration.clone(), Some(directory));
-    new.wait_until_healthy().await;
+    let new = BalancerProcess::start_successor(test, configuration, directory).await;
     old.signal("-TERM");
     let signalled = Instant::now();
     old.wait_for_exit().await;
@@ -208,8 +119,7 @@
         let mut first =
             BalancerProcess::start_with("stays", text.clone(), Some(directory.path())).await;
         let clients = LoadClients::start(first.address).await;
-        let successor = BalancerProcess::spawn("dies", text.clone(), Some(directory.path()));
-        successor.wait_until_healthy().await;
+        let successor = BalancerProcess::start_successor("dies", &text, directory.path()).await;
         drop(successor);
         clients.wait_for_answers(100).await;
         Client::connect(first.address)
--- a/crates/stairfront/tests/upgrade_lists.rs
+++ b/crates/stairfront/tests/upgrade_lists.rs
@@ -128,8 +128,7 @@
         // Two upgrades: what was taken over is handed on.
         for round in 0..2 {
             let name = format!("{name}-{round}");
-            let new = BalancerProcess::spawn(&name, text.clone(), Some(directory.path()));
-            new.wait_until_healthy().await;
+            let new = BalancerProcess::start_successor(&name, &text, directory.path()).await;
             old.signal("-TERM");
             old.wait_for_exit().await;
             let count = requests_at_first(&new, &log, round).await;
--- a/crates/stairfront/tests/upgrade_permits.rs
+++ b/crates/stairfront/tests/upgrade_permits.rs
@@ -1,127 +1,26 @@
 //! Upgrades under clients that together come close to the limit of the balancer: both processes share its permits.
 
-use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::os::fd::AsFd;
-use std::path::Path;
-use std::rc::Rc;
 use std::time::Duration;
 
 use serde_json::Value;
 use stairfront_balancer::lifecycle::handover_socket::{self, HandoverListener};
 use stairfront_handover::{split_state, Message};
+use stairfront_test_support::loopback::crowd::{Crowd, LOST_AFTER, PATIENCE_MS};
 use stairfront_test_support::loopback::{
     bulk, cache, config, get, hit, line, memory_folder, ms, quiet_agent, run_within, Client, Log,
     Step,
 };
 use stairfront_test_support::loopback::{unused_address, BalancerProcess};
-use tokio::task::{spawn_local, JoinHandle};
 use tokio::time::{sleep, timeout};
 
 const TEST_LIMIT: Duration = Duration::from_secs(60);
-/// What a client waits for an answer, and half a second more in which one only earns nothing.
-const PATIENCE_MS: u64 = 1500;
-const LOST_AFTER: Duration = Duration::from_millis(PATIENCE_MS + 550);
-/// A client's pause between an answer and its next request.
-const PAUSE: Duration = Duration::from_millis(200);
-/// Time between two clients that come.
-const ARRIVAL_INTERVAL: Duration = Duration::from_millis(10);
 /// A key for which cache hosts take half of a client's time.
 const SLOW_KEY: &str = "slow";
 const SLOW_LATENCY: Duration = Duration::from_millis(700);
 const SERVERS: [&str; 4] = ["c0", "c1", "c2", "c3"];
 
-/// Clients that each keep a connection and send one request after another.
-struct Crowd {
-    address: SocketAddr,
-    shared: Rc<CrowdState>,
-    tasks: Vec<JoinHandle<()>>,
-}
-
-#[derive(Default)]
-struct CrowdState {
-    /// Requests that got no answer.
-    lost: RefCell<Vec<String>>,
-    answered: Cell<usize>,
-    refused: Cell<usize>,
-    is_stopped: Cell<bool>,
-}
-
-impl Crowd {
-    fn new(address: SocketAddr) -> Self {
-        Crowd {
-            address,
-            shared: Rc::default(),
-            tasks: Vec::new(),
-        }
-    }
-
-    /// Has so many more clients come, one after another.
-    async fn add(&mut self, count: usize) {
-        for _ in 0..count {
-            let (index, address) = (self.tasks.len(), self.address);
-            let shared = Rc::clone(&self.shared);
-            self.tasks
-                .push(spawn_local(run_client(index, address, shared)));
-            sleep(ARRIVAL_INTERVAL).await;
-        }
-    }
-
-    async fn stop(self) -> Rc<CrowdState> {
-        self.shared.is_stopped.set(true);
-        for task in self.tasks {
-            task.await.unwrap();
-        }
-        self.shared
-    }
-}
-
-async fn run_client(index: usize, address: SocketAddr, shared: Rc<CrowdState>) {
-    let mut connection = None;
-    for request in 0.. {
-        if shared.is_stopped.get() {
-            return;
-        }
-        let id = format!("r{index}-{request}");
-        match ask(address, &mut connection, index, &id).await {
-            Some(answer) if answer.starts_with("-BUSY") => {
-                shared.refused.set(shared.refused.get() + 1);
-            }
-            Some(_) => shared.answered.set(shared.answered.get() + 1),
-            None => shared.lost.borrow_mut().push(id),
-        }
-        sleep(PAUSE).await;
-    }
-}
-
-/// Sends a request and waits for its answer. One that crosses the end of a connection is sent once more on a new one.
-async fn ask(
-    address: SocketAddr,
-    connection: &mut Option<Client>,
-    index: usize,
-    id: &str,
-) -> Option<String> {
-    for _ in 0..2 {
-        let mut client = match connection.take() {
-            Some(client) => client,
-            None => Client::connect(address).await.ok()?,
-        };
-        let command = get(&format!("k{}", index % 60), id, PATIENCE_MS);
-        if client.try_send(&command).await.is_err() {
-            continue;
-        }
-        match timeout(LOST_AFTER, client.answer()).await {
-            Ok(Some(answer)) => {
-                *connection = Some(client);
-                return Some(answer);
-            }
-            Ok(None) => {}
-            Err(_) => return None,
-        }
-    }
-    None
-}
-
 /// A configuration with cache hosts that take so long for an answer.
 async fn configuration(log: &Log, latency: Duration, sockets: usize) -> Value {
     let mut lines = Vec::new();
@@ -139,12 +38,6 @@
     text
 }
 
-async fn spawn_successor(test: &str, text: &Value, directory: &Path) -> BalancerProcess {
-    let process = BalancerProcess::spawn(test, text.clone(), Some(directory));
-    process.wait_until_healthy().await;
-    process
-}
-
 /// Open descriptors of a process; none once it has ended.
 fn descriptors(process: &BalancerProcess) -> usize {
     let folder = format!("/proc/{}/fd", process.child.id());
@@ -200,7 +93,8 @@
         let mut crowd = Crowd::new(old.address);
         crowd.add(self.before).await;
         sleep(ms(300)).await;
-        let new = spawn_successor(&format!("{name}-new"), &text, directory.path()).await;
+        let new =
+            BalancerProcess::start_successor(&format!("{name}-new"), &text, directory.path()).await;
         crowd.add(self.meanwhile).await;
         let mut most = 0;
         for _ in 0..20 {
@@ -266,12 +160,12 @@
         assert_eq!(busy.ask(&["PING"]).await, "+PONG\r\n");
         let mut crowd = Crowd::new(first.address);
         crowd.add(20).await;
-        let mut second = spawn_successor("chain-two", &text, directory).await;
+        let mut second = BalancerProcess::start_successor("chain-two", &text, directory).await;
         crowd.add(20).await;
         busy.send(&get(SLOW_KEY, "slow", PATIENCE_MS)).await;
         sleep(ms(50)).await;
         first.signal("-TERM");
-        let third = spawn_successor("chain-three", &text, directory).await;
+        let third = BalancerProcess::start_successor("chain-three", &text, directory).await;
         assert!(descriptors(&first) > 0, "the first process has ended");
         second.signal("-TERM");
         crowd.add(44).await;
@@ -301,7 +195,7 @@
         let old = BalancerProcess::start_with("killed", text.clone(), Some(directory.path())).await;
         let mut crowd = Crowd::new(old.address);
         crowd.add(30).await;
-        let new = spawn_successor("killed-new", &text, directory.path()).await;
+        let new = BalancerProcess::start_successor("killed-new", &text, directory.path()).await;
         crowd.add(30).await;
         let seen = crowd.stop().await;
         assert!(seen.lost.borrow().is_empty(), "{:?}", seen.lost.borrow());
